--- /dev/null
+++ b/src/kingcupscale/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Ordering backend servers by availability zone."""
--- /dev/null
+++ b/src/kingcupscale/capacity/ordering.py
@@ -0,0 +1,210 @@
+"""Starting and stopping a zone's servers, each order once."""
+
+from typing import Any
+
+import attrs
+
+from kingcupscale import clock as clocks
+from kingcupscale import codec
+from kingcupscale.capacity import scaling
+from kingcupscale.configuration import document
+from kingcupscale.configuration import editor as editors
+from kingcupscale.duties import journal as journals
+from kingcupscale.duties import orders as orderdesk
+from kingcupscale.platform import capacityprovider
+from kingcupscale.serving import services
+
+ORDER_KIND = "capacity"
+DRAIN_S = 10.0
+
+
+class Ordering:
+    """Keeps a zone's ordered servers at what the scaling rule says.
+
+    Args:
+        zone: The availability zone.
+        pools: The services.
+        provider: Takes the orders.
+        editor: Enters ordered servers into the configuration.
+        desk: Sends the orders.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        pools: services.Services,
+        provider: capacityprovider.CapacityProvider,
+        editor: editors.Editor,
+        desk: orderdesk.OrderDesk,
+        clock: clocks.Clock,
+    ) -> None:
+        self.zone = zone
+        self.pools = pools
+        self.provider = provider
+        self.editor = editor
+        self.desk = desk
+        self.clock = clock
+        self.rules: dict[str, scaling.ScalingRule] = {}
+        self.draining: dict[str, float] = {}
+
+    async def round(self) -> None:
+        """Does what is next for every service with servers to order."""
+        services_ = self.pools.replica.document.services
+        scaled = {n: s for n, s in services_.items() if s.scaling}
+        if not scaled or self.zone not in self.pools.replica.document.zones:
+            return
+        listed = (await self.provider.list(self.zone)).servers
+        await self._enter(listed)
+        for name, service in scaled.items():
+            mine = [s for s in listed if s.service == name and not s.leaving]
+            await self._scale(name, service, mine)
+        await self._stop_drained(listed)
+
+    async def _scale(
+        self,
+        name: str,
+        service: document.Service,
+        servers: list[capacityprovider.OrderedServer],
+    ) -> None:
+        staying = [s for s in servers if s.name not in self.draining]
+        rule = self._find_rule(name, service)
+        reading = self._read(name, len(staying))
+        wanted = rule.decide(reading, self.clock.monotonic())
+        if wanted > len(staying) and service.scaling is not None:
+            await self._start(name, service.scaling.cheap)
+        elif wanted < len(staying):
+            self._drain(staying[-1])
+
+    def _find_rule(
+        self, name: str, service: document.Service
+    ) -> scaling.ScalingRule:
+        replica = self.pools.replica
+        if service.scaling is None:
+            raise ValueError(f"{name} has no scaling")
+        rule = self.rules.get(name)
+        if rule is None or rule.scaling != service.scaling:
+            zone = replica.document.zones[self.zone]
+            cost = zone.server_cost_per_hour
+            if service.scaling.cheap:
+                cost = zone.cheap_cost_per_hour
+            target = replica.document.classes[service.scaling.service_class]
+            rule = scaling.ScalingRule(service.scaling, target, cost)
+            self.rules[name] = rule
+        return rule
+
+    def _read(self, name: str, ordered: int) -> scaling.Reading:
+        pool = self.pools.pools[name]
+        now = self.clock.monotonic()
+        servers = [s for s in pool.router.servers.values() if not s.is_leaving]
+        utilisation = sum(s.utilisation(now) for s in servers)
+        rule = self.rules[name]
+        return scaling.Reading(
+            utilisation / max(1, len(servers)),
+            pool.scheduler.expected_wait_s(rule.target),
+            ordered,
+        )
+
+    async def _start(self, service: str, cheap: bool) -> None:
+        order = capacityprovider.CapacityOrder(
+            journals.new_order_id(),
+            0,
+            self.zone,
+            service,
+            capacityprovider.Action.START,
+            cheap,
+        )
+        await self._order(order)
+
+    def _drain(self, server: capacityprovider.OrderedServer) -> None:
+        self.pools.replica.mark_leaving({server.address})
+        self.draining[server.name] = self.clock.monotonic()
+
+    async def _stop_drained(
+        self, listed: list[capacityprovider.OrderedServer]
+    ) -> None:
+        now = self.clock.monotonic()
+        for server in listed:
+            since = self.draining.get(server.name)
+            if since is None or now < since + DRAIN_S:
+                continue
+            order = capacityprovider.CapacityOrder(
+                journals.new_order_id(),
+                0,
+                self.zone,
+                server.service,
+                capacityprovider.Action.STOP,
+                server.cheap,
+                server.name,
+            )
+            await self._order(order)
+            del self.draining[server.name]
+
+    async def _order(self, order: capacityprovider.CapacityOrder) -> None:
+        entry = journals.JournalOrder(
+            order.order_id,
+            0,
+            ORDER_KIND,
+            order.service,
+            codec.encode(order).decode(),
+            self.clock.now(),
+        )
+        await self.desk.carry_out([entry], self.send)
+
+    async def send(
+        self, order: journals.JournalOrder, guard: orderdesk.Guard
+    ) -> orderdesk.Outcome:
+        """Sends one journalled order to the platform."""
+        body = codec.decode(capacityprovider.CapacityOrder, order.detail)
+        answer = await self.provider.order(
+            attrs.evolve(body, epoch=order.epoch), guard
+        )
+        text = answer.server if answer.accepted else answer.reason
+        return orderdesk.Outcome(answer.accepted, text)
+
+    async def _enter(
+        self, listed: list[capacityprovider.OrderedServer]
+    ) -> None:
+        """Makes the configuration name just the servers that exist."""
+        leaving = {s.address for s in listed if s.leaving}
+        if leaving and self.pools.replica.mark_leaving(leaving):
+            await self.editor.spreader.push()
+        present = self.pools.replica.document.ordered
+        wanted = {s.name: self._make_entry(s) for s in listed}
+        gone = [
+            name
+            for name, entry in present.items()
+            if entry.server.zone == self.zone and name not in wanted
+        ]
+        entries: dict[str, Any] = {
+            f"{document.ORDERED_TABLE}/{name}": entry
+            for name, entry in wanted.items()
+            if name not in present
+        }
+        entries.update({f"{document.ORDERED_TABLE}/{n}": None for n in gone})
+        if entries:
+            await self.editor.propose(
+                editors.Proposal(
+                    entries,
+                    self.pools.replica.revision,
+                    editors.SYSTEM_OPERATOR,
+                    f"servers of {self.zone} as ordered",
+                )
+            )
+
+    def _make_entry(
+        self, server: capacityprovider.OrderedServer
+    ) -> dict[str, Any]:
+        service = self.pools.replica.document.services.get(server.service)
+        slots = 1
+        if service is not None and service.scaling is not None:
+            slots = service.scaling.slots
+        return {
+            "service": server.service,
+            "server": {
+                "address": server.address,
+                "zone": server.zone,
+                "slots": slots,
+                "cheap": server.cheap,
+            },
+        }
--- /dev/null
+++ b/src/kingcupscale/cli.py
@@ -0,0 +1,53 @@
+"""The command line: ``kingcupscale COMMAND``."""
+
+import argparse
+from collections.abc import Sequence
+import sys
+
+from kingcupscale import settings
+from kingcupscale.commands import config
+from kingcupscale.commands import connection
+from kingcupscale.commands import keys
+from kingcupscale.commands import operations
+from kingcupscale.commands import processes
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="kingcupscale",
+        description="A rollout service for reinforcement learning.",
+        epilog="Exit codes: 0 done, 1 refused or not right, 2 wrong usage,"
+        " 3 the node does not answer.",
+    )
+    commands = parser.add_subparsers(
+        dest="command", required=True, metavar="COMMAND"
+    )
+    processes.add_parsers(commands)
+    config.add_parser(commands)
+    keys.add_parser(commands)
+    operations.add_parsers(commands)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Runs one command.
+
+    Args:
+        argv: The words after the program's name; None for the process's own.
+
+    Returns:
+        The exit code.
+    """
+    arguments = make_parser().parse_args(argv)
+    try:
+        arguments.run(arguments)
+    except settings.SettingsError as e:
+        print(e, file=sys.stderr)
+        return connection.EXIT_REFUSED
+    except connection.CommandError as e:
+        print(e.text, file=sys.stderr)
+        return e.exit_code
+    except KeyboardInterrupt:
+        return connection.EXIT_OK
+    return connection.EXIT_OK
--- /dev/null
+++ b/src/kingcupscale/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the command line, a module for each concern."""
--- /dev/null
+++ b/src/kingcupscale/commands/connection.py
@@ -0,0 +1,110 @@
+"""An operator's connection from the command line to a node."""
+
+import argparse
+import os
+from typing import Any
+from typing import TypeVar
+
+import orjson
+import trio
+
+from kingcupscale import codec
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+
+T = TypeVar("T")
+
+NODE_VARIABLE = "KINGCUPSCALE_NODE"
+KEY_VARIABLE = "KINGCUPSCALE_OPERATOR_KEY"
+TIMEOUT_S = 30.0
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+
+
+class CommandError(Exception):
+    """A command that ends with a message and an exit code.
+
+    Args:
+        text: What to show.
+        exit_code: What to exit with.
+    """
+
+    def __init__(self, text: str, exit_code: int) -> None:
+        super().__init__(text)
+        self.text = text
+        self.exit_code = exit_code
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the options that name the node."""
+    parser.add_argument(
+        "--node",
+        default=os.environ.get(NODE_VARIABLE, ""),
+        metavar="HOST:PORT",
+        help=f"operators' listener of a node (default: ${NODE_VARIABLE})",
+    )
+
+
+def call(
+    arguments: argparse.Namespace,
+    method: str,
+    path: str,
+    kind: type[T],
+    body: Any = None,
+) -> T:
+    """Sends one request to the node and returns its typed answer.
+
+    Raises:
+        CommandError: If the node refuses or cannot be reached.
+    """
+    request = message.Request(method, path, "", _headers())
+    if body is not None:
+        request.body = codec.encode(body)
+    if not arguments.node:
+        raise CommandError(
+            f"name a node by --node HOST:PORT or ${NODE_VARIABLE}", EXIT_USAGE
+        )
+    try:
+        response = trio.run(_fetch, arguments.node, request)
+    except exchange.ExchangeError as e:
+        state = "may have arrived" if e.request_left else "did not leave"
+        raise CommandError(
+            f"{arguments.node} did not answer ({e.reason}); the request"
+            f" {state}",
+            EXIT_UNREACHABLE,
+        ) from None
+    if response.status != 200:
+        raise CommandError(_describe(response), EXIT_REFUSED)
+    return codec.decode(kind, response.body)
+
+
+def _headers() -> dict[str, str]:
+    key = os.environ.get(KEY_VARIABLE, "")
+    if not key:
+        raise CommandError(
+            f"put your operator key into ${KEY_VARIABLE}", EXIT_USAGE
+        )
+    return {
+        "authorization": f"Bearer {key}",
+        "content-type": "application/json",
+    }
+
+
+async def _fetch(node: str, request: message.Request) -> message.Response:
+    exchanger = exchange.HttpExchanger()
+    try:
+        return await exchange.fetch(exchanger, node, request, TIMEOUT_S)
+    finally:
+        await exchanger.aclose()
+
+
+def _describe(response: message.Response) -> str:
+    try:
+        error = orjson.loads(response.body)["error"]
+        text = str(error["message"]).replace("; ", "\n  ")
+        return f"refused, {error['code']} {error['name']}:\n  {text}"
+    except (ValueError, KeyError, TypeError):
+        return f"refused with status {response.status}"
--- /dev/null
+++ b/src/kingcupscale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: checked, decided once, in force everywhere."""
--- /dev/null
+++ b/src/kingcupscale/configuration/check.py
@@ -0,0 +1,126 @@
+"""Checking a configuration, all mistakes at once."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from kingcupscale import codec
+from kingcupscale.configuration import document
+
+# Field of a table's entries, and the table its value must name an entry of.
+_REFERENCES = (
+    ("keys", "organisation", "organisations"),
+    ("keys", "service_class", "classes"),
+    ("keys", "trainer", "trainers"),
+    ("open_routes", "service", "services"),
+    ("open_routes", "organisation", "organisations"),
+    ("open_routes", "service_class", "classes"),
+    ("trainers", "organisation", "organisations"),
+    ("trainers", "service", "services"),
+    ("trainers", "service_class", "classes"),
+    ("trainers", "scorer", "services"),
+)
+
+
+class ConfigurationError(ValueError):
+    """A configuration that cannot be accepted.
+
+    Args:
+        mistakes: All that is wrong.
+    """
+
+    def __init__(self, mistakes: list[codec.Mistake]) -> None:
+        super().__init__("\n".join(str(mistake) for mistake in mistakes))
+        self.mistakes = mistakes
+
+
+def check(tables: Any) -> document.Document:
+    """Checks plain tables and returns them typed.
+
+    Args:
+        tables: As read from TOML.
+
+    Raises:
+        ConfigurationError: With every mistake found.
+    """
+    mistakes: list[codec.Mistake] = []
+    checked = document.Document()
+    try:
+        checked = codec.structure(document.Document, tables)
+    except codec.DecodeError as e:
+        mistakes += e.mistakes
+    if isinstance(tables, dict):
+        mistakes += _find_dangling(tables)
+        mistakes += _find_unknown_zones(tables)
+        mistakes += _find_unknown_scaling(tables)
+        mistakes += _find_shared_addresses(tables)
+    if mistakes:
+        raise ConfigurationError(mistakes)
+    return checked
+
+
+def _entries(tables: dict[str, Any], table: str) -> dict[str, dict[str, Any]]:
+    entries = tables.get(table, {})
+    if not isinstance(entries, dict):
+        return {}
+    return {k: v for k, v in entries.items() if isinstance(v, dict)}
+
+
+def _find_dangling(tables: dict[str, Any]) -> Iterator[codec.Mistake]:
+    for table, field, target in _REFERENCES:
+        known = _entries(tables, target)
+        for name, entry in _entries(tables, table).items():
+            value = entry.get(field, "")
+            if isinstance(value, str) and value and value not in known:
+                yield _unknown(f"{table}.{name}.{field}", value, target)
+
+
+def _find_unknown_zones(tables: dict[str, Any]) -> Iterator[codec.Mistake]:
+    zones = _entries(tables, "zones")
+    for path, server in _servers(tables):
+        zone = server.get("zone")
+        if isinstance(zone, str) and zone not in zones:
+            yield _unknown(f"{path}.zone", zone, "zones")
+
+
+def _find_unknown_scaling(tables: dict[str, Any]) -> Iterator[codec.Mistake]:
+    classes = _entries(tables, "classes")
+    for name, service in _entries(tables, "services").items():
+        scaling = service.get("scaling")
+        value = scaling.get("service_class") if _is_table(scaling) else None
+        if isinstance(value, str) and value not in classes:
+            path = f"services.{name}.scaling.service_class"
+            yield _unknown(path, value, "classes")
+
+
+def _find_shared_addresses(tables: dict[str, Any]) -> Iterator[codec.Mistake]:
+    seen: dict[str, str] = {}
+    for path, server in _servers(tables):
+        address = server.get("address")
+        if not isinstance(address, str):
+            continue
+        if address in seen:
+            expected = f"an address other than that of {seen[address]}"
+            yield codec.Mistake(f"{path}.address", repr(address), expected)
+        elif not _is_address(address):
+            expected = "host:port with a port of 1 to 65535"
+            yield codec.Mistake(f"{path}.address", repr(address), expected)
+        seen.setdefault(address, path)
+
+
+def _servers(tables: dict[str, Any]) -> Iterator[tuple[str, dict[str, Any]]]:
+    for service, entry in _entries(tables, "services").items():
+        for name, server in _entries(entry, "backend_servers").items():
+            yield f"services.{service}.backend_servers.{name}", server
+
+
+def _is_table(value: Any) -> bool:
+    return isinstance(value, dict)
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+
+
+def _unknown(path: str, value: str, target: str) -> codec.Mistake:
+    return codec.Mistake(path, repr(value), f"the name of one of {target}")
--- /dev/null
+++ b/src/kingcupscale/configuration/editor.py
@@ -0,0 +1,289 @@
+"""Accepting changes: operators' own and those the nodes make."""
+
+from typing import Any
+
+import attrs
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale.configuration import admission as admissions
+from kingcupscale.configuration import change as changes
+from kingcupscale.configuration import check
+from kingcupscale.configuration import document
+from kingcupscale.configuration import replica as replicas
+from kingcupscale.configuration import spreading
+from kingcupscale.peering import members as membership
+from kingcupscale.platform import calls
+from kingcupscale.platform import keyvalue
+
+SYSTEM_OPERATOR = "system"
+LOST_AFTER_S = 600.0
+UPKEEP_S = 5.0
+RETRY_AFTER_S = 2.0
+
+
+@attrs.frozen
+class Accepted:
+    """An accepted change.
+
+    Attributes:
+        revision: The revision in which it is in force.
+        in_force: Names of the nodes that have confirmed it.
+        pending: Names of the other members, which get it by gossip or stop
+            admitting.
+    """
+
+    revision: int
+    in_force: list[str]
+    pending: list[str]
+
+
+@attrs.frozen
+class Proposal:
+    """What an operator wants changed.
+
+    Attributes:
+        entries: New value by ``table/name``; None removes.
+        if_revision: The revision the operator saw.
+        operator: Who asks.
+        reason: Why.
+        without_majority: Accept although most nodes are out of reach, since
+            the operator knows that they are gone.
+    """
+
+    entries: dict[str, Any]
+    if_revision: int
+    operator: str
+    reason: str
+    without_majority: bool = False
+
+
+class ConflictError(errors.ServiceError):
+    """A change on a revision that is no longer the newest.
+
+    Args:
+        proposal: What was asked for.
+        revision: The newest revision.
+        since: What changed since the operator looked, a line an entry.
+    """
+
+    def __init__(
+        self, proposal: Proposal, revision: int, since: list[str]
+    ) -> None:
+        lines = "; ".join(since) or "nothing that is still in the log"
+        super().__init__(
+            errors.ResultCode.REVISION_CONFLICT,
+            f"you saw revision {proposal.if_revision}, the newest is"
+            f" {revision}; since then: {lines}",
+        )
+        self.revision = revision
+        self.since = since
+
+
+class Editor:
+    """Decides changes through the store and brings them into force.
+
+    Args:
+        spreader: Brings changes to every node.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self, spreader: spreading.Spreader, clock: clocks.Clock
+    ) -> None:
+        self.spreader = spreader
+        self.replica: replicas.Replica = spreader.replica
+        self.admission: admissions.Admission = spreader.admission
+        self.members: membership.Members = spreader.members
+        self.clock = clock
+
+    async def propose(self, proposal: Proposal) -> Accepted:
+        """Accepts a change or says why not.
+
+        Raises:
+            ConflictError: If others changed the configuration meanwhile.
+            ServiceError: ``CONFIGURATION_INVALID``, ``MAJORITY_LOST``,
+                ``STORE_UNAVAILABLE`` or ``CONFIGURATION_UNDECIDED``.
+        """
+        await self._read_store()
+        self._check_majority(proposal)
+        self._check_revision(proposal)
+        change = self._make_change(proposal)
+        await self._append(proposal, change)
+        reached = await self.spreader.push()
+        self._log_accepted(change)
+        await self._compact()
+        return self._accepted(reached)
+
+    async def _read_store(self) -> None:
+        try:
+            await self.spreader.read_store()
+        except calls.PlatformError as e:
+            raise errors.ServiceError(
+                errors.ResultCode.STORE_UNAVAILABLE,
+                f"{e.reason}; to withdraw a key now, use --emergency",
+                retry_after_s=RETRY_AFTER_S,
+            ) from e
+
+    def _check_majority(self, proposal: Proposal) -> None:
+        roster = self.replica.document.nodes
+        if proposal.without_majority or not roster:
+            return
+        if not self.admission.has_majority():
+            raise errors.ServiceError(
+                errors.ResultCode.MAJORITY_LOST,
+                f"fewer than half of {len(roster)} nodes are in reach",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    def _check_revision(self, proposal: Proposal) -> None:
+        since = self._operators_entries_since(proposal.if_revision)
+        if since is None or since:
+            lines = changes.describe(since or {})
+            raise ConflictError(proposal, self.replica.revision, lines)
+
+    def _operators_entries_since(self, revision: int) -> dict[str, Any] | None:
+        """Returns what operators changed since, or None if not known.
+
+        What the nodes enter by themselves is no conflict.
+        """
+        if revision == self.replica.revision:
+            return {}
+        batch = self.replica.batch_since(revision)
+        if batch.snapshot is not None or revision > self.replica.revision:
+            return None
+        entries: dict[str, Any] = {}
+        for change in batch.changes:
+            entries.update(change.entries)
+        return {
+            path: entry
+            for path, entry in entries.items()
+            if not document.is_system_path(path)
+        }
+
+    def _make_change(self, proposal: Proposal) -> changes.Change:
+        change = changes.Change(
+            self.replica.revision + 1,
+            proposal.entries,
+            proposal.operator,
+            proposal.reason,
+            self.clock.now(),
+            keyvalue.new_token(),
+        )
+        entries = changes.apply(self.replica.entries, change)
+        try:
+            check.check(document.unflatten(entries))
+        except check.ConfigurationError as e:
+            raise errors.ServiceError(
+                errors.ResultCode.CONFIGURATION_INVALID, str(e)
+            ) from e
+        return change
+
+    async def _append(self, proposal: Proposal, change: changes.Change) -> None:
+        try:
+            accepted = await self.spreader.log.append(change)
+        except calls.PlatformError as e:
+            raise errors.ServiceError(
+                errors.ResultCode.CONFIGURATION_UNDECIDED,
+                f"revision {change.revision}: {e.reason}; look at the newest"
+                " revision before trying again",
+                errors.Run.UNKNOWN,
+                RETRY_AFTER_S,
+            ) from e
+        if not accepted:
+            await self._read_store()
+            self._check_revision(proposal)
+            raise ConflictError(proposal, self.replica.revision, [])
+        self.replica.absorb(changes.Batch(None, [change]))
+
+    def _log_accepted(self, change: changes.Change) -> None:
+        events.log(
+            events.Event.CONFIGURATION_CHANGED,
+            node=self.members.me.name,
+            revision=change.revision,
+            operator=change.operator,
+            paths=sorted(change.entries),
+        )
+
+    async def _compact(self) -> None:
+        try:
+            await self.spreader.log.compact(
+                self.replica.revision, self.replica.entries
+            )
+        except calls.PlatformError as e:
+            events.log(
+                events.Event.STORE_FAILED,
+                node=self.members.me.name,
+                reason=e.reason,
+            )
+
+    def _accepted(self, reached: list[str]) -> Accepted:
+        pending = {m.name for m in self.members.alive()} - set(reached)
+        return Accepted(self.replica.revision, sorted(reached), sorted(pending))
+
+    async def withdraw_in_emergency(
+        self, key_id: str, operator: str, reason: str
+    ) -> Accepted:
+        """Withdraws a key without the store.
+
+        The answer names the nodes that have confirmed it; on the others the
+        key may work until they are reached or stop admitting. The withdrawal
+        enters the configuration when the store is back.
+        """
+        self.replica.withdraw({key_id})
+        events.log(
+            events.Event.KEY_WITHDRAWN_EMERGENCY,
+            node=self.members.me.name,
+            key_id=key_id,
+            operator=operator,
+            reason=reason,
+        )
+        return self._accepted(await self.spreader.push())
+
+    async def run_upkeep(self) -> None:
+        """Enters this node, removes lost ones, folds withdrawn keys in."""
+        while True:
+            entries = self._upkeep_entries()
+            if entries:
+                await self._propose_upkeep(entries)
+            await self.clock.sleep(UPKEEP_S)
+
+    def _upkeep_entries(self) -> dict[str, Any]:
+        me = self.members.me
+        entries: dict[str, Any] = {}
+        if me.name not in self.replica.document.nodes:
+            entries[f"nodes/{me.name}"] = {"zone": me.zone}
+        if self.spreader.is_watcher():
+            gone = self._lost_nodes()
+            entries.update({f"nodes/{name}": None for name in gone})
+            keys = self.spreader.unfolded()
+            entries.update({f"keys/{key_id}": None for key_id in keys})
+        return entries
+
+    def _lost_nodes(self) -> list[str]:
+        now = self.clock.monotonic()
+        return [
+            name
+            for name in self.replica.document.nodes
+            if name in self.members.entries
+            and self.members.entries[name].status
+            in (membership.DEAD, membership.LEFT)
+            and now - self.members.changed_at[name] > LOST_AFTER_S
+        ]
+
+    async def _propose_upkeep(self, entries: dict[str, Any]) -> None:
+        proposal = Proposal(
+            entries,
+            self.replica.revision,
+            SYSTEM_OPERATOR,
+            "membership and emergency withdrawals",
+        )
+        try:
+            await self.propose(proposal)
+        except errors.ServiceError as e:
+            events.log(
+                events.Event.STORE_FAILED,
+                node=self.members.me.name,
+                reason=str(e),
+            )
--- /dev/null
+++ b/src/kingcupscale/daemon.py
@@ -0,0 +1,148 @@
+"""The thin daemon: a node with its three listeners on this machine."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+
+import attrs
+import eliot
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import node as nodes
+from kingcupscale import settings as node_settings
+from kingcupscale.peering import grpctransport
+from kingcupscale.peering import transport
+from kingcupscale.web import exchange
+from kingcupscale.web import server
+
+
+@attrs.frozen
+class Addresses:
+    """Where a node's listeners are bound, as ``host:port``."""
+
+    callers: str
+    operators: str
+    peers: str
+
+
+class Daemon:
+    """A node with its listeners.
+
+    Args:
+        settings: What the node is told.
+
+    Attributes:
+        node: The node, once it has started.
+        addresses: Where it listens, once it has started.
+    """
+
+    def __init__(self, settings: node_settings.NodeSettings) -> None:
+        self.settings = settings
+        self.exchanger = exchange.HttpExchanger()
+        self.peers = grpctransport.GrpcPeerTransport()
+        self.node: nodes.Node | None = None
+        self.addresses: Addresses | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the node until its planned stop has ended or it is cancelled.
+
+        Args:
+            task_status: Told where the node listens.
+        """
+        service = transport.PeerService()
+        async with trio.open_nursery() as nursery:
+            peers = await nursery.start(
+                grpctransport.serve, service, self.settings.listeners.peers
+            )
+            self.node = self._make_node(service, peers)
+            await self._serve(self.node, task_status)
+            nursery.cancel_scope.cancel()
+        self.peers.close()
+        await self.exchanger.aclose()
+
+    def _make_node(
+        self, service: transport.PeerService, peers: str
+    ) -> nodes.Node:
+        surroundings = nodes.Surroundings(
+            self.exchanger,
+            self.peers,
+            clocks.SystemClock(),
+            random.Random(),
+            peers,
+        )
+        return nodes.Node(self.settings, surroundings, service)
+
+    async def _serve(
+        self, node: nodes.Node, task_status: trio.TaskStatus[Addresses]
+    ) -> None:
+        """Serves until the node has stopped and the last answer is out."""
+        listeners = self.settings.listeners
+        limits = server.Limits(**attrs.asdict(self.settings.limits))
+        async with trio.open_nursery() as nursery:
+            callers = await nursery.start(
+                server.serve,
+                node.entry,
+                listeners.callers,
+                limits,
+                node.stopped.wait,
+            )
+            operators = await nursery.start(
+                server.serve,
+                node.operators,
+                listeners.operators,
+                limits,
+                node.stopped.wait,
+            )
+            peers = node.members.me.address
+            self.addresses = Addresses(callers, operators, peers)
+            task_status.started(self.addresses)
+            await node.run()
+
+
+async def run_until_signal(settings: node_settings.NodeSettings) -> None:
+    """Runs a node until SIGTERM or SIGINT begins its planned stop."""
+    daemon = Daemon(settings)
+    async with trio.open_nursery() as nursery:
+        addresses = await nursery.start(daemon.run)
+        print(
+            f"{settings.name}: callers {addresses.callers}, operators"
+            f" {addresses.operators}, peers {addresses.peers}",
+            flush=True,
+        )
+        nursery.start_soon(_drain_on_signal, daemon)
+
+
+async def _drain_on_signal(daemon: Daemon) -> None:
+    if daemon.node is None:
+        return
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as waiting:
+            waiting.start_soon(_wait_for_signal, signals, daemon.node)
+            await daemon.node.stopped.wait()
+            waiting.cancel_scope.cancel()
+
+
+async def _wait_for_signal(
+    signals: AsyncIterator[int], node: nodes.Node
+) -> None:
+    async for _ in signals:
+        node.drain_asked.set()
+
+
+@contextlib.contextmanager
+def open_log(path: str) -> Iterator[None]:
+    """Sends log events to a file, or to standard error for no path."""
+    if not path:
+        eliot.to_file(sys.stderr)
+        yield
+        return
+    with pathlib.Path(path).open("ab", buffering=0) as file:
+        eliot.to_file(file)
+        yield
--- /dev/null
+++ b/src/kingcupscale/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Work that one process at a time may do: leases, fencing, journals."""
--- /dev/null
+++ b/src/kingcupscale/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what surrounds the system, and an in-memory wire."""
--- /dev/null
+++ b/src/kingcupscale/metrics.py
@@ -0,0 +1,111 @@
+"""Histograms by organisation and class, and counters sent by statsd."""
+
+import enum
+
+import attrs
+import hdrh.histogram
+import statsd
+
+LONGEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+HISTOGRAMS_KEPT = 512
+
+
+class Measure(enum.Enum):
+    """What a histogram counts."""
+
+    QUEUE_MS = "queue_ms"
+    FIRST_TOKEN_MS = "first_token_ms"
+    TOTAL_MS = "total_ms"
+    STALENESS_VERSIONS = "staleness_versions"
+
+
+@attrs.frozen
+class Summary:
+    """One histogram in figures.
+
+    Attributes:
+        organisation: Label of the organisation.
+        service_class: Name of the class.
+        measure: What was counted, with its unit.
+        count: How many values.
+        p50: Median.
+        p99: 99th percentile.
+        maximum: Largest.
+    """
+
+    organisation: str
+    service_class: str
+    measure: Measure
+    count: int
+    p50: int
+    p99: int
+    maximum: int
+
+
+class Metrics:
+    """All histograms and counters of one node.
+
+    Args:
+        client: The statsd client, or None to send nothing.
+    """
+
+    def __init__(self, client: statsd.StatsClient | None = None) -> None:
+        self.client = client
+        self.histograms: dict[
+            tuple[str, str, Measure], hdrh.histogram.HdrHistogram
+        ] = {}
+        self.counts: dict[str, int] = {}
+
+    def count(self, name: str, number: int = 1) -> None:
+        """Counts something by a dotted name."""
+        self.counts[name] = self.counts.get(name, 0) + number
+        if self.client is not None:
+            self.client.incr(name, number)
+
+    def record(
+        self,
+        organisation: str,
+        service_class: str,
+        measure: Measure,
+        value: float,
+    ) -> None:
+        """Adds a value to a histogram."""
+        key = (organisation, service_class, measure)
+        histogram = self.histograms.get(key)
+        if histogram is None:
+            if len(self.histograms) >= HISTOGRAMS_KEPT:
+                return
+            histogram = hdrh.histogram.HdrHistogram(
+                1, LONGEST_MS, SIGNIFICANT_DIGITS
+            )
+            self.histograms[key] = histogram
+        histogram.record_value(min(LONGEST_MS, max(0, round(value))))
+        if self.client is not None:
+            name = f"{service_class}.{organisation}.{measure.value}"
+            self.client.timing(name, value)
+
+    def summaries(self) -> list[Summary]:
+        """Returns every histogram in figures, ordered by name."""
+        ordered = sorted(
+            self.histograms.items(),
+            key=lambda item: (item[0][0], item[0][1], item[0][2].value),
+        )
+        return [
+            Summary(
+                *key,
+                histogram.get_total_count(),
+                histogram.get_value_at_percentile(50),
+                histogram.get_value_at_percentile(99),
+                histogram.get_max_value(),
+            )
+            for key, histogram in ordered
+        ]
+
+
+def make_client(address: str) -> statsd.StatsClient | None:
+    """Returns a statsd client for ``host:port``, or None for no address."""
+    if not address:
+        return None
+    host, _, port = address.rpartition(":")
+    return statsd.StatsClient(host, int(port), prefix="kingcupscale")
--- /dev/null
+++ b/src/kingcupscale/node.py
@@ -0,0 +1,382 @@
+"""One node: every part wired together, listeners left to the daemon."""
+
+from collections.abc import Callable
+import functools
+import random
+
+import attrs
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale import metrics
+from kingcupscale import settings as node_settings
+from kingcupscale.capacity import ordering
+from kingcupscale.capacity import zone as zones
+from kingcupscale.configuration import admission
+from kingcupscale.configuration import editor
+from kingcupscale.configuration import keys
+from kingcupscale.configuration import log
+from kingcupscale.configuration import replica
+from kingcupscale.configuration import spreading
+from kingcupscale.duties import candidates
+from kingcupscale.duties import journal
+from kingcupscale.duties import lease
+from kingcupscale.duties import orders
+from kingcupscale.duties import runner
+from kingcupscale.operating import api
+from kingcupscale.operating import handover
+from kingcupscale.operating import messages
+from kingcupscale.peering import gossip
+from kingcupscale.peering import members
+from kingcupscale.peering import peer_pb2
+from kingcupscale.peering import transport
+from kingcupscale.platform import calls
+from kingcupscale.platform import capacityprovider
+from kingcupscale.platform import keyvalue
+from kingcupscale.platform import usageintake
+from kingcupscale.platform import vmlist
+from kingcupscale.rollouts import activation
+from kingcupscale.rollouts import publication
+from kingcupscale.rollouts import service as rollouts
+from kingcupscale.serving import claims
+from kingcupscale.serving import completion
+from kingcupscale.serving import entry
+from kingcupscale.serving import generation
+from kingcupscale.serving import plain
+from kingcupscale.serving import services
+from kingcupscale.serving import sessions
+from kingcupscale.usage import copying
+from kingcupscale.usage import counter
+from kingcupscale.usage import reporting
+from kingcupscale.web import exchange
+
+ZONE_TICK_S = 0.5
+USAGE_TICK_S = 1.0
+DUTY_CHECK_S = 2.0
+DRAIN_POLL_S = 0.1
+
+
+@attrs.frozen
+class Surroundings:
+    """What a node reaches the world by.
+
+    Attributes:
+        exchanger: Carries HTTP requests.
+        peers: Calls other nodes.
+        clock: Tells the time.
+        rng: Spreads choices.
+        peer_address: ``host:port`` at which peers reach this node.
+    """
+
+    exchanger: exchange.Exchanger
+    peers: transport.PeerTransport
+    clock: clocks.Clock
+    rng: random.Random
+    peer_address: str
+
+
+class Node:
+    """One node.
+
+    Args:
+        settings: What it is told.
+        surroundings: What it reaches the world by.
+        peer_service: Where its handlers for peers are offered.
+
+    Attributes:
+        entry: Answers callers and trainers.
+        operators: Answers operators.
+        stopped: Set once a planned stop has ended.
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        surroundings: Surroundings,
+        peer_service: transport.PeerService,
+    ) -> None:
+        self.settings = settings
+        self.surroundings = surroundings
+        self.clock = surroundings.clock
+        self.peer_service = peer_service
+        self.incarnation = int(self.clock.now().timestamp() * 1000)
+        self.leases: list[lease.Lease] = []
+        self.duties: set[str] = set()
+        self.drain_asked = trio.Event()
+        self.stopped = trio.Event()
+        self._make_platform()
+        self._make_membership()
+        self._make_configuration()
+        self._make_serving()
+        self._make_operating()
+
+    def _make_platform(self) -> None:
+        platform = self.settings.platform
+        exchanger = self.surroundings.exchanger
+        timeout_s = self.settings.timings.order_timeout_s
+        self.store = keyvalue.HttpKeyValueStore(exchanger, platform.key_value)
+        self.directory = vmlist.HttpVmDirectory(exchanger, platform.vm_list)
+        self.intake = usageintake.HttpUsageIntake(
+            exchanger, platform.usage, timeout_s
+        )
+        self.provider = capacityprovider.HttpCapacityProvider(
+            exchanger, platform.capacity, timeout_s
+        )
+
+    def _make_membership(self) -> None:
+        timings = self.settings.timings
+        me = members.Member(
+            self.settings.name,
+            self.surroundings.peer_address,
+            self.settings.zone,
+            self.settings.region,
+            self.incarnation,
+        )
+        self.members = members.Members(me, self.clock, timings.suspicion_s)
+        self.gossip = gossip.Gossip(
+            self.members,
+            self.surroundings.peers,
+            self.peer_service,
+            list(self.settings.seeds),
+            self.clock,
+            gossip.GossipSettings(
+                interval_s=timings.gossip_interval_s,
+                suspicion_s=timings.suspicion_s,
+            ),
+            self.surroundings.rng,
+        )
+
+    def _make_configuration(self) -> None:
+        self.replica = replica.Replica(self.settings.name)
+        self.admission = admission.Admission(
+            self.replica,
+            self.members,
+            self.clock,
+            self.settings.timings.isolation_bound_s,
+        )
+        self.spreader = spreading.Spreader(
+            self.replica,
+            self.admission,
+            self.members,
+            self.gossip,
+            self.peer_service,
+            log.ChangeLog(self.store),
+            self.directory,
+            self.clock,
+            self.surroundings.rng,
+        )
+        self.editor = editor.Editor(self.spreader, self.clock)
+
+    def _make_serving(self) -> None:
+        exchanger = self.surroundings.exchanger
+        name = f"{self.settings.name}/{self.incarnation}"
+        self.metrics = metrics.Metrics(
+            metrics.make_client(self.settings.statsd)
+        )
+        self.counters = counter.Counters(name)
+        self.copier = copying.Copier(
+            self.counters,
+            self.members,
+            self.surroundings.peers,
+            self.peer_service,
+            self.clock,
+        )
+        self.pools = services.Services(
+            self.replica, self.clock, self.surroundings.rng
+        )
+        key_ring = keys.KeyRing(self.replica)
+        self.sessions = sessions.Sessions(key_ring)
+        generator = generation.Generator(
+            self.pools, exchanger, self.counters, self.metrics
+        )
+        plain_caller = plain.PlainCaller(
+            self.pools,
+            exchanger,
+            claims.Claims(self.store, name),
+            self.counters,
+            self.metrics,
+        )
+        self.publications = publication.Publications(self.store, self.clock)
+        self.rollouts = rollouts.RolloutService(
+            self.replica,
+            generator,
+            plain_caller,
+            self.publications,
+            self.metrics,
+            self.clock,
+        )
+        self.entry = entry.Entry(
+            key_ring,
+            self.admission,
+            self.sessions,
+            completion.Completions(
+                generator, self.sessions, self.clock, self.metrics
+            ),
+            plain_caller,
+            self.rollouts,
+        )
+
+    def _make_operating(self) -> None:
+        reporter = handover.HandoverReporter(
+            self.spreader, self.pools, self.store, self.clock
+        )
+        self.operators = api.OperatorApi(
+            self.settings.operators,
+            self.editor,
+            reporter,
+            self.read_status,
+            self.drain_asked.set,
+        )
+
+    async def run(self) -> None:
+        """Runs the node until a planned stop has ended, or it is cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gossip.run)
+            nursery.start_soon(self.pools.run)
+            nursery.start_soon(self.rollouts.run)
+            nursery.start_soon(self.copier.run)
+            nursery.start_soon(self._run_configured, nursery)
+            await self.drain_asked.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        self.stopped.set()
+
+    async def _run_configured(self, nursery: trio.Nursery) -> None:
+        await self.spreader.catch_up()
+        events.log(
+            events.Event.NODE_STARTED,
+            node=self.settings.name,
+            incarnation=self.incarnation,
+            revision=self.replica.revision,
+        )
+        nursery.start_soon(self.spreader.run)
+        nursery.start_soon(self.spreader.run_directory)
+        nursery.start_soon(self.editor.run_upkeep)
+        for shard in range(self.settings.usage_shards):
+            self._start_usage_duty(shard, nursery)
+        while True:
+            self._start_zone_duties(nursery)
+            await self.clock.sleep(DUTY_CHECK_S)
+
+    def _start_zone_duties(self, nursery: trio.Nursery) -> None:
+        for zone in self.replica.document.zones:
+            if zone not in self.duties:
+                self.duties.add(zone)
+                self._start_zone_duty(zone, nursery)
+
+    def _start_zone_duty(self, zone: str, nursery: trio.Nursery) -> None:
+        held = self._start_lease(f"zone/{zone}", zone, nursery)
+        desk = orders.OrderDesk(held, journal.Journal(self.store, held))
+        weights = activation.Activation(
+            zone,
+            self.pools,
+            self.publications,
+            self.surroundings.exchanger,
+            desk,
+            self.clock,
+            self.settings.timings.order_timeout_s,
+        )
+        servers = ordering.Ordering(
+            zone, self.pools, self.provider, self.editor, desk, self.clock
+        )
+        duty = zones.ZoneDuty(desk, weights, servers)
+        nursery.start_soon(
+            runner.DutyRunner(held, duty, self.clock, ZONE_TICK_S).run
+        )
+
+    def _start_usage_duty(self, shard: int, nursery: trio.Nursery) -> None:
+        held = self._start_lease(f"usage/{shard}", "", nursery)
+        duty = reporting.UsageDuty(
+            shard,
+            self.settings.usage_shards,
+            held,
+            self.store,
+            self.intake,
+            self.copier,
+            self.clock,
+            self.settings.timings.usage_window_s,
+        )
+        nursery.start_soon(
+            runner.DutyRunner(held, duty, self.clock, USAGE_TICK_S).run
+        )
+
+    def _start_lease(
+        self, name: str, zone: str, nursery: trio.Nursery
+    ) -> lease.Lease:
+        timings = self.settings.timings
+        held = lease.Lease(
+            self.store,
+            name,
+            self.settings.name,
+            self.clock,
+            lease.LeaseSettings(
+                timings.lease_ttl_s,
+                timings.lease_renew_s,
+                timings.order_timeout_s,
+            ),
+        )
+        self.leases.append(held)
+        rule: Callable[[], bool] = functools.partial(
+            candidates.is_candidate, name, self.members, zone
+        )
+        nursery.start_soon(lease.LeaseKeeper(held, rule, self.clock).run)
+        return held
+
+    async def _drain(self) -> None:
+        """Ends everything in order: announce, finish, hand over, leave."""
+        timings = self.settings.timings
+        events.log(events.Event.NODE_DRAINING, node=self.settings.name)
+        self.entry.is_leaving = True
+        await self.clock.sleep(timings.drain_notice_s)
+        self.entry.is_draining = True
+        self.rollouts.cancel_all()
+        with trio.move_on_after(timings.drain_limit_s):
+            while self.entry.active or self.sessions.open_sessions:
+                await self.clock.sleep(DRAIN_POLL_S)
+        await self._release_leases()
+        await self.copier.copy_once(own_only=False)
+        await self.gossip.leave()
+        events.log(events.Event.NODE_STOPPED, node=self.settings.name)
+
+    async def _release_leases(self) -> None:
+        for held in self.leases:
+            try:
+                await held.release()
+            except calls.PlatformError as e:
+                events.log(
+                    events.Event.STORE_FAILED,
+                    node=self.settings.name,
+                    reason=e.reason,
+                )
+
+    def read_status(self) -> messages.StatusAnswer:
+        """Returns how the node stands."""
+        now = self.clock.monotonic()
+        return messages.StatusAnswer(
+            self.settings.name,
+            self.settings.zone,
+            self.incarnation,
+            self.admission.is_open() and not self.entry.is_leaving,
+            self.entry.is_leaving,
+            self.replica.revision,
+            self.admission.confirmed_age_s(),
+            self.entry.active,
+            {n: len(p.scheduler.queue) for n, p in self.pools.pools.items()},
+            [
+                messages.MemberLine(
+                    m.name,
+                    m.zone,
+                    peer_pb2.Status.Name(m.status).lower(),
+                    m.incarnation,
+                )
+                for m in self.members.entries.values()
+            ],
+            [
+                messages.LeaseLine(h.name, h.epoch, round(h.deadline - now, 1))
+                for h in self.leases
+                if h.is_held()
+            ],
+            self.metrics.summaries(),
+            self.metrics.counts,
+        )
--- /dev/null
+++ b/src/kingcupscale/operating/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see and do."""
--- /dev/null
+++ b/src/kingcupscale/operating/api.py
@@ -0,0 +1,201 @@
+"""The operators' listener."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from kingcupscale import codec
+from kingcupscale import errors
+from kingcupscale import settings as node_settings
+from kingcupscale.configuration import change as changes
+from kingcupscale.configuration import check
+from kingcupscale.configuration import document
+from kingcupscale.configuration import editor as editors
+from kingcupscale.configuration import keys
+from kingcupscale.operating import handover
+from kingcupscale.operating import messages
+from kingcupscale.web import message
+from kingcupscale.web import routes
+
+Handler = Callable[[message.Request, str], Awaitable[message.Response]]
+
+
+class OperatorApi:
+    """Answers operators, each known by a key of their own.
+
+    Args:
+        operators: Operators' keys by operator.
+        editor: Accepts changes.
+        reporter: Makes handover reports.
+        read_status: Returns how the node stands.
+        drain: Begins the node's planned stop.
+    """
+
+    def __init__(
+        self,
+        operators: dict[codec.Name, node_settings.OperatorKey],
+        editor: editors.Editor,
+        reporter: handover.HandoverReporter,
+        read_status: Callable[[], messages.StatusAnswer],
+        drain: Callable[[], None],
+    ) -> None:
+        self.operators = operators
+        self.editor = editor
+        self.replica = editor.replica
+        self.reporter = reporter
+        self.read_status = read_status
+        self.drain = drain
+        self.routes = routes.Routes()
+        self._add("GET", "/status", self._serve_status)
+        self._add("GET", "/handover", self._serve_handover)
+        self._add("GET", "/configuration", self._serve_configuration)
+        self._add("POST", "/configuration", self._apply)
+        self._add("POST", "/configuration/diff", self._serve_diff)
+        self._add("POST", "/keys/grant", self._grant)
+        self._add("POST", "/keys/withdraw", self._withdraw)
+        self._add("POST", "/drain", self._drain)
+
+    def _add(self, method: str, path: str, handler: Handler) -> None:
+        async def serve(request: message.Request) -> message.Response:
+            return await handler(request, self._authenticate(request))
+
+        self.routes.add(method, path, serve)
+
+    async def __call__(self, request: message.Request) -> message.Response:
+        """Answers one request."""
+        return await self.routes(request)
+
+    def _authenticate(self, request: message.Request) -> str:
+        """Returns the operator whose key came with a request."""
+        text = keys.read_bearer(request.headers)
+        if not text:
+            raise errors.ServiceError(errors.ResultCode.KEY_MISSING)
+        for name, key in self.operators.items():
+            if keys.matches(key.salt, key.digest, text):
+                return name
+        raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)
+
+    async def _serve_status(
+        self, _: message.Request, operator: str
+    ) -> message.Response:
+        return message.json_response(self.read_status())
+
+    async def _serve_handover(
+        self, _: message.Request, operator: str
+    ) -> message.Response:
+        return message.json_response(await self.reporter.report())
+
+    async def _serve_configuration(
+        self, _: message.Request, operator: str
+    ) -> message.Response:
+        entries = {
+            path: _without_digest(path, entry)
+            for path, entry in self.replica.entries.items()
+        }
+        return message.json_response(
+            messages.ConfigurationAnswer(
+                self.replica.revision, document.unflatten(entries)
+            )
+        )
+
+    async def _apply(
+        self, request: message.Request, operator: str
+    ) -> message.Response:
+        body = request.parse(messages.ApplyRequest)
+        proposal = editors.Proposal(
+            self._difference(body.tables),
+            body.if_revision,
+            operator,
+            body.reason,
+            body.without_majority,
+        )
+        return await self._propose(proposal)
+
+    async def _propose(self, proposal: editors.Proposal) -> message.Response:
+        if not proposal.reason.strip():
+            raise errors.ServiceError(
+                errors.ResultCode.BODY_INVALID, "reason: expected some words"
+            )
+        return message.json_response(await self.editor.propose(proposal))
+
+    def _difference(self, tables: dict[str, Any]) -> dict[str, Any]:
+        """Returns the entries that tables of a file would change."""
+        unknown = sorted(tables.keys() - set(document.TABLES))
+        if unknown:
+            raise errors.ServiceError(
+                errors.ResultCode.CONFIGURATION_INVALID,
+                f"unknown tables: {', '.join(unknown)}",
+            )
+        self._check_tables(tables)
+        present = {
+            path: entry
+            for path, entry in self.replica.entries.items()
+            if path.partition("/")[0] in tables
+        }
+        return changes.difference(present, document.flatten(tables))
+
+    def _check_tables(self, tables: dict[str, Any]) -> None:
+        merged = {**document.unflatten(self.replica.entries), **tables}
+        try:
+            check.check(merged)
+        except check.ConfigurationError as e:
+            raise errors.ServiceError(
+                errors.ResultCode.CONFIGURATION_INVALID, str(e)
+            ) from e
+
+    async def _serve_diff(
+        self, request: message.Request, operator: str
+    ) -> message.Response:
+        body = request.parse(messages.DiffRequest)
+        lines = changes.describe(self._difference(body.tables))
+        return message.json_response(
+            messages.DiffAnswer(self.replica.revision, lines)
+        )
+
+    async def _grant(
+        self, request: message.Request, operator: str
+    ) -> message.Response:
+        body = request.parse(messages.GrantRequest)
+        path = f"keys/{body.key_id}"
+        if path in self.replica.entries:
+            raise errors.ServiceError(
+                errors.ResultCode.REVISION_CONFLICT,
+                f"key {body.key_id} exists",
+            )
+        return await self._propose(
+            editors.Proposal(
+                {path: body.key}, self.replica.revision, operator, body.reason
+            )
+        )
+
+    async def _withdraw(
+        self, request: message.Request, operator: str
+    ) -> message.Response:
+        body = request.parse(messages.WithdrawRequest)
+        if body.emergency:
+            accepted = await self.editor.withdraw_in_emergency(
+                body.key_id, operator, body.reason
+            )
+            return message.json_response(accepted)
+        path = f"keys/{body.key_id}"
+        if path not in self.replica.entries:
+            raise errors.ServiceError(
+                errors.ResultCode.ROUTE_UNKNOWN, f"no key {body.key_id}"
+            )
+        return await self._propose(
+            editors.Proposal(
+                {path: None}, self.replica.revision, operator, body.reason
+            )
+        )
+
+    async def _drain(
+        self, _: message.Request, operator: str
+    ) -> message.Response:
+        self.drain()
+        return message.json_response({"draining": True})
+
+
+def _without_digest(path: str, entry: Any) -> Any:
+    if not path.startswith("keys/"):
+        return entry
+    return {k: v for k, v in entry.items() if k not in ("salt", "digest")}
--- /dev/null
+++ b/src/kingcupscale/operating/handover.py
@@ -0,0 +1,153 @@
+"""The handover report: what one pair of operators leaves to the next."""
+
+from kingcupscale import clock as clocks
+from kingcupscale import codec
+from kingcupscale.configuration import change as changes
+from kingcupscale.configuration import document
+from kingcupscale.configuration import spreading
+from kingcupscale.duties import journal as journals
+from kingcupscale.duties import lease as leases
+from kingcupscale.operating import messages
+from kingcupscale.peering import members as membership
+from kingcupscale.peering import peer_pb2
+from kingcupscale.platform import calls
+from kingcupscale.platform import keyvalue
+from kingcupscale.serving import services
+from kingcupscale.usage import reporting
+
+CHANGES_SHOWN = 50
+
+
+class HandoverReporter:
+    """Makes handover reports.
+
+    Args:
+        spreader: Knows configuration and members.
+        pools: The services.
+        store: The key-value service.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self,
+        spreader: spreading.Spreader,
+        pools: services.Services,
+        store: keyvalue.KeyValueStore,
+        clock: clocks.Clock,
+    ) -> None:
+        self.spreader = spreader
+        self.replica = spreader.replica
+        self.members = spreader.members
+        self.pools = pools
+        self.store = store
+        self.clock = clock
+
+    async def report(self) -> messages.HandoverAnswer:
+        """Returns the report; what cannot be read is among the alarms."""
+        alarms = self._alarms()
+        half_done = self._half_done()
+        lease_lines: list[str] = []
+        usage_lines: list[str] = []
+        try:
+            half_done += await self._open_orders()
+            lease_lines = await self._leases()
+            usage_lines = await self._unreported()
+        except calls.PlatformError as e:
+            alarms.append(
+                f"the key-value service cannot be reached ({e.reason});"
+                " orders, leases and usage are not shown"
+            )
+        return messages.HandoverAnswer(
+            self.clock.now(),
+            self.members.me.name,
+            self.replica.revision,
+            self._changes(),
+            half_done,
+            lease_lines,
+            alarms,
+            usage_lines,
+        )
+
+    def _changes(self) -> list[messages.ChangeLine]:
+        shown = [
+            change
+            for change in reversed(self.replica.recent)
+            if not all(map(document.is_system_path, change.entries))
+        ]
+        return [
+            messages.ChangeLine(
+                change.revision,
+                change.at,
+                change.operator,
+                change.reason,
+                changes.describe(change.entries),
+            )
+            for change in shown[:CHANGES_SHOWN]
+        ]
+
+    def _half_done(self) -> list[str]:
+        lines = [
+            f"key {key_id} is withdrawn in emergency, not in the configuration"
+            for key_id in sorted(self.spreader.unfolded())
+        ]
+        lines += [
+            f"backend server {state.name} of {pool.name} is leaving with"
+            f" {state.in_flight} requests of this node"
+            for pool in self.pools.pools.values()
+            for state in pool.router.servers.values()
+            if state.is_leaving
+        ]
+        return lines
+
+    def _alarms(self) -> list[str]:
+        lines = []
+        if not self.spreader.admission.is_confirmed():
+            lines.append("the configuration is not confirmed by the store")
+        if not self.spreader.admission.is_open():
+            lines.append("this node does not admit requests")
+        lines += [
+            f"node {m.name} in {m.zone} is"
+            f" {peer_pb2.Status.Name(m.status).lower()}"
+            for m in self.members.entries.values()
+            if m.status in (membership.SUSPECT, membership.DEAD)
+        ]
+        lines += [
+            f"backend server {state.name} of {pool.name} failed"
+            f" {state.failures} times in a row"
+            for pool in self.pools.pools.values()
+            for state in pool.router.servers.values()
+            if state.failures
+        ]
+        return lines
+
+    async def _open_orders(self) -> list[str]:
+        answer = await self.store.scan(journals.PREFIX)
+        return [
+            f"order {order.order_id[:8]} ({order.kind} {order.target}) of"
+            f" {entry.key.removeprefix(journals.PREFIX)} since {order.at}"
+            for entry in answer.entries
+            for order in codec.decode(
+                journals.JournalRecord, entry.value
+            ).orders
+            if order.state is journals.OrderState.INTENDED
+        ]
+
+    async def _leases(self) -> list[str]:
+        answer = await self.store.scan(leases.PREFIX)
+        lines = []
+        for entry in answer.entries:
+            record = codec.decode(leases.LeaseRecord, entry.value)
+            name = entry.key.removeprefix(leases.PREFIX)
+            holder = record.holder or "nobody"
+            lines.append(f"{name}: {holder}, epoch {record.epoch}")
+        return lines
+
+    async def _unreported(self) -> list[str]:
+        answer = await self.store.scan(reporting.PREFIX)
+        return [
+            f"shard {entry.key.removeprefix(reporting.PREFIX)} window"
+            f" {window.window}"
+            for entry in answer.entries
+            for window in codec.decode(reporting.Ledger, entry.value).windows
+            if not window.sent
+        ]
--- /dev/null
+++ b/src/kingcupscale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what the platform gives, each behind a Protocol."""
--- /dev/null
+++ b/src/kingcupscale/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts: steps of sample groups, fresh and whole, for trainers."""
--- /dev/null
+++ b/src/kingcupscale/rollouts/scoring.py
@@ -0,0 +1,75 @@
+"""Scores of samples, from the trainer's scoring service."""
+
+from typing import Protocol
+
+import attrs
+import orjson
+
+from kingcupscale import codec
+from kingcupscale import errors
+from kingcupscale.configuration import keys
+from kingcupscale.rollouts import messages
+from kingcupscale.serving import plain
+from kingcupscale.web import message
+
+PATH = "/score"
+
+
+@attrs.frozen
+class ScoreRequest:
+    """What a scoring service gets."""
+
+    prompt: str
+    text: str
+
+
+@attrs.frozen
+class ScoreAnswer:
+    """What it answers."""
+
+    score: float
+
+
+class Scorer(Protocol):
+    """Scores samples."""
+
+    async def score(self, prompt: str, sample: messages.Sample) -> float:
+        """Returns a sample's score."""
+        ...
+
+
+class ServiceScorer:
+    """Scores by a plain service, whose calls may be repeated.
+
+    Args:
+        caller: Carries the calls.
+        service: Name of the scoring service.
+        grant: On whose behalf.
+    """
+
+    def __init__(
+        self, caller: plain.PlainCaller, service: str, grant: keys.Grant
+    ) -> None:
+        self.caller = caller
+        self.service = service
+        self.grant = grant
+
+    async def score(self, prompt: str, sample: messages.Sample) -> float:
+        """Returns a sample's score.
+
+        Raises:
+            ServiceError: If the service gives none.
+        """
+        request = message.json_request(
+            PATH, ScoreRequest(prompt, " ".join(sample.tokens))
+        )
+        call = plain.Call(self.service, PATH, request, self.grant)
+        response = await self.caller.call(call)
+        try:
+            return codec.decode(ScoreAnswer, response.body).score
+        except (codec.DecodeError, orjson.JSONDecodeError) as e:
+            raise errors.ServiceError(
+                errors.ResultCode.ANSWER_REJECTED,
+                "the scoring service gave no score",
+                errors.Run.RAN,
+            ) from e
--- /dev/null
+++ b/src/kingcupscale/rollouts/service.py
@@ -0,0 +1,216 @@
+"""Serving trainers: steps, fetches, weight versions."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale import metrics as metric
+from kingcupscale.configuration import keys
+from kingcupscale.configuration import replica as replicas
+from kingcupscale.rollouts import messages
+from kingcupscale.rollouts import publication
+from kingcupscale.rollouts import scoring
+from kingcupscale.rollouts import staleness
+from kingcupscale.rollouts import step as steps
+from kingcupscale.serving import generation
+from kingcupscale.serving import plain
+from kingcupscale.web import message
+
+STEPS_PER_TRAINER = 4
+
+Handler = Callable[[message.Request, keys.Grant], Awaitable[message.Response]]
+
+
+class RolloutService:
+    """The steps that one node runs, and the trainers' requests for them.
+
+    Args:
+        replica: The node's configuration.
+        generator: Runs jobs on engines.
+        plain_caller: Reaches scoring services.
+        publications: Publishes weight versions.
+        metrics: Histograms.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        generator: generation.Generator,
+        plain_caller: plain.PlainCaller,
+        publications: publication.Publications,
+        metrics: metric.Metrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self.replica = replica
+        self.generator = generator
+        self.plain_caller = plain_caller
+        self.publications = publications
+        self.metrics = metrics
+        self.clock = clock
+        self.steps: dict[tuple[str, int], steps.Step] = {}
+        self.opened, self.openings = trio.open_memory_channel[steps.Step](64)
+        self.handlers: dict[str, Handler] = {
+            messages.STEPS_PATH: self._open,
+            messages.FETCH_PATH: self._fetch,
+            messages.CANCEL_PATH: self._cancel,
+            messages.WEIGHTS_PATH: self._publish,
+        }
+
+    async def run(self) -> None:
+        """Runs the steps that are opened until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for step in self.openings:
+                nursery.start_soon(self._run_step, step)
+
+    async def _run_step(self, step: steps.Step) -> None:
+        await step.run()
+        key = (step.context.trainer, step.specification.step)
+        self.steps.pop(key, None)
+        events.log(
+            events.Event.STEP_ENDED,
+            node=self.replica.node,
+            trainer=step.context.trainer,
+            step=step.specification.step,
+            remaining=step.remaining(),
+        )
+
+    async def serve(
+        self, request: message.Request, grant: keys.Grant
+    ) -> message.Response:
+        """Answers one request of a trainer."""
+        handler = self.handlers.get(request.path)
+        if handler is None:
+            raise errors.ServiceError(errors.ResultCode.ROUTE_UNKNOWN)
+        if request.method != "POST":
+            raise errors.ServiceError(errors.ResultCode.METHOD_NOT_ALLOWED)
+        return await handler(request, grant)
+
+    async def _open(
+        self, request: message.Request, grant: keys.Grant
+    ) -> message.Response:
+        body = request.parse(messages.OpenRequest)
+        specification = body.specification
+        _check_groups(specification)
+        key = (grant.trainer, specification.step)
+        step = self.steps.get(key)
+        if step is None:
+            step = await self._start(specification, grant, body)
+        elif step.specification != specification:
+            raise errors.ServiceError(errors.ResultCode.STEP_CONFLICT)
+        return message.json_response(
+            messages.StepAnswer(specification.step, step.remaining())
+        )
+
+    async def _start(
+        self,
+        specification: messages.StepSpecification,
+        grant: keys.Grant,
+        body: messages.OpenRequest,
+    ) -> steps.Step:
+        mine = [key for key in self.steps if key[0] == grant.trainer]
+        if len(mine) >= STEPS_PER_TRAINER:
+            raise errors.ServiceError(
+                errors.ResultCode.QUEUE_FULL,
+                f"{STEPS_PER_TRAINER} steps are open; cancel one",
+                retry_after_s=1,
+            )
+        step = steps.Step(specification, self._make_context(grant))
+        step.note_received(body.received)
+        self.steps[grant.trainer, specification.step] = step
+        events.log(
+            events.Event.STEP_OPENED,
+            node=self.replica.node,
+            trainer=grant.trainer,
+            step=specification.step,
+            groups=len(specification.groups),
+        )
+        await self.opened.send(step)
+        return step
+
+    def _make_context(self, grant: keys.Grant) -> steps.StepContext:
+        document = self.replica.document
+        trainer = document.trainers[grant.trainer]
+        service_class = document.classes[trainer.service_class]
+        template = generation.Job(
+            trainer.service,
+            grant.label,
+            f"{grant.organisation}/{grant.trainer}",
+            trainer.service_class,
+            service_class,
+            grant.trainer,
+            "",
+            0,
+            1,
+            1,
+        )
+        scorer = None
+        if trainer.scorer:
+            scorer_grant = attrs.evolve(
+                grant, service_class=trainer.service_class
+            )
+            scorer = scoring.ServiceScorer(
+                self.plain_caller, trainer.scorer, scorer_grant
+            )
+        return steps.StepContext(
+            grant.trainer,
+            template,
+            staleness.StalenessRule(service_class.freshness_versions),
+            self.generator,
+            scorer,
+            self.metrics,
+            self.clock,
+        )
+
+    def _find(self, grant: keys.Grant, number: int) -> steps.Step:
+        step = self.steps.get((grant.trainer, number))
+        if step is None:
+            raise errors.ServiceError(
+                errors.ResultCode.STEP_UNKNOWN,
+                f"step {number} is not open here; open it to go on",
+            )
+        return step
+
+    async def _fetch(
+        self, request: message.Request, grant: keys.Grant
+    ) -> message.Response:
+        body = request.parse(messages.FetchRequest)
+        step = self._find(grant, body.step)
+        return message.json_response(await step.fetch(body))
+
+    async def _cancel(
+        self, request: message.Request, grant: keys.Grant
+    ) -> message.Response:
+        body = request.parse(messages.CancelRequest)
+        step = self._find(grant, body.step)
+        step.cancel()
+        return message.json_response(
+            messages.StepAnswer(body.step, step.remaining())
+        )
+
+    async def _publish(
+        self, request: message.Request, grant: keys.Grant
+    ) -> message.Response:
+        body = request.parse(messages.PublishRequest)
+        service = self.replica.document.trainers[grant.trainer].service
+        await self.publications.publish(grant.trainer, service, body.version)
+        return message.json_response(body)
+
+    def cancel_all(self) -> None:
+        """Ends all steps; trainers go on with them on another node."""
+        for step in list(self.steps.values()):
+            step.cancel()
+
+
+def _check_groups(specification: messages.StepSpecification) -> None:
+    numbers = [group.group for group in specification.groups]
+    if not numbers or len(set(numbers)) < len(numbers):
+        raise errors.ServiceError(
+            errors.ResultCode.BODY_INVALID,
+            "specification.groups: expected one or more, each number once",
+        )
--- /dev/null
+++ b/src/kingcupscale/rollouts/step.py
@@ -0,0 +1,255 @@
+"""One rollout step on the node that runs it."""
+
+import contextlib
+
+import attrs
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale import hashing
+from kingcupscale import metrics as metric
+from kingcupscale.rollouts import messages
+from kingcupscale.rollouts import received
+from kingcupscale.rollouts import scoring
+from kingcupscale.rollouts import staleness
+from kingcupscale.serving import generation
+
+CHUNK_TOKENS = 32
+RETRY_S = 0.2
+RETRY_LONGEST_S = 2.0
+SAMPLES_AT_A_TIME = 128
+IDLE_LIMIT_S = 60.0
+FETCH_WAIT_LONGEST_S = 30.0
+
+
+class _StaleError(Exception):
+    """A sample that would break the bound."""
+
+
+@attrs.frozen
+class StepContext:
+    """What a step's work needs.
+
+    Attributes:
+        trainer: Name of the trainer.
+        template: A job with everything but prompt, seed and length.
+        rule: The bound on staleness.
+        generator: Runs the jobs.
+        scorer: Scores samples, or None.
+        metrics: Histograms.
+        clock: Tells the time.
+    """
+
+    trainer: str
+    template: generation.Job
+    rule: staleness.StalenessRule
+    generator: generation.Generator
+    scorer: scoring.Scorer | None
+    metrics: metric.Metrics
+    clock: clocks.Clock
+
+
+class Step:
+    """Makes the groups of one step and hands them out.
+
+    The trainer is the authority on what was delivered: a group stays here
+    until a later fetch names it as received.
+
+    Args:
+        specification: What the step consists of.
+        context: What its work needs.
+
+    Attributes:
+        version: The newest weight version the trainer is known to have.
+        ready: Complete groups by number.
+        done: Numbers of the groups the trainer has.
+        fetched_at: Monotonic time of the last fetch.
+    """
+
+    def __init__(
+        self, specification: messages.StepSpecification, context: StepContext
+    ) -> None:
+        self.specification = specification
+        self.context = context
+        self.version = specification.version
+        self.ready: dict[int, messages.Group] = {}
+        self.done: set[int] = set()
+        self.groups = {group.group: group for group in specification.groups}
+        self.limiter = trio.CapacityLimiter(SAMPLES_AT_A_TIME)
+        self.changed = trio.Event()
+        self.cancel_scope = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None
+        self.fetched_at = context.clock.monotonic()
+
+    def note_received(self, ranges: received.Ranges) -> None:
+        """Takes over which groups the trainer has."""
+        self.done |= received.from_ranges(ranges, self.groups)
+        for group in self.done & self.ready.keys():
+            del self.ready[group]
+        if len(self.done) == len(self.groups):
+            self.cancel_scope.cancel()
+
+    def remaining(self) -> int:
+        """Returns how many groups the trainer lacks."""
+        return len(self.groups) - len(self.done)
+
+    async def run(self) -> None:
+        """Makes all groups until the trainer has them or goes away."""
+        with self.cancel_scope:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                for number in self.groups.keys() - self.done:
+                    nursery.start_soon(self._make_group, number, {})
+                await self._wait_for_idle()
+                nursery.cancel_scope.cancel()
+
+    async def _wait_for_idle(self) -> None:
+        clock = self.context.clock
+        while clock.monotonic() < self.fetched_at + IDLE_LIMIT_S:
+            await clock.sleep(1.0)
+
+    async def _make_group(
+        self, number: int, samples: dict[int, messages.Sample]
+    ) -> None:
+        """Makes the samples that a group lacks."""
+        async with trio.open_nursery() as nursery:
+            for index in range(self.specification.samples):
+                if index not in samples:
+                    nursery.start_soon(
+                        self._make_sample, number, index, samples
+                    )
+        ordered = [samples[index] for index in sorted(samples)]
+        self.ready[number] = messages.Group(number, ordered)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def _make_sample(
+        self, number: int, index: int, samples: dict[int, messages.Sample]
+    ) -> None:
+        failures = 0
+        async with self.limiter:
+            while index not in samples:
+                try:
+                    samples[index] = await self._generate(number, index)
+                except _StaleError:
+                    self._log_restart(number, index)
+                    await self.context.clock.sleep(RETRY_S)
+                except errors.ServiceError:
+                    failures += 1
+                    pause_s = min(RETRY_LONGEST_S, RETRY_S * 2**failures)
+                    await self.context.clock.sleep(pause_s)
+
+    async def _generate(self, number: int, index: int) -> messages.Sample:
+        job = attrs.evolve(
+            self.context.template,
+            prompt=self.groups[number].prompt,
+            seed=self._seed(number, index),
+            max_tokens=self.specification.max_tokens,
+            chunk_tokens=CHUNK_TOKENS,
+        )
+        tokens: list[str] = []
+        segments: list[messages.Segment] = []
+        pieces = self.context.generator.generate(job)
+        async with contextlib.aclosing(pieces):
+            async for piece in pieces:
+                start = len(tokens)
+                tokens += piece.tokens
+                _add_segment(segments, piece, start, len(tokens))
+                if not self._is_fresh(segments):
+                    raise _StaleError
+        sample = messages.Sample(index, job.seed, tokens, segments)
+        if self.context.scorer is None:
+            return sample
+        score = await self.context.scorer.score(job.prompt, sample)
+        return attrs.evolve(sample, score=score)
+
+    def _seed(self, number: int, index: int) -> int:
+        text = f"{self.specification.seed}/{number}/{index}"
+        return hashing.number(text) >> 1
+
+    def _is_fresh(self, segments: list[messages.Segment]) -> bool:
+        oldest = min(segment.version for segment in segments)
+        return self.context.rule.allows(oldest, self.version)
+
+    def _log_restart(self, number: int, index: int) -> None:
+        events.log(
+            events.Event.SAMPLE_RESTARTED,
+            trainer=self.context.trainer,
+            step=self.specification.step,
+            group=number,
+            sample=index,
+        )
+
+    async def fetch(
+        self, request: messages.FetchRequest
+    ) -> messages.FetchAnswer:
+        """Returns complete groups, waiting for the first of them.
+
+        Raises:
+            ServiceError: ``STEP_CANCELLED`` if the step has ended otherwise.
+        """
+        self.fetched_at = self.context.clock.monotonic()
+        self.version = max(self.version, request.version)
+        self.note_received(request.received)
+        with trio.move_on_after(min(request.wait_s, FETCH_WAIT_LONGEST_S)):
+            while self.remaining() and not self._take_fresh(1):
+                await self._wait_for_change()
+        groups = self._take_fresh(request.limit)
+        self._record_staleness(groups)
+        self.fetched_at = self.context.clock.monotonic()
+        return messages.FetchAnswer(groups, self.remaining() - len(groups))
+
+    async def _wait_for_change(self) -> None:
+        if self.cancel_scope.cancel_called:
+            raise errors.ServiceError(errors.ResultCode.STEP_CANCELLED)
+        await self.changed.wait()
+
+    def _take_fresh(self, limit: int) -> list[messages.Group]:
+        """Returns ready groups that keep the bound; remakes the others."""
+        for group in list(self.ready.values()):
+            fresh = {s.index: s for s in group.samples if self._may_deliver(s)}
+            if len(fresh) < len(group.samples) and self.nursery is not None:
+                del self.ready[group.group]
+                self.nursery.start_soon(self._make_group, group.group, fresh)
+        return [self.ready[number] for number in sorted(self.ready)[:limit]]
+
+    def _may_deliver(self, sample: messages.Sample) -> bool:
+        return self.context.rule.allows(sample.oldest_version(), self.version)
+
+    def _record_staleness(self, groups: list[messages.Group]) -> None:
+        for group in groups:
+            for sample in group.samples:
+                self.context.metrics.record(
+                    self.context.template.label,
+                    self.context.template.class_name,
+                    metric.Measure.STALENESS_VERSIONS,
+                    self.version - sample.oldest_version(),
+                )
+
+    def cancel(self) -> None:
+        """Ends the step and its work on the engines."""
+        self.cancel_scope.cancel()
+        self.changed.set()
+
+
+def _add_segment(
+    segments: list[messages.Segment],
+    piece: generation.Piece,
+    start: int,
+    end: int,
+) -> None:
+    """Adds a piece's tokens, to the last segment where it goes on."""
+    last = segments[-1] if segments else None
+    is_same = (
+        last is not None
+        and last.version == piece.version
+        and last.engine == piece.server
+    )
+    if is_same and last is not None:
+        segments[-1] = attrs.evolve(last, end=end)
+    else:
+        segments.append(
+            messages.Segment(piece.version, start, end, piece.server)
+        )
--- /dev/null
+++ b/src/kingcupscale/rollouts/trainer.py
@@ -0,0 +1,200 @@
+"""The trainers' client: steps that survive the loss of any node."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
+
+import attrs
+import orjson
+
+from kingcupscale import clock as clocks
+from kingcupscale import codec
+from kingcupscale import errors
+from kingcupscale.rollouts import messages
+from kingcupscale.rollouts import received
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+
+TIMEOUT_S = 30.0
+FETCH_WAIT_S = 5.0
+PAUSE_S = 0.25
+FINAL_CODES = (
+    errors.ResultCode.BODY_INVALID.number,
+    errors.ResultCode.STEP_CONFLICT.number,
+    errors.ResultCode.VERSION_CONFLICT.number,
+    errors.ResultCode.KEY_REFUSED.number,
+    errors.ResultCode.KEY_WITHDRAWN.number,
+    errors.ResultCode.FORBIDDEN.number,
+)
+
+
+class TrainerError(Exception):
+    """A request that will not succeed by trying again.
+
+    Args:
+        code: Number of the result code.
+        detail: What the node said.
+    """
+
+    def __init__(self, code: int, detail: str) -> None:
+        super().__init__(f"{code}: {detail}")
+        self.code = code
+        self.detail = detail
+
+
+@attrs.define
+class TrainerStatistics:
+    """What a client has seen.
+
+    Attributes:
+        repeated_groups: Groups that came a second time and were dropped.
+        node_changes: How often it went on with another node.
+    """
+
+    repeated_groups: int = 0
+    node_changes: int = 0
+
+
+class TrainerClient:
+    """Runs rollout steps against whichever node answers.
+
+    Args:
+        exchanger: Carries the requests.
+        nodes: ``host:port`` of the callers' listeners, or the balancer's.
+        key: The trainer's key.
+        clock: Tells the time.
+
+    Attributes:
+        version: The trainer's weight version; set by ``publish``.
+
+    Example:
+        async for group in client.run_step(specification):
+            learn(group)
+        await client.publish(client.version + 1)
+    """
+
+    def __init__(
+        self,
+        exchanger: exchange.Exchanger,
+        nodes: list[str],
+        key: str,
+        clock: clocks.Clock,
+    ) -> None:
+        self.exchanger = exchanger
+        self.nodes = nodes
+        self.headers = {"authorization": f"Bearer {key}"}
+        self.clock = clock
+        self.current = 0
+        self.version = 0
+        self.statistics = TrainerStatistics()
+
+    async def run_step(
+        self, specification: messages.StepSpecification
+    ) -> AsyncIterator[messages.Group]:
+        """Yields each group of a step once, complete and fresh.
+
+        Args:
+            specification: The step; the same when it is run again.
+
+        Raises:
+            TrainerError: If the step cannot be run at all.
+        """
+        wanted = {group.group for group in specification.groups}
+        has: set[int] = set()
+        await self._open(specification, has)
+        while has != wanted:
+            answer = await self._fetch(specification, has)
+            if answer is None:
+                await self._open(specification, has)
+                continue
+            for group in answer.groups:
+                if group.group in has or group.group not in wanted:
+                    self.statistics.repeated_groups += 1
+                    continue
+                has.add(group.group)
+                yield group
+        await self._finish(specification, has)
+
+    async def _open(
+        self, specification: messages.StepSpecification, has: set[int]
+    ) -> None:
+        body = messages.OpenRequest(specification, received.to_ranges(has))
+        await self._post_until_answered(messages.STEPS_PATH, body)
+
+    async def _fetch(
+        self, specification: messages.StepSpecification, has: Iterable[int]
+    ) -> messages.FetchAnswer | None:
+        """Returns groups, or None if the step has to be opened again."""
+        body = messages.FetchRequest(
+            specification.step,
+            codec.NaturalInt(max(self.version, specification.version)),
+            received.to_ranges(has),
+            wait_s=FETCH_WAIT_S,
+        )
+        try:
+            response = await self._post(messages.FETCH_PATH, body)
+            return codec.decode(messages.FetchAnswer, response.body)
+        except (exchange.ExchangeError, errors.ServiceError, ValueError):
+            await self._change_node()
+            return None
+
+    async def _finish(
+        self, specification: messages.StepSpecification, has: set[int]
+    ) -> None:
+        """Lets the node forget the step; it would by itself in time."""
+        body = messages.CancelRequest(specification.step)
+        try:
+            await self._post(messages.CANCEL_PATH, body)
+        except (exchange.ExchangeError, errors.ServiceError):
+            return
+
+    async def publish(self, version: int) -> None:
+        """Announces weights that lie in the weight store."""
+        body = messages.PublishRequest(codec.PositiveInt(version))
+        await self._post_until_answered(messages.WEIGHTS_PATH, body)
+        self.version = max(self.version, version)
+
+    async def _post_until_answered(self, path: str, body: object) -> None:
+        while True:
+            try:
+                await self._post(path, body)
+                return
+            except (exchange.ExchangeError, errors.ServiceError):
+                await self._change_node()
+
+    async def _change_node(self) -> None:
+        self.statistics.node_changes += 1
+        self.current = (self.current + 1) % len(self.nodes)
+        await self.clock.sleep(PAUSE_S)
+
+    async def _post(self, path: str, body: object) -> message.Response:
+        request = message.json_request(path, body, dict(self.headers))
+        node = self.nodes[self.current]
+        response = await exchange.fetch(
+            self.exchanger, node, request, TIMEOUT_S
+        )
+        if response.status == 200:
+            return response
+        raise _read_error(response)
+
+
+def _read_error(response: message.Response) -> Exception:
+    try:
+        error = orjson.loads(response.body)["error"]
+        code, detail = int(error["code"]), str(error["message"])
+    except (ValueError, KeyError, TypeError):
+        code, detail = 0, f"status {response.status}"
+    if code in FINAL_CODES:
+        return TrainerError(code, detail)
+    return errors.ServiceError(errors.ResultCode.BACKEND_FAILED, detail)
+
+
+async def collect(
+    client: TrainerClient, specification: messages.StepSpecification
+) -> list[messages.Group]:
+    """Returns all groups of a step.
+
+    Args:
+        client: The trainer's client.
+        specification: The step.
+    """
+    return [group async for group in client.run_step(specification)]
--- /dev/null
+++ b/src/kingcupscale/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serving callers: admission, order of service, routing, retries."""
--- /dev/null
+++ b/src/kingcupscale/serving/entry.py
@@ -0,0 +1,195 @@
+"""The callers' listener: keys to organisations, paths to handlers."""
+
+from typing import Protocol
+import urllib.parse
+
+from kingcupscale import errors
+from kingcupscale.configuration import admission as admissions
+from kingcupscale.configuration import document
+from kingcupscale.configuration import keys
+from kingcupscale.serving import completion
+from kingcupscale.serving import plain
+from kingcupscale.serving import sessions
+from kingcupscale.web import message
+from kingcupscale.web import routes
+
+SERVICES_PREFIX = "/services/"
+OPEN_PREFIX = "/open/"
+ROLLOUTS_PREFIX = "/v1/rollouts/"
+DRAIN_RETRY_S = 1.0
+
+
+class RolloutHandler(Protocol):
+    """Serves trainers."""
+
+    async def serve(
+        self, request: message.Request, grant: keys.Grant
+    ) -> message.Response:
+        """Returns the answer to one request of a trainer."""
+        ...
+
+
+class Entry:
+    """Answers callers.
+
+    The caller's key is checked here and goes no further.
+
+    Args:
+        key_ring: Checks the keys.
+        admission: Whether the node may admit.
+        open_sessions: Counts and ends requests.
+        completions: Serves engines.
+        plain_caller: Serves plain services.
+        rollouts: Serves trainers.
+
+    Attributes:
+        is_leaving: Whether readiness is off, so that the balancer goes by.
+        is_draining: Whether new requests are refused.
+        active: Requests being answered.
+    """
+
+    def __init__(
+        self,
+        key_ring: keys.KeyRing,
+        admission: admissions.Admission,
+        open_sessions: sessions.Sessions,
+        completions: completion.Completions,
+        plain_caller: plain.PlainCaller,
+        rollouts: RolloutHandler,
+    ) -> None:
+        self.key_ring = key_ring
+        self.admission = admission
+        self.sessions = open_sessions
+        self.completions = completions
+        self.plain_caller = plain_caller
+        self.rollouts = rollouts
+        self.is_leaving = False
+        self.is_draining = False
+        self.active = 0
+        self.routes = routes.Routes()
+        self.routes.add("GET", "/health/live", self._serve_live)
+        self.routes.add("GET", "/health/ready", self._serve_ready)
+        self.routes.add("GET", "/v1/models", self._serve_models)
+        self.routes.add("POST", "/v1/completions", self._serve_text)
+        self.routes.add("POST", "/v1/chat/completions", self._serve_chat)
+        self.routes.add_prefix(SERVICES_PREFIX, self._serve_plain)
+        self.routes.add_prefix(OPEN_PREFIX, self._serve_open)
+        self.routes.add_prefix(ROLLOUTS_PREFIX, self._serve_rollouts)
+
+    async def __call__(self, request: message.Request) -> message.Response:
+        """Answers one request."""
+        self.active += 1
+        try:
+            return await self.routes(request)
+        finally:
+            self.active -= 1
+
+    def _admit(self, request: message.Request) -> keys.Grant:
+        """Returns what the request's key gives, and drops the key.
+
+        Raises:
+            ServiceError: If the node or the key cannot admit it.
+        """
+        self._check_open()
+        text = keys.read_bearer(request.headers)
+        grant = self.key_ring.authenticate(text)
+        request.headers.pop("authorization", None)
+        _check_exposure(request, text)
+        return grant
+
+    def _check_open(self) -> None:
+        if self.is_draining:
+            raise errors.ServiceError(
+                errors.ResultCode.DRAINING, retry_after_s=DRAIN_RETRY_S
+            )
+        self.admission.check()
+
+    async def _serve_live(self, _: message.Request) -> message.Response:
+        return message.json_response({"live": True})
+
+    async def _serve_ready(self, _: message.Request) -> message.Response:
+        if self.is_leaving:
+            raise errors.ServiceError(errors.ResultCode.DRAINING)
+        self._check_open()
+        return message.json_response({"ready": True})
+
+    async def _serve_models(self, request: message.Request) -> message.Response:
+        self._admit(request)
+        document_ = self.key_ring.replica.document
+        models = [
+            {"id": name, "object": "model"}
+            for name, service in sorted(document_.services.items())
+            if service.kind is document.ServiceKind.ENGINE
+        ]
+        return message.json_response({"object": "list", "data": models})
+
+    async def _serve_text(self, request: message.Request) -> message.Response:
+        grant = self._admit(request)
+        return await self.completions.serve(request, grant, is_chat=False)
+
+    async def _serve_chat(self, request: message.Request) -> message.Response:
+        grant = self._admit(request)
+        return await self.completions.serve(request, grant, is_chat=True)
+
+    async def _serve_rollouts(
+        self, request: message.Request
+    ) -> message.Response:
+        grant = self._admit(request)
+        if not grant.trainer:
+            raise errors.ServiceError(
+                errors.ResultCode.FORBIDDEN, "the key is not a trainer's"
+            )
+        with self.sessions.open(grant) as session:
+            return await session.run(self.rollouts.serve, request, grant)
+
+    async def _serve_plain(self, request: message.Request) -> message.Response:
+        grant = self._admit(request)
+        return await self._call_plain(request, SERVICES_PREFIX, grant)
+
+    async def _serve_open(self, request: message.Request) -> message.Response:
+        self._check_open()
+        path = "/" + request.path.removeprefix(OPEN_PREFIX)
+        route = self._find_open(path)
+        organisations = self.key_ring.replica.document.organisations
+        grant = keys.Grant(
+            "",
+            route.organisation,
+            organisations[route.organisation].label,
+            route.service_class,
+        )
+        request.headers.pop("authorization", None)
+        return await self._call_plain(request, OPEN_PREFIX, grant)
+
+    def _find_open(self, path: str) -> document.OpenRoute:
+        segments = urllib.parse.unquote(path).split("/")
+        if "." in segments or ".." in segments:
+            raise errors.ServiceError(
+                errors.ResultCode.ROUTE_UNKNOWN, "dot segments are not served"
+            )
+        for route in self.key_ring.replica.document.open_routes.values():
+            prefix = f"/{route.service}{route.path}"
+            if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+                return route
+        raise errors.ServiceError(
+            errors.ResultCode.ROUTE_UNKNOWN, "no open route by this path"
+        )
+
+    async def _call_plain(
+        self, request: message.Request, prefix: str, grant: keys.Grant
+    ) -> message.Response:
+        service, slash, path = request.path.removeprefix(prefix).partition("/")
+        call = plain.Call(service, slash + path or "/", request, grant)
+        with self.sessions.open(grant) as session:
+            return await session.run(self.plain_caller.call, call)
+
+
+def _check_exposure(request: message.Request, text: str) -> None:
+    """Keeps a key out of what a backend server would see.
+
+    Raises:
+        ServiceError: ``KEY_EXPOSED``.
+    """
+    in_headers = any(text in value for value in request.headers.values())
+    target = urllib.parse.unquote(f"{request.path}?{request.query}")
+    if text in target or in_headers or text.encode() in request.body:
+        raise errors.ServiceError(errors.ResultCode.KEY_EXPOSED)
--- /dev/null
+++ b/src/kingcupscale/serving/sessions.py
@@ -0,0 +1,108 @@
+"""Open requests: limited by organisation, ended when their key is."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+from typing import TypeVar
+
+import trio
+
+from kingcupscale import errors
+from kingcupscale.configuration import keys
+
+T = TypeVar("T")
+
+RETRY_AFTER_S = 1.0
+
+
+class Session:
+    """One open request.
+
+    Args:
+        grant: What the request's key gives access to.
+    """
+
+    def __init__(self, grant: keys.Grant) -> None:
+        self.grant = grant
+        self.is_withdrawn = False
+        self.scopes: set[trio.CancelScope] = set()
+
+    def withdraw(self) -> None:
+        """Ends whatever the request is doing."""
+        self.is_withdrawn = True
+        for scope in self.scopes:
+            scope.cancel()
+
+    async def run(self, function: Callable[..., Awaitable[T]], *args: Any) -> T:
+        """Runs one step of the request unless its key is withdrawn.
+
+        Raises:
+            ServiceError: ``KEY_WITHDRAWN`` if the key is withdrawn meanwhile.
+        """
+        with trio.CancelScope() as scope:
+            self.scopes.add(scope)
+            try:
+                if not self.is_withdrawn:
+                    return await function(*args)
+            finally:
+                self.scopes.discard(scope)
+        raise errors.ServiceError(
+            errors.ResultCode.KEY_WITHDRAWN, run=errors.Run.UNKNOWN
+        )
+
+
+class Sessions:
+    """All open requests of one node.
+
+    Args:
+        key_ring: Tells which keys are in force.
+    """
+
+    def __init__(self, key_ring: keys.KeyRing) -> None:
+        self.key_ring = key_ring
+        self.open_sessions: set[Session] = set()
+        self.by_organisation: dict[str, int] = {}
+        key_ring.replica.listeners.append(self.end_withdrawn)
+
+    @contextlib.contextmanager
+    def open(self, grant: keys.Grant) -> Iterator[Session]:
+        """Counts a request while it is open.
+
+        Raises:
+            ServiceError: ``STREAMS_EXCEEDED``.
+        """
+        organisation = grant.organisation
+        limit = self._limit(organisation)
+        if self.by_organisation.get(organisation, 0) >= limit:
+            raise errors.ServiceError(
+                errors.ResultCode.STREAMS_EXCEEDED,
+                f"the limit is {limit} open requests a node",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        session = Session(grant)
+        self.open_sessions.add(session)
+        self._count(organisation, 1)
+        try:
+            yield session
+        finally:
+            self.open_sessions.discard(session)
+            self._count(organisation, -1)
+
+    def _limit(self, organisation: str) -> int:
+        return self.key_ring.replica.document.organisations[
+            organisation
+        ].streams
+
+    def _count(self, organisation: str, change: int) -> None:
+        count = self.by_organisation.get(organisation, 0) + change
+        self.by_organisation[organisation] = count
+        if not count:
+            del self.by_organisation[organisation]
+
+    def end_withdrawn(self) -> None:
+        """Ends the requests whose keys are no longer in force."""
+        for session in list(self.open_sessions):
+            if not self.key_ring.is_valid(session.grant):
+                session.withdraw()
--- /dev/null
+++ b/src/kingcupscale/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counting what organisations use, and reporting each window once."""
--- /dev/null
+++ b/src/kingcupscale/usage/copying.py
@@ -0,0 +1,110 @@
+"""Copying counters to other nodes before a crash can take them."""
+
+from kingcupscale import clock as clocks
+from kingcupscale import codec
+from kingcupscale import rendezvous
+from kingcupscale.peering import members as membership
+from kingcupscale.peering import peer_pb2
+from kingcupscale.peering import transport
+from kingcupscale.usage import counter
+
+COPIES = 2
+COPY_EVERY_S = 1.0
+COPY_TIMEOUT_S = 1.0
+
+
+class Copier:
+    """Keeps copies of a node's counters on two others.
+
+    Args:
+        counters: The node's counters.
+        members: The members it knows.
+        peers: Calls them.
+        service: Where the handlers are offered.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self,
+        counters: counter.Counters,
+        members: membership.Members,
+        peers: transport.PeerTransport,
+        service: transport.PeerService,
+        clock: clocks.Clock,
+    ) -> None:
+        self.counters = counters
+        self.members = members
+        self.peers = peers
+        self.clock = clock
+        self.known: dict[str, dict[counter.Cell, counter.Totals]] = {}
+        service.offer(transport.COPY_USAGE, self._answer_copy)
+        service.offer(transport.PULL_USAGE, self._answer_pull)
+
+    async def _answer_copy(self, request: peer_pb2.Usage) -> peer_pb2.Empty:
+        self.counters.merge(codec.decode(counter.Copy, request.counters))
+        return peer_pb2.Empty()
+
+    async def _answer_pull(self, _: peer_pb2.Empty) -> peer_pb2.Usage:
+        return peer_pb2.Usage(counters=codec.encode(self.counters.copy({})))
+
+    def collectors(self) -> list[membership.Member]:
+        """Returns the members that keep copies for this node."""
+        others = {m.name: m for m in self.members.others()}
+        subject = f"usage/{self.members.me.name}"
+        return [others[n] for n in rendezvous.rank(subject, others)[:COPIES]]
+
+    async def run(self) -> None:
+        """Copies what has changed until cancelled."""
+        while True:
+            await self.copy_once(own_only=True)
+            await self.clock.sleep(COPY_EVERY_S)
+
+    async def copy_once(self, own_only: bool) -> bool:
+        """Copies to both collectors what they lack.
+
+        Args:
+            own_only: Leave out what this node keeps for others.
+
+        Returns:
+            Whether at least one collector has everything.
+        """
+        collectors = self.collectors()
+        names = {member.name for member in collectors}
+        self.known = {n: k for n, k in self.known.items() if n in names}
+        results = [await self._copy_to(m, own_only) for m in collectors]
+        return any(results)
+
+    async def _copy_to(self, member: membership.Member, own_only: bool) -> bool:
+        is_new = member.name not in self.known
+        known = self.known.setdefault(member.name, {})
+        copy = self.counters.copy(known)
+        if own_only and not is_new:
+            own = self.counters.incarnation
+            copy = counter.Copy([r for r in copy.rows if r.incarnation == own])
+        if not copy.rows:
+            return True
+        request = peer_pb2.Usage(counters=codec.encode(copy))
+        try:
+            await self.peers.call(
+                member.address, transport.COPY_USAGE, request, COPY_TIMEOUT_S
+            )
+        except transport.PeerError:
+            self.known.pop(member.name, None)
+            return False
+        for row in copy.rows:
+            known[row.cell] = row.as_totals()
+        return True
+
+    async def pull_all(self) -> None:
+        """Takes in the counters of every member in reach."""
+        for member in self.members.others():
+            try:
+                reply = await self.peers.call(
+                    member.address,
+                    transport.PULL_USAGE,
+                    peer_pb2.Empty(),
+                    COPY_TIMEOUT_S,
+                )
+            except transport.PeerError:
+                continue
+            self.counters.merge(codec.decode(counter.Copy, reply.counters))
--- /dev/null
+++ b/src/kingcupscale/usage/reporting.py
@@ -0,0 +1,210 @@
+"""The duty that reports usage windows, each with one set of figures."""
+
+import attrs
+
+from kingcupscale import clock as clocks
+from kingcupscale import codec
+from kingcupscale import events
+from kingcupscale import hashing
+from kingcupscale.duties import journal
+from kingcupscale.duties import lease as leases
+from kingcupscale.platform import calls
+from kingcupscale.platform import keyvalue
+from kingcupscale.platform import usageintake
+from kingcupscale.usage import copying
+from kingcupscale.usage import counter
+
+PREFIX = "usage/"
+WINDOWS_KEPT = 8
+
+
+@attrs.frozen
+class Window:
+    """One window.
+
+    Attributes:
+        window: Number of the window; its end is (number + 1) times its length
+            since 1970, in UTC.
+        figures: What is reported, never changed.
+        sent: Whether the intake has taken the report.
+    """
+
+    window: int
+    figures: list[usageintake.Figure]
+    sent: bool
+
+
+@attrs.frozen
+class Ledger:
+    """What the store holds of one shard.
+
+    Attributes:
+        windows: The latest windows, in order.
+        reported: Totals that all windows so far have reported.
+        token: Unique to the write.
+    """
+
+    windows: list[Window]
+    reported: list[counter.Row]
+    token: str
+
+
+class UsageDuty:
+    """Reports the windows of one shard.
+
+    The figures of a window enter the ledger before they are sent, so whoever
+    sends the window sends the same. Every write is conditional on the ledger
+    it was worked out from, so a former holder that wakes up late cannot add a
+    window. Counts that come to light later go into the next window.
+
+    Args:
+        shard: Number of the shard.
+        shards: How many there are.
+        lease: The shard's lease.
+        store: The key-value service.
+        intake: Takes the reports.
+        copier: Brings the counters together.
+        clock: Tells the time.
+        window_s: Length of a window in seconds.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        shards: int,
+        lease: leases.Lease,
+        store: keyvalue.KeyValueStore,
+        intake: usageintake.UsageIntake,
+        copier: copying.Copier,
+        clock: clocks.Clock,
+        window_s: float,
+    ) -> None:
+        self.shard = shard
+        self.shards = shards
+        self.lease = lease
+        self.store = store
+        self.intake = intake
+        self.copier = copier
+        self.clock = clock
+        self.window_s = window_s
+        self.ledger = Ledger([], [], "")
+        self.version = keyvalue.ABSENT
+
+    @property
+    def key(self) -> str:
+        """Where the ledger of this shard is stored."""
+        return f"{PREFIX}{self.shard}"
+
+    async def take_over(self) -> None:
+        """Reads the ledger that former holders wrote."""
+        entry = await self.store.get(self.key)
+        if entry is not None:
+            self.ledger = codec.decode(Ledger, entry.value)
+            self.version = entry.version
+
+    async def work(self) -> None:
+        """Adds the window that has ended, and sends what is not sent."""
+        ended = int(self.clock.now().timestamp() // self.window_s) - 1
+        windows = self.ledger.windows
+        newest = windows[-1].window if windows else 0
+        if ended > newest:
+            await self.copier.pull_all()
+            await self._write(self._add_window(ended))
+        for window in self.ledger.windows:
+            if not window.sent:
+                await self._send(window)
+
+    def unsent(self) -> list[int]:
+        """Returns the numbers of windows not yet taken by the intake."""
+        return [w.window for w in self.ledger.windows if not w.sent]
+
+    async def _write(self, ledger: Ledger) -> None:
+        text = codec.encode(ledger).decode()
+        answer = await keyvalue.put_resolved(
+            self.store, self.key, text, self.version
+        )
+        if not answer.written:
+            raise journal.JournalError("another holder has written the ledger")
+        self.ledger = ledger
+        self.version = answer.version
+
+    def _add_window(self, window: int) -> Ledger:
+        reported = _cells(self.ledger.reported)
+        counted = self._own_cells()
+        figures = _sum_up(reported, counted)
+        merged = dict(reported)
+        for cell, totals in counted.items():
+            merged[cell] = counter.larger(merged.get(cell), totals)
+        rows = [counter.Row(*c, list(t)) for c, t in sorted(merged.items())]
+        windows = [*_without_old(self.ledger.windows)]
+        windows.append(Window(window, figures, False))
+        return Ledger(windows, rows, keyvalue.new_token())
+
+    def _own_cells(self) -> dict[counter.Cell, counter.Totals]:
+        return {
+            cell: totals
+            for cell, totals in self.copier.counters.cells.items()
+            if hashing.number(cell[1]) % self.shards == self.shard
+        }
+
+    async def _send(self, window: Window) -> None:
+        epoch = self.lease.epoch
+        report = usageintake.Report(
+            str(self.shard), window.window, epoch, window.figures
+        )
+        try:
+            await self.intake.send(
+                report, lambda: self.lease.check_order(epoch)
+            )
+        except calls.PlatformError as e:
+            events.log(
+                events.Event.USAGE_FAILED,
+                node=self.lease.node,
+                window=window.window,
+                reason=e.reason,
+            )
+            return
+        await self._write(self._mark_sent(window))
+        events.log(
+            events.Event.USAGE_REPORTED,
+            node=self.lease.node,
+            shard=self.shard,
+            window=window.window,
+        )
+
+    def _mark_sent(self, sent: Window) -> Ledger:
+        windows = [
+            attrs.evolve(w, sent=True) if w.window == sent.window else w
+            for w in self.ledger.windows
+        ]
+        return attrs.evolve(
+            self.ledger, windows=windows, token=keyvalue.new_token()
+        )
+
+
+def _cells(rows: list[counter.Row]) -> dict[counter.Cell, counter.Totals]:
+    return {row.cell: row.as_totals() for row in rows}
+
+
+def _sum_up(
+    reported: dict[counter.Cell, counter.Totals],
+    counted: dict[counter.Cell, counter.Totals],
+) -> list[usageintake.Figure]:
+    sums: dict[counter.Name, list[int]] = {}
+    for cell, totals in counted.items():
+        before = reported.get(cell, counter.NOTHING)
+        figure = sums.setdefault((cell[1], cell[2]), [0, 0, 0])
+        for index in range(len(figure)):
+            figure[index] += max(0, totals[index] - before[index])
+    return [
+        usageintake.Figure(*name, *figure)
+        for name, figure in sorted(sums.items())
+        if any(figure)
+    ]
+
+
+def _without_old(windows: list[Window]) -> list[Window]:
+    unsent = [w for w in windows if not w.sent]
+    sent = [w for w in windows if w.sent]
+    kept = [*sent[-WINDOWS_KEPT:], *unsent]
+    return sorted(kept, key=lambda w: w.window)
--- /dev/null
+++ b/src/kingcupscale/web/exchange.py
@@ -0,0 +1,148 @@
+"""Sending requests: the interface, and the client by httpcore."""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Any
+from typing import Protocol
+
+import httpcore
+import trio
+
+from kingcupscale.web import message
+
+
+class ExchangeError(Exception):
+    """An exchange that brought no whole answer.
+
+    Args:
+        reason: What went wrong.
+        request_left: Whether a byte of the request may have left.
+    """
+
+    def __init__(self, reason: str, request_left: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.request_left = request_left
+
+
+class Exchanger(Protocol):
+    """Carries requests to an address and brings answers back."""
+
+    def open(
+        self, address: str, request: message.Request, timeout_s: float
+    ) -> contextlib.AbstractAsyncContextManager[message.Response]:
+        """Sends a request; leaving the context early abandons the answer.
+
+        Args:
+            address: ``host:port``.
+            request: What to send.
+            timeout_s: Seconds for the connection and for each read.
+
+        Raises:
+            ExchangeError: If no answer comes, or it breaks off.
+        """
+        ...
+
+
+async def fetch(
+    exchanger: Exchanger,
+    address: str,
+    request: message.Request,
+    timeout_s: float,
+) -> message.Response:
+    """Sends a request and returns the whole answer.
+
+    Args:
+        exchanger: What carries the request.
+        address: ``host:port``.
+        request: What to send.
+        timeout_s: Seconds for the whole exchange.
+
+    Raises:
+        ExchangeError: If no whole answer comes in time.
+    """
+    with trio.move_on_after(timeout_s):
+        async with exchanger.open(address, request, timeout_s) as response:
+            await response.read()
+            return response
+    raise ExchangeError("no whole answer in time", request_left=True)
+
+
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+    httpcore.LocalProtocolError,
+)
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError)
+_HTTP_ERRORS = (*_NOT_SENT, *_BROKEN, httpcore.TimeoutException)
+
+
+class HttpExchanger:
+    """Sends requests over HTTP/1.1 with pooled connections.
+
+    Args:
+        max_connections: The most connections open at a time.
+    """
+
+    def __init__(self, max_connections: int = 1024) -> None:
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=30,
+        )
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self.pool.aclose()
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, address: str, request: message.Request, timeout_s: float
+    ) -> AsyncIterator[message.Response]:
+        """Sends a request over a pooled connection."""
+        stream = self.pool.stream(
+            request.method,
+            _url(address, request),
+            headers=list(request.headers.items()),
+            content=request.body,
+            extensions=_extensions(request, timeout_s),
+        )
+        try:
+            async with stream as answer:
+                yield message.Response(
+                    answer.status,
+                    _decode_headers(answer.headers),
+                    chunks=answer.aiter_stream(),
+                )
+        except _NOT_SENT as e:
+            raise ExchangeError(repr(e), request_left=False) from e
+        except _HTTP_ERRORS as e:
+            raise ExchangeError(repr(e), request_left=True) from e
+
+
+def _url(address: str, request: message.Request) -> str:
+    query = f"?{request.query}" if request.query else ""
+    return f"http://{address}{request.path}{query}"
+
+
+def _extensions(request: message.Request, timeout_s: float) -> dict[str, Any]:
+    phases = ("connect", "read", "write", "pool")
+    extensions: dict[str, Any] = {"timeout": dict.fromkeys(phases, timeout_s)}
+    if request.before_send is message.allow_send:
+        return extensions
+
+    async def trace(event: str, _: dict[str, Any]) -> None:
+        if event == "http11.send_request_headers.started":
+            request.before_send()
+
+    extensions["trace"] = trace
+    return extensions
+
+
+def _decode_headers(headers: list[tuple[bytes, bytes]]) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in headers
+    }
--- /dev/null
+++ b/src/kingcupscale/web/server.py
@@ -0,0 +1,217 @@
+"""Serving handlers over HTTP with hypercorn."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import traceback
+from typing import Any
+
+import attrs
+import hypercorn.config
+import hypercorn.trio
+import trio
+
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale.web import message
+
+
+@attrs.frozen
+class Limits:
+    """What a client may send.
+
+    Attributes:
+        body_bytes: Largest body.
+        header_bytes: Largest request head.
+        body_timeout_s: Seconds for a body to arrive.
+    """
+
+    body_bytes: int = 4 * 1024 * 1024
+    header_bytes: int = 32 * 1024
+    body_timeout_s: float = 10.0
+
+
+class Application:
+    """An ASGI application before one handler.
+
+    A client that disconnects cancels the handler, and with it the work of
+    backend servers.
+
+    Args:
+        handler: Answers the requests.
+        limits: What a client may send.
+    """
+
+    def __init__(self, handler: message.Handler, limits: Limits) -> None:
+        self.handler = handler
+        self.limits = limits
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serves one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve_request(scope, receive, send)
+
+    async def _serve_request(self, scope: Any, receive: Any, send: Any) -> None:
+        try:
+            request = await self._read_request(scope, receive)
+        except errors.ServiceError as e:
+            await _send_response(message.error_response(e), send)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_disconnect, nursery, receive)
+            response = await answer(self.handler, request)
+            await _send_response(response, send)
+            nursery.cancel_scope.cancel()
+
+    async def _read_request(self, scope: Any, receive: Any) -> message.Request:
+        request = message.Request(
+            scope["method"],
+            scope["raw_path"].decode("latin-1").partition("?")[0],
+            scope["query_string"].decode("latin-1"),
+            {
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in scope["headers"]
+            },
+        )
+        self._check_declared_length(request.headers)
+        with trio.move_on_after(self.limits.body_timeout_s):
+            request.body = await self._read_body(receive)
+            return request
+        raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
+
+    def _check_declared_length(self, headers: dict[str, str]) -> None:
+        length = headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.limits.body_bytes:
+            raise self._too_large()
+
+    async def _read_body(self, receive: Any) -> bytes:
+        body = bytearray()
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                raise errors.ServiceError(errors.ResultCode.BODY_MALFORMED)
+            body += event.get("body", b"")
+            if len(body) > self.limits.body_bytes:
+                raise self._too_large()
+            if not event.get("more_body", False):
+                return bytes(body)
+
+    def _too_large(self) -> errors.ServiceError:
+        return errors.ServiceError(
+            errors.ResultCode.BODY_TOO_LARGE,
+            f"the limit is {self.limits.body_bytes} bytes",
+        )
+
+
+async def answer(
+    handler: message.Handler, request: message.Request
+) -> message.Response:
+    """Returns a handler's response, errors turned into numbered ones."""
+    try:
+        return await handler(request)
+    except errors.ServiceError as e:
+        return message.error_response(e)
+    except Exception as e:
+        events.log(
+            events.Event.REQUEST_FAILED,
+            kind=type(e).__name__,
+            trace=traceback.format_tb(e.__traceback__),
+        )
+        return message.error_response(
+            errors.ServiceError(
+                errors.ResultCode.INTERNAL,
+                f"unexpected {type(e).__name__}",
+                errors.Run.UNKNOWN,
+            )
+        )
+
+
+async def _serve_lifespan(receive: Any, send: Any) -> None:
+    while True:
+        event = await receive()
+        await send({"type": event["type"] + ".complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def _cancel_on_disconnect(nursery: trio.Nursery, receive: Any) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    nursery.cancel_scope.cancel()
+
+
+async def _send_response(response: message.Response, send: Any) -> None:
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers.items()
+    ]
+    if response.chunks is None:
+        length = str(len(response.body)).encode()
+        headers.append((b"content-length", length))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+    )
+    if response.chunks is not None:
+        async with contextlib.aclosing(response.chunks) as chunks:
+            async for chunk in chunks:
+                await _send_body(send, chunk, more=True)
+    await _send_body(send, response.body, more=False)
+
+
+async def _send_body(send: Any, body: bytes, more: bool) -> None:
+    await send({"type": "http.response.body", "body": body, "more_body": more})
+
+
+async def serve(
+    handler: message.Handler,
+    bind: str,
+    limits: Limits,
+    shutdown: Callable[[], Awaitable[None]],
+    graceful_timeout_s: float = 60.0,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves a handler until told to stop, then ends the open requests.
+
+    Args:
+        handler: Answers the requests.
+        bind: ``host:port``; port 0 lets the system choose.
+        limits: What a client may send.
+        shutdown: Returns when the server is to stop.
+        graceful_timeout_s: Seconds that open requests get to end.
+        task_status: Told the bound ``host:port``.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [bind]
+    config.errorlog = None
+    config.h11_max_incomplete_size = limits.header_bytes
+    config.graceful_timeout = graceful_timeout_s
+    config.read_timeout = 60
+    config.include_server_header = False
+    config.include_date_header = False
+    application = Application(handler, limits)
+    async with trio.open_nursery() as nursery:
+        urls = await nursery.start(
+            _serve_hypercorn, application, config, shutdown
+        )
+        task_status.started(urls[0].removeprefix("http://"))
+
+
+async def _serve_hypercorn(
+    application: Application,
+    config: hypercorn.config.Config,
+    shutdown: Callable[[], Awaitable[None]],
+    task_status: trio.TaskStatus[list[str]],
+) -> None:
+    await hypercorn.trio.serve(
+        application,
+        config,
+        shutdown_trigger=shutdown,
+        task_status=task_status,
+        mode="asgi",
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, run by ``python -m tests``."""
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,42 @@
+"""The tables in docs/ say what the code says."""
+
+import pathlib
+import unittest
+
+import parameterized
+
+from kingcupscale import errors
+from kingcupscale import events
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+
+
+class TablesTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (
+                "RESULT-CODES.md",
+                [
+                    f"| {c.number} | {c.name.lower()} | {c.status} |"
+                    f" {c.summary} |"
+                    for c in errors.ResultCode
+                ],
+            ),
+            (
+                "EVENTS.md",
+                [
+                    f"| {e.number} | {e.name.lower()} | {e.summary} |"
+                    for e in events.Event
+                ],
+            ),
+        ]
+    )
+    def test_document_equals_code(self, name, rows):
+        lines = (DOCS / name).read_text(encoding="utf-8").splitlines()
+        documented = [line for line in lines if line[:3].strip("| ").isdigit()]
+        self.assertEqual(documented, rows)
+
+    @parameterized.parameterized.expand([(errors.ResultCode,), (events.Event,)])
+    def test_numbers_are_unique(self, table):
+        numbers = [member.number for member in table]
+        self.assertEqual(len(numbers), len(set(numbers)))
