--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a command: ``python -m bench.NAME --json``."""
--- a/src/kingcupscale/configuration/editor.py
+++ b/src/kingcupscale/configuration/editor.py
@@ -222,6 +222,10 @@
         pending = {m.name for m in self.members.alive()} - set(reached)
         return Accepted(self.replica.revision, sorted(reached), sorted(pending))
 
+    async def confirm(self) -> Accepted:
+        """Brings the newest revision to every member and tells who has it."""
+        return self._accepted(await self.spreader.push())
+
     async def withdraw_in_emergency(
         self, key_id: str, operator: str, reason: str
     ) -> Accepted:
--- a/src/kingcupscale/fakes/callers.py
+++ b/src/kingcupscale/fakes/callers.py
@@ -6,6 +6,7 @@
 
 import attrs
 import orjson
+import trio
 
 from kingcupscale import clock as clocks
 from kingcupscale import codec
@@ -159,6 +160,9 @@
             response = await exchange.fetch(
                 self.exchanger, node.address, asked, TIMEOUT_S
             )
+        except trio.Cancelled:
+            self.record.answers.append(attrs.evolve(answer, run="unknown"))
+            raise
         except exchange.ExchangeError as e:
             run = "" if e.request_left else "not_run"
             return attrs.evolve(answer, run=run, is_cut=e.request_left)
--- a/src/kingcupscale/fakes/cluster.py
+++ b/src/kingcupscale/fakes/cluster.py
@@ -22,10 +22,12 @@
 from kingcupscale.fakes import world as worlds
 from kingcupscale.peering import transport
 from kingcupscale.rollouts import trainer as trainers
+from kingcupscale.web import exchange
 from kingcupscale.web import message
 
 OUTSIDE = "outside"
-START_LIMIT_S = 60.0
+START_LIMIT_S = 120.0
+RESTART_AFTER_S = 8.0
 
 
 @attrs.frozen
@@ -98,6 +100,7 @@
         self.rng = random.Random(size.seed)
         self.network = networks.Network(nursery, plan)
         self.network.on_store_down = self.take_store_down
+        self.network.on_crash = self._restart_soon
         self.exchanger = networks.MemoryExchanger(self.network, OUTSIDE)
         self.record = judge.Record(sample.FRESHNESS_VERSIONS)
         self.operator_key = keys.make_key("operator")
@@ -238,7 +241,7 @@
         with trio.fail_after(START_LIMIT_S):
             while not self._is_joined():
                 await trio.sleep(0.5)
-            while (await self._apply_all()).status != 200:
+            while not await self._apply_all():
                 await trio.sleep(1.0)
             while not self._is_entered():
                 await trio.sleep(0.5)
@@ -250,8 +253,13 @@
             for running in self.nodes.values()
         )
 
-    async def _apply_all(self) -> message.Response:
-        return await self.operator("node-1").apply(self.tables, "first day")
+    async def _apply_all(self) -> bool:
+        try:
+            operator = self.operator("node-1")
+            response = await operator.apply(self.tables, "first day")
+        except (exchange.ExchangeError, ValueError):
+            return False
+        return response.status == 200
 
     def _is_entered(self) -> bool:
         return all(
@@ -290,21 +298,17 @@
             self.clock,
         )
 
-    def crash_node(self, name: str) -> None:
-        """Ends a node without warning."""
-        self.network.crash(name)
+    def _restart_soon(self, name: str) -> None:
+        self.nursery.start_soon(self._restart, name)
 
-    def revive(self) -> None:
-        """Heals the network and restarts what has crashed."""
-        self.network.heal()
-        self.world.store.down = False
-        for name, process in list(self.network.processes.items()):
-            if process.is_up:
-                continue
-            if name in self.nodes:
-                self.start_node(name)
-            else:
-                process.is_up = True
+    async def _restart(self, name: str) -> None:
+        await trio.sleep(RESTART_AFTER_S)
+        if name in self.nodes:
+            self.start_node(name)
+            return
+        self.network.processes[name].is_up = True
+        if name in self.world.engines:
+            self.world.engines[name].restart()
 
     def broken(self) -> list[str]:
         """Returns a line for every promise found broken."""
--- a/src/kingcupscale/fakes/engine.py
+++ b/src/kingcupscale/fakes/engine.py
@@ -267,6 +267,11 @@
             await self.wanted.send(order)
         return ""
 
+    def restart(self) -> None:
+        """Forgets what a crash takes; the fencing number is on disk."""
+        self.active.clear()
+        self.staged.clear()
+
     async def run(self) -> None:
         """Reads ordered weights from the store until cancelled."""
         async for order in self.orders_to_read:
--- a/src/kingcupscale/fakes/faults.py
+++ b/src/kingcupscale/fakes/faults.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Caller, operation, and how many such calls came before.
+Place = tuple[str, str, int]
+
 
 class Fault(enum.Enum):
     """What can happen to one call between two processes."""
@@ -53,12 +56,10 @@
         struck: The places at which a fault took place.
     """
 
-    def __init__(
-        self, faults: dict[tuple[str, str, int], Fault] | None = None
-    ) -> None:
+    def __init__(self, faults: dict[Place, Fault] | None = None) -> None:
         self.faults = faults or {}
         self.steps: list[Step] = []
-        self.struck: list[tuple[str, str, int]] = []
+        self.struck: list[Place] = []
         self.seen: dict[tuple[str, str], int] = {}
 
     def begin(self, caller: str, target: str, operation: str) -> Fault | None:
--- a/src/kingcupscale/fakes/network.py
+++ b/src/kingcupscale/fakes/network.py
@@ -17,6 +17,7 @@
 PAUSE_S = 20.0
 CUT_OFF_S = 25.0
 LATE_S = 8.0
+LONGEST_FAULT_S = 45.0
 LATENCY_S = 0.0015
 
 
@@ -50,7 +51,9 @@
     Attributes:
         handlers: By address, with the name of the process behind it.
         cuts: Pairs of processes that cannot reach each other.
+        disturbed_until: Virtual time at which the last fault so far ends.
         on_store_down: Called when the plan takes the store down.
+        on_crash: Called with the name of a process that has crashed.
     """
 
     def __init__(self, nursery: trio.Nursery, plan: faults.FaultPlan) -> None:
@@ -61,7 +64,9 @@
         self.processes: dict[str, Process] = {}
         self.cuts: set[frozenset[str]] = set()
         self.last_bodies: dict[str, bytes] = {}
+        self.disturbed_until = 0.0
         self.on_store_down: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[str], None] = lambda _: None
 
     def add(self, name: str, crash: Callable[[], None]) -> Process:
         """Adds a process that has just started."""
@@ -97,8 +102,10 @@
     def crash(self, name: str) -> None:
         """Ends a process without warning."""
         process = self.processes[name]
-        process.is_up = False
-        process.crash()
+        if process.is_up:
+            process.is_up = False
+            process.crash()
+            self.on_crash(name)
 
     def pause(self, name: str, seconds: float) -> None:
         """Suspends a process for a while."""
@@ -128,6 +135,8 @@
 
     def strike(self, fault: faults.Fault | None, caller: str, to: str) -> None:
         """Lets a fault take place that is more than this call's."""
+        if fault is not None:
+            self.disturbed_until = trio.current_time() + LONGEST_FAULT_S
         if fault is faults.Fault.CALLER_CRASHED:
             self.crash(caller)
         elif fault is faults.Fault.TARGET_CRASHED:
--- a/src/kingcupscale/operating/api.py
+++ b/src/kingcupscale/operating/api.py
@@ -179,15 +179,21 @@
             return message.json_response(accepted)
         path = f"keys/{body.key_id}"
         if path not in self.replica.entries:
-            raise errors.ServiceError(
-                errors.ResultCode.ROUTE_UNKNOWN, f"no key {body.key_id}"
-            )
+            return await self._confirm_withdrawn(path)
         return await self._propose(
             editors.Proposal(
                 {path: None}, self.replica.revision, operator, body.reason
             )
         )
 
+    async def _confirm_withdrawn(self, path: str) -> message.Response:
+        """Answers an operator whose first request took effect unanswered."""
+        if not any(path in change.entries for change in self.replica.recent):
+            raise errors.ServiceError(
+                errors.ResultCode.ROUTE_UNKNOWN, f"no {path}"
+            )
+        return message.json_response(await self.editor.confirm())
+
     async def _drain(
         self, _: message.Request, operator: str
     ) -> message.Response:
--- a/src/kingcupscale/rollouts/activation.py
+++ b/src/kingcupscale/rollouts/activation.py
@@ -19,12 +19,21 @@
 
 STAGES_AT_A_TIME = 4
 STAGE_PATIENCE_S = 60.0
+STAGE_RETRY_S = 30.0
 REFRESH_S = 10.0
 QUARANTINE_S = 10.0
 READS_AT_A_TIME = 16
 ORDER_KIND = "engine"
 
 
+@attrs.frozen
+class Staging:
+    """A version that an engine was told to read, and when."""
+
+    version: int
+    ordered_at: float
+
+
 @attrs.define
 class EngineView:
     """What the holder knows of one engine.
@@ -33,20 +42,25 @@
         address: ``host:port``.
         state: What it last said of itself; None if it does not answer.
         read_at: Monotonic time of that.
-        staging: Version ordered to be staged, by trainer.
+        staging: What it was told to read, by trainer.
         quarantined_until: Monotonic time before which nothing is tried.
     """
 
     address: str
     state: engine.EngineState | None = None
     read_at: float = float("-inf")
-    staging: dict[str, int] = attrs.field(factory=dict)
+    staging: dict[str, Staging] = attrs.field(factory=dict)
     quarantined_until: float = 0.0
 
     def active(self, trainer: str) -> int:
         """Returns the version it runs for a trainer."""
         return self.state.active.get(trainer, 0) if self.state else 0
 
+    def is_staging(self, trainer: str, version: int) -> bool:
+        """Tells whether it was told to read a version."""
+        staging = self.staging.get(trainer)
+        return staging is not None and staging.version == version
+
     def holds(self, trainer: str, version: int) -> bool:
         """Tells whether it runs a version or is ready to."""
         if self.state is None:
@@ -136,9 +150,18 @@
             except calls.PlatformError:
                 view.state = None
             view.read_at = self.clock.monotonic()
-        for trainer, version in list(view.staging.items()):
-            if view.state is None or view.holds(trainer, version):
-                del view.staging[trainer]
+        self._forget_staging(view)
+
+    def _forget_staging(self, view: EngineView) -> None:
+        """Lets an engine that did not get the weights be told again."""
+        oldest = self.clock.monotonic() - STAGE_RETRY_S
+        view.staging = {
+            trainer: staging
+            for trainer, staging in view.staging.items()
+            if view.state is not None
+            and not view.holds(trainer, staging.version)
+            and staging.ordered_at > oldest
+        }
 
     def _usable(self, views: Iterable[EngineView]) -> list[EngineView]:
         now = self.clock.monotonic()
@@ -155,7 +178,7 @@
             view
             for view in self._usable(views)
             if not view.holds(head.trainer, head.version)
-            and view.staging.get(head.trainer) != head.version
+            and not view.is_staging(head.trainer, head.version)
         ]
         busy = sum(1 for view in views if view.staging)
         chosen = lacking[: max(0, STAGES_AT_A_TIME - busy)]
@@ -218,7 +241,8 @@
         if order.state is not journals.OrderState.DONE:
             view.quarantined_until = self.clock.monotonic() + QUARANTINE_S
         elif kind is engine.OrderKind.STAGE:
-            view.staging[head.trainer] = head.version
+            now = self.clock.monotonic()
+            view.staging[head.trainer] = Staging(head.version, now)
 
     async def _tell_staged(
         self,
