Measure calls through a node against calls straight to the engine

Cause: no figure for what a node adds. Four node processes and the stand-ins run on loopback; the bench compares both ways in one run.

--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,253 @@
+"""Calls through a node against calls straight to the same stand-in."""
+
+import argparse
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+
+import attrs
+import orjson
+import trio
+
+from bench import deployment as deployments
+from bench import processes
+from kingcupscale.fakes import tables as sample
+from kingcupscale.platform import engine
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+
+REQUESTS = 400
+AT_A_TIME = 8
+WARM_UP = 60
+TOKENS = 8
+LONG_TOKENS = 512
+STREAMS = 40
+DESIGN_REQUESTS_PER_S = 13.4
+DESIGN_TOKENS_PER_S = 3700.0
+TIMEOUT_S = 30.0
+
+
+@attrs.frozen
+class Path:
+    """Figures of one way to the engine.
+
+    Attributes:
+        p50_ms: Median time of a call.
+        p99_ms: 99th percentile.
+        requests_per_s: Calls ended a second.
+    """
+
+    p50_ms: float
+    p99_ms: float
+    requests_per_s: float
+
+
+@attrs.frozen
+class Report:
+    """The comparison.
+
+    Attributes:
+        direct: Straight to the stand-in.
+        through_node: Through a node.
+        added_p50_ms: What the node adds at the median.
+        added_p99_ms: What it adds at the 99th percentile.
+        cpu_ms_per_request: The node's processor time for a call.
+        cpu_us_per_token: The node's processor time for a streamed token.
+        resident_mb: The node's memory.
+        idle_core_share: Share of a core the node takes without calls.
+        design_core_share: Share of a core that the design size takes.
+    """
+
+    direct: Path
+    through_node: Path
+    added_p50_ms: float
+    added_p99_ms: float
+    cpu_ms_per_request: float
+    cpu_us_per_token: float
+    resident_mb: float
+    idle_core_share: float
+    design_core_share: float
+
+
+def _direct_request(number: int) -> message.Request:
+    body = engine.GenerateRequest(
+        f"bench-{number}", "", f"prompt {number}", 0, TOKENS, chunk_tokens=64
+    )
+    return message.json_request("/generate", body)
+
+
+def _node_request(
+    number: int, key: str, tokens: int, stream: bool
+) -> message.Request:
+    body = {
+        "model": sample.ENGINE_SERVICE,
+        "prompt": f"prompt {number}",
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+    headers = {"authorization": f"Bearer {key}"}
+    return message.json_request("/v1/completions", body, headers)
+
+
+class Bench:
+    """One comparison before a running deployment.
+
+    Args:
+        deployment: What runs.
+    """
+
+    def __init__(self, deployment: deployments.Deployment) -> None:
+        self.deployment = deployment
+        self.exchanger = exchange.HttpExchanger()
+        self.node = deployment.nodes[0].listeners.callers
+        self.pid = deployment.pids[0]
+        self.key = deployment.issued[0].text
+        self.bodies: list[bytes] = []
+
+    async def run(self) -> Report:
+        """Measures both ways in turns and returns the comparison."""
+        await self._call_node(WARM_UP)
+        await self._call_direct(WARM_UP)
+        idle = await self._measure_idle()
+        direct, through = [], []
+        for _ in range(4):
+            direct += await self._call_direct(REQUESTS // 4)
+            through += await self._call_node(REQUESTS // 4)
+        began_at = time.monotonic()
+        await self._call_direct(REQUESTS, AT_A_TIME)
+        direct_s = time.monotonic() - began_at
+        cpu_before = processes.cpu_s(self.pid)
+        began_at = time.monotonic()
+        await self._call_node(REQUESTS, AT_A_TIME)
+        node_s = time.monotonic() - began_at
+        cpu_s = processes.cpu_s(self.pid) - cpu_before - idle * node_s
+        per_token_us = await self._measure_tokens(idle, cpu_s / REQUESTS)
+        return self._make_report(
+            _summarise(direct, direct_s),
+            _summarise(through, node_s),
+            1000 * cpu_s / REQUESTS,
+            per_token_us,
+            idle,
+        )
+
+    async def _measure_idle(self) -> float:
+        before = processes.cpu_s(self.pid)
+        await trio.sleep(5)
+        return (processes.cpu_s(self.pid) - before) / 5
+
+    async def _measure_tokens(self, idle: float, request_s: float) -> float:
+        before = processes.cpu_s(self.pid)
+        began_at = time.monotonic()
+        requests = [
+            _node_request(10**6 + n, self.key, LONG_TOKENS, True)
+            for n in range(STREAMS * 20)
+        ]
+        tokens = 0
+        for start in range(0, len(requests), STREAMS):
+            batch = requests[start : start + STREAMS]
+            await self._call(self.node, batch, STREAMS)
+            tokens += sum(map(_count_tokens, self.bodies))
+        used_s = processes.cpu_s(self.pid) - before
+        used_s -= idle * (time.monotonic() - began_at)
+        used_s -= request_s * len(requests)
+        return 1e6 * used_s / max(1, tokens)
+
+    async def _call_direct(self, count: int, at_a_time: int = 1) -> list[float]:
+        address = self.deployment.engine_addresses()[0]
+        requests = [_direct_request(number) for number in range(count)]
+        return await self._call(address, requests, at_a_time)
+
+    async def _call_node(self, count: int, at_a_time: int = 1) -> list[float]:
+        requests = [
+            _node_request(number, self.key, TOKENS, False)
+            for number in range(count)
+        ]
+        return await self._call(self.node, requests, at_a_time)
+
+    async def _call(
+        self, address: str, requests: list[message.Request], at_a_time: int
+    ) -> list[float]:
+        times: list[float] = []
+        self.bodies = []
+        waiting = list(requests)
+
+        async def work() -> None:
+            while waiting:
+                request = waiting.pop()
+                began_at = time.monotonic()
+                response = await exchange.fetch(
+                    self.exchanger, address, request, TIMEOUT_S
+                )
+                if response.status != 200:
+                    raise RuntimeError(response.body.decode())
+                times.append(1000 * (time.monotonic() - began_at))
+                self.bodies.append(response.body)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(at_a_time):
+                nursery.start_soon(work)
+        return times
+
+    def _make_report(
+        self,
+        direct: Path,
+        through: Path,
+        request_ms: float,
+        token_us: float,
+        idle: float,
+    ) -> Report:
+        requests_share = DESIGN_REQUESTS_PER_S * request_ms / 1000
+        tokens_share = DESIGN_TOKENS_PER_S * token_us / 1e6
+        return Report(
+            direct,
+            through,
+            round(through.p50_ms - direct.p50_ms, 2),
+            round(through.p99_ms - direct.p99_ms, 2),
+            round(request_ms, 2),
+            round(token_us, 1),
+            round(processes.resident_mb(self.pid), 1),
+            round(idle, 4),
+            round(requests_share + tokens_share + idle, 3),
+        )
+
+
+def _count_tokens(body: bytes) -> int:
+    """Returns the tokens in a stream of server-sent events."""
+    events = [event.removeprefix(b"data: ") for event in body.split(b"\n\n")]
+    pieces = [orjson.loads(event) for event in events if event[:1] == b"{"]
+    texts = [piece["choices"][0]["text"] for piece in pieces]
+    return len("".join(texts).split())
+
+
+def _summarise(times_ms: list[float], seconds: float) -> Path:
+    cuts = statistics.quantiles(times_ms, n=100)
+    return Path(
+        round(cuts[49], 2),
+        round(cuts[98], 2),
+        round(len(times_ms) / seconds, 1),
+    )
+
+
+def main() -> int:
+    """Runs the comparison from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        deployments.running(pathlib.Path(folder), 4) as deployment,
+    ):
+        report = trio.run(Bench(deployment).run)
+    values = attrs.asdict(report)
+    if arguments.json:
+        print(orjson.dumps(values).decode())
+    else:
+        for name, value in values.items():
+            print(f"{name:20} {value}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
