--- a/src/kingcupscale/serving/generation.py
+++ b/src/kingcupscale/serving/generation.py
@@ -22,7 +22,7 @@
 from kingcupscale.web import message
 
 PREFIX_CHARACTERS = 64
-PIECE_TIMEOUT_S = 5.0
+PIECE_TIMEOUT_S = 10.0
 ATTEMPTS = 5
 ORGANISATION_HEADER = "x-organisation"
 
