--- a/src/kingcupscale/configuration/editor.py
+++ b/src/kingcupscale/configuration/editor.py
@@ -21,6 +21,7 @@
 LOST_AFTER_S = 600.0
 UPKEEP_S = 5.0
 RETRY_AFTER_S = 2.0
+ATTEMPTS = 5
 
 
 @attrs.frozen
@@ -106,16 +107,24 @@
             ServiceError: ``CONFIGURATION_INVALID``, ``MAJORITY_LOST``,
                 ``STORE_UNAVAILABLE`` or ``CONFIGURATION_UNDECIDED``.
         """
-        await self._read_store()
-        self._check_majority(proposal)
-        self._check_revision(proposal)
-        change = self._make_change(proposal)
-        await self._append(proposal, change)
+        change = await self._decide(proposal)
         reached = await self.spreader.push()
         self._log_accepted(change)
         await self._compact()
         return self._accepted(reached)
 
+    async def _decide(self, proposal: Proposal) -> changes.Change:
+        """Appends a change, again if only the nodes' own came between."""
+        for _ in range(ATTEMPTS):
+            await self._read_store()
+            self._check_majority(proposal)
+            self._check_revision(proposal)
+            change = self._make_change(proposal)
+            if await self._append(change):
+                self.replica.absorb(changes.Batch(None, [change]))
+                return change
+        raise ConflictError(proposal, self.replica.revision, [])
+
     async def _read_store(self) -> None:
         try:
             await self.spreader.read_store()
@@ -180,9 +189,9 @@
             ) from e
         return change
 
-    async def _append(self, proposal: Proposal, change: changes.Change) -> None:
+    async def _append(self, change: changes.Change) -> bool:
         try:
-            accepted = await self.spreader.log.append(change)
+            return await self.spreader.log.append(change)
         except calls.PlatformError as e:
             raise errors.ServiceError(
                 errors.ResultCode.CONFIGURATION_UNDECIDED,
@@ -191,11 +200,6 @@
                 errors.Run.UNKNOWN,
                 RETRY_AFTER_S,
             ) from e
-        if not accepted:
-            await self._read_store()
-            self._check_revision(proposal)
-            raise ConflictError(proposal, self.replica.revision, [])
-        self.replica.absorb(changes.Batch(None, [change]))
 
     def _log_accepted(self, change: changes.Change) -> None:
         events.log(
--- a/src/kingcupscale/fakes/sessions.py
+++ b/src/kingcupscale/fakes/sessions.py
@@ -47,12 +47,14 @@
         steps: All calls between processes.
         struck: Places at which a fault took place.
         seconds: Virtual seconds it took.
+        record: What callers, trainers and operators saw.
     """
 
     broken: list[str]
     steps: list[faults.Step]
     struck: list[faults.Place]
     seconds: float
+    record: judge.Record
 
 
 async def rollout_step(cluster: clusters.Cluster) -> None:
@@ -191,7 +193,8 @@
             nursery.cancel_scope.cancel()
         broken += cluster.broken()
         seconds = cluster.clock.monotonic()
-    return Outcome(broken, plan.steps, plan.struck, seconds)
+        record = cluster.record
+    return Outcome(broken, plan.steps, plan.struck, seconds, record)
 
 
 async def _watch_revisions(cluster: clusters.Cluster) -> None:
