--- a/src/kingcupscale/fakes/judge.py
+++ b/src/kingcupscale/fakes/judge.py
@@ -97,6 +97,26 @@
     leaving: dict[str, float] = attrs.field(factory=dict)
 
 
+def _judge_callers(record: Record) -> dict[str, Iterator[str]]:
+    """Checks the promises that callers alone can judge."""
+    return {
+        "sample_names_true_versions": _check_versions(record),
+        "no_stale_sample": _check_staleness(record),
+        "sample_delivered_once": _check_once(record),
+        "withdrawn_key_stops": _check_withdrawn(record),
+        "whole_answers": _check_answers(record),
+        "planned_stop_cuts_nothing": _check_stops(record),
+        "configuration_in_force": _check_configuration(record),
+    }
+
+
+def broken_for_callers(record: Record) -> list[str]:
+    """Returns a line for everything that callers alone found broken."""
+    return _to_lines(
+        {name: list(found) for name, found in _judge_callers(record).items()}
+    )
+
+
 def judge(record: Record, world: worlds.World) -> dict[str, list[str]]:
     """Checks every promise.
 
@@ -108,30 +128,26 @@
         What was found broken, by promise; an empty list for one that held.
     """
     checks = {
-        "sample_names_true_versions": _check_versions(record),
-        "no_stale_sample": _check_staleness(record),
-        "sample_delivered_once": _check_once(record),
+        **_judge_callers(record),
         "runs_for_own_organisation": _check_organisations(record, world),
         "no_key_at_backend_servers": _check_keys(record, world),
-        "withdrawn_key_stops": _check_withdrawn(record),
         "orders_from_one_holder": _check_orders(world),
         "usage_windows_agree": _check_usage(world),
-        "whole_answers": _check_answers(record),
         "not_run_is_true": _check_not_run(record, world),
         "non_idempotent_once": _check_runs(record, world),
         "leaving_server_rests": _check_leaving(record, world),
-        "planned_stop_cuts_nothing": _check_stops(record),
-        "configuration_in_force": _check_configuration(record),
     }
     return {name: list(found) for name, found in checks.items()}
 
 
 def broken(record: Record, world: worlds.World) -> list[str]:
     """Returns a line for everything found broken."""
+    return _to_lines(judge(record, world))
+
+
+def _to_lines(found: dict[str, list[str]]) -> list[str]:
     return [
-        f"{name}: {line}"
-        for name, lines in judge(record, world).items()
-        for line in lines
+        f"{name}: {line}" for name, lines in found.items() for line in lines
     ]
 
 
