Keep membership's cost flat: cached ranks, few seeds, nodes entered by zone

Cause: a fleet on virtual time showed calls and work that grow with its size: every node asked every seed for the whole table, ranked and sorted all members several times a second, raced to enter itself, and asked the store after 6 s without confirmation, which at 192 nodes is the usual age.

Conclusion: watchers enter the nodes of their zone at once; a node asks the store itself only after 9 of its 12 s.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -23,6 +23,7 @@
 
 READY_LIMIT_S = 40.0
 POLL_S = 0.1
+ZONES = 3
 SALT = "00112233445566778899aabbccddeeff"
 OPERATOR_KEY = "kc.bench.operator"
 
@@ -88,7 +89,7 @@
     return [
         settings.NodeSettings(
             codec.Name(f"node-{number + 1}"),
-            codec.Name(sample.ZONES[number % len(sample.ZONES)]),
+            codec.Name(sample.ZONES[number % ZONES]),
             codec.Name(sample.REGION),
             settings.Listeners(*ports[3 * number : 3 * number + 3]),
             platform,
--- a/src/kingcupscale/configuration/editor.py
+++ b/src/kingcupscale/configuration/editor.py
@@ -250,23 +250,27 @@
         return self._accepted(await self.spreader.push())
 
     async def run_upkeep(self) -> None:
-        """Enters this node, removes lost ones, folds withdrawn keys in."""
+        """Enters new nodes, removes lost ones, folds withdrawn keys in.
+
+        Only the watchers of a zone do, for all of its nodes at once, so that
+        a fleet that starts together does not race for each revision.
+        """
         while True:
-            entries = self._upkeep_entries()
-            if entries:
-                await self._propose_upkeep(entries)
+            if self.spreader.is_watcher():
+                await self._propose_upkeep(self._upkeep_entries())
             await self.clock.sleep(UPKEEP_S)
 
     def _upkeep_entries(self) -> dict[str, Any]:
-        me = self.members.me
-        entries: dict[str, Any] = {}
-        if me.name not in self.replica.document.nodes:
-            entries[f"nodes/{me.name}"] = {"zone": me.zone}
-        if self.spreader.is_watcher():
-            gone = self._lost_nodes()
-            entries.update({f"nodes/{name}": None for name in gone})
-            keys = self.spreader.unfolded()
-            entries.update({f"keys/{key_id}": None for key_id in keys})
+        zone = self.members.me.zone
+        entries: dict[str, Any] = {
+            f"nodes/{member.name}": {"zone": zone}
+            for member in self.members.alive()
+            if member.zone == zone
+            and member.name not in self.replica.document.nodes
+        }
+        entries.update({f"nodes/{name}": None for name in self._lost_nodes()})
+        keys = self.spreader.unfolded()
+        entries.update({f"keys/{key_id}": None for key_id in keys})
         return entries
 
     def _lost_nodes(self) -> list[str]:
@@ -281,6 +285,8 @@
         ]
 
     async def _propose_upkeep(self, entries: dict[str, Any]) -> None:
+        if not entries:
+            return
         proposal = Proposal(
             entries,
             self.replica.revision,
--- a/src/kingcupscale/configuration/spreading.py
+++ b/src/kingcupscale/configuration/spreading.py
@@ -7,7 +7,6 @@
 from kingcupscale import clock as clocks
 from kingcupscale import codec
 from kingcupscale import events
-from kingcupscale import rendezvous
 from kingcupscale.configuration import admission as admissions
 from kingcupscale.configuration import change as changes
 from kingcupscale.configuration import log as logs
@@ -24,6 +23,8 @@
 RETRY_S = 1.0
 PUSH_TIMEOUT_S = 1.5
 PUSHES_AT_A_TIME = 16
+# Share of the bound on confirmation after which a node asks the store itself.
+ASK_STORE_AT = 0.75
 LEAVING_PER_MESSAGE = 32
 
 
@@ -183,9 +184,8 @@
     def is_watcher(self) -> bool:
         """Tells whether this node is one of its zone's watchers."""
         zone = self.members.me.zone
-        names = [m.name for m in self.members.alive() if m.zone == zone]
-        chosen = rendezvous.rank(f"watch/{zone}", names)[:WATCHERS_PER_ZONE]
-        return self.members.me.name in chosen
+        chosen = self.members.ranked(f"watch/{zone}", zone)
+        return self.members.me in chosen[:WATCHERS_PER_ZONE]
 
     async def run(self) -> None:
         """Reads the store while chosen, or when peers do not confirm."""
@@ -197,7 +197,7 @@
 
     def _lacks_confirmation(self) -> bool:
         age_s = self.admission.confirmed_age_s()
-        return age_s is None or age_s > self.admission.bound_s / 2
+        return age_s is None or age_s > ASK_STORE_AT * self.admission.bound_s
 
     async def _watch_once(self) -> None:
         try:
--- a/src/kingcupscale/demo.py
+++ b/src/kingcupscale/demo.py
@@ -21,6 +21,7 @@
 from kingcupscale.web import exchange
 
 NODES = 4
+ZONES = 3
 ENGINES = 4
 SERVERS = 3
 ORGANISATIONS = 8
@@ -161,7 +162,7 @@
         )
         return settings.NodeSettings(
             codec.Name(f"node-{number + 1}"),
-            codec.Name(sample.ZONES[number % len(sample.ZONES)]),
+            codec.Name(sample.ZONES[number % ZONES]),
             codec.Name(sample.REGION),
             settings.Listeners(*[standins.ANY_PORT] * 3),
             self.standins.platform,
--- a/src/kingcupscale/duties/candidates.py
+++ b/src/kingcupscale/duties/candidates.py
@@ -1,6 +1,5 @@
 """Who should try for a duty's lease: a few, the same for all to see."""
 
-from kingcupscale import rendezvous
 from kingcupscale.peering import members as membership
 
 CANDIDATES = 2
@@ -18,7 +17,4 @@
         members: The members it knows.
         zone: Availability zone whose nodes come first; empty for any.
     """
-    alive = members.alive()
-    near = [m.name for m in alive if m.zone == zone]
-    names = near or [m.name for m in alive]
-    return members.me.name in rendezvous.rank(duty, names)[:CANDIDATES]
+    return members.me in members.ranked(duty, zone)[:CANDIDATES]
--- a/src/kingcupscale/fakes/cluster.py
+++ b/src/kingcupscale/fakes/cluster.py
@@ -26,6 +26,7 @@
 from kingcupscale.web import message
 
 OUTSIDE = "outside"
+SEEDS = 4
 START_LIMIT_S = 120.0
 RESTART_AFTER_S = 8.0
 
@@ -119,12 +120,8 @@
                 for i in range(size.engines)
             },
             {f"shop-{i + 1}": f"shop-{i + 1}:80" for i in range(size.servers)},
+            size.zones,
         )
-        for zone in list(tables["zones"])[size.zones :]:
-            del tables["zones"][zone]
-        for service in tables["services"].values():
-            for index, server in enumerate(service["backend_servers"].values()):
-                server["zone"] = sample.ZONES[index % size.zones]
         if size.scaling is not None:
             engines = tables["services"][sample.ENGINE_SERVICE]
             engines["scaling"] = size.scaling
@@ -191,7 +188,7 @@
                 f"{name}:callers", f"{name}:operators", f"{name}:peers"
             ),
             settings.Platform(**platform),
-            [f"{other}:peers" for other in self.node_names() if other != name],
+            [f"{other}:peers" for other in self.node_names()[:SEEDS]],
             {codec.Name("anna"): key, codec.Name("ben"): key},
             timings=settings.Timings(
                 usage_window_s=codec.PositiveSeconds(self.size.window_s),
--- a/src/kingcupscale/fakes/tables.py
+++ b/src/kingcupscale/fakes/tables.py
@@ -8,7 +8,14 @@
 
 ENGINE_SERVICE = "plume-llm"
 PLAIN_SERVICE = "shop-app"
-ZONES = ("kr-south-a", "kr-south-b", "kr-south-c")
+ZONES = (
+    "kr-south-a",
+    "kr-south-b",
+    "kr-south-c",
+    "kr-north-a",
+    "kr-north-b",
+    "kr-north-c",
+)
 REGION = "kr-south"
 FRESHNESS_VERSIONS = 1
 
@@ -33,13 +40,14 @@
 
 
 def make_tables(
-    engines: dict[str, str], servers: dict[str, str]
+    engines: dict[str, str], servers: dict[str, str], zones: int = 3
 ) -> dict[str, Any]:
     """Returns classes, zones and services, without organisations.
 
     Args:
         engines: Address of each model engine by name.
         servers: Address of each plain server by name.
+        zones: Availability zones they are spread over.
     """
     return {
         "classes": {
@@ -54,16 +62,16 @@
                 "cheap": True,
             },
         },
-        "zones": {zone: {"region": REGION} for zone in ZONES},
+        "zones": {zone: {"region": REGION} for zone in ZONES[:zones]},
         "services": {
             ENGINE_SERVICE: {
                 "kind": "engine",
                 "fenced": True,
-                "backend_servers": _place(engines, slots=32),
+                "backend_servers": _place(engines, 32, zones),
             },
             PLAIN_SERVICE: {
                 "kind": "plain",
-                "backend_servers": _place(servers, slots=64),
+                "backend_servers": _place(servers, 64, zones),
             },
         },
         "organisations": {},
@@ -73,11 +81,11 @@
     }
 
 
-def _place(servers: dict[str, str], slots: int) -> dict[str, Any]:
+def _place(servers: dict[str, str], slots: int, zones: int) -> dict[str, Any]:
     return {
         name: {
             "address": address,
-            "zone": ZONES[index % len(ZONES)],
+            "zone": ZONES[index % zones],
             "slots": slots,
         }
         for index, (name, address) in enumerate(servers.items())
--- a/src/kingcupscale/peering/gossip.py
+++ b/src/kingcupscale/peering/gossip.py
@@ -14,6 +14,7 @@
 UPDATES_PER_MESSAGE = 8
 HEAL_EVERY_TICKS = 5
 INDIRECT_PROBES = 2
+SEEDS_ASKED = 3
 
 
 @attrs.frozen
@@ -123,12 +124,10 @@
         return others[self.round.pop()] if self.round else None
 
     async def join(self) -> bool:
-        """Asks every seed for the whole table; tells whether one replied."""
-        results = [
-            await self.exchange(seed, full=True)
-            for seed in self.seeds
-            if seed != self.members.me.address
-        ]
+        """Asks a few seeds for the whole table; tells whether one replied."""
+        seeds = [s for s in self.seeds if s != self.members.me.address]
+        asked = self.rng.sample(seeds, min(SEEDS_ASKED, len(seeds)))
+        results = [await self.exchange(seed, full=True) for seed in asked]
         return any(results)
 
     async def exchange(self, address: str, full: bool = False) -> bool:
--- a/src/kingcupscale/peering/members.py
+++ b/src/kingcupscale/peering/members.py
@@ -11,6 +11,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale import rendezvous
 from kingcupscale.peering import peer_pb2
 
 ALIVE = peer_pb2.ALIVE
@@ -49,7 +50,14 @@
 
     def to_proto(self) -> peer_pb2.Member:
         """Returns the entry as it travels."""
-        return peer_pb2.Member(**attrs.asdict(self))
+        return peer_pb2.Member(
+            name=self.name,
+            address=self.address,
+            zone=self.zone,
+            region=self.region,
+            incarnation=self.incarnation,
+            status=self.status,
+        )
 
 
 def from_proto(entry: peer_pb2.Member) -> Member:
@@ -82,11 +90,18 @@
         self.entries: dict[str, Member] = {me.name: me}
         self.changed_at: dict[str, float] = {me.name: clock.monotonic()}
         self.sendings: dict[str, int] = {me.name: 0}
+        self.not_alive: set[str] = set()
         self.listeners: list[Callable[[Member], None]] = []
+        # Worked out once for each state of the table, since every tick asks.
+        self.alive_cache: list[Member] | None = None
+        self.rank_cache: dict[tuple[str, str], list[Member]] = {}
 
     def alive(self) -> list[Member]:
         """Returns the members that may be counted on, by name."""
-        return [m for _, m in sorted(self.entries.items()) if _is_up(m)]
+        if self.alive_cache is None:
+            ordered = sorted(self.entries.items())
+            self.alive_cache = [m for _, m in ordered if _is_up(m)]
+        return self.alive_cache
 
     def others(self) -> list[Member]:
         """Returns the members that may be counted on but this node."""
@@ -94,7 +109,25 @@
 
     def lost(self) -> list[Member]:
         """Returns the members that count as dead."""
-        return [m for m in self.entries.values() if m.status == DEAD]
+        entries = (self.entries[name] for name in sorted(self.not_alive))
+        return [member for member in entries if member.status == DEAD]
+
+    def ranked(self, subject: str, zone: str = "") -> list[Member]:
+        """Returns the members in the order in which a subject chooses them.
+
+        Args:
+            subject: What is to be placed.
+            zone: Only members of this availability zone; if it has none, or
+                for an empty name, all.
+        """
+        key = (subject, zone)
+        if key not in self.rank_cache:
+            alive = self.alive()
+            near = [m for m in alive if m.zone == zone] or alive
+            by_name = {m.name: m for m in near}
+            names = rendezvous.rank(subject, by_name)
+            self.rank_cache[key] = [by_name[name] for name in names]
+        return self.rank_cache[key]
 
     def merge(self, update: Member) -> bool:
         """Takes in what was heard of a member.
@@ -125,6 +158,7 @@
     def _set(self, member: Member) -> None:
         before = self.entries.get(member.name)
         self.entries[member.name] = member
+        self._note_status(member)
         self.changed_at[member.name] = self.clock.monotonic()
         self.sendings[member.name] = 0
         if member.name == self.me.name:
@@ -132,6 +166,14 @@
         if before is None or before.status != member.status:
             self._announce(member)
 
+    def _note_status(self, member: Member) -> None:
+        self.alive_cache = None
+        self.rank_cache.clear()
+        if member.status == ALIVE:
+            self.not_alive.discard(member.name)
+        else:
+            self.not_alive.add(member.name)
+
     def _announce(self, member: Member) -> None:
         events.log(
             events.Event.MEMBER_CHANGED,
@@ -156,7 +198,8 @@
     def expire(self) -> None:
         """Turns old suspects into dead members and forgets the long gone."""
         now = self.clock.monotonic()
-        for member in list(self.entries.values()):
+        for name in sorted(self.not_alive):
+            member = self.entries[name]
             age = now - self.changed_at[member.name]
             if member.status == SUSPECT and age > self.suspicion_s:
                 self._set(attrs.evolve(member, status=DEAD))
@@ -165,7 +208,9 @@
 
     def _forget(self, name: str) -> None:
         if name != self.me.name:
-            del self.entries[name], self.changed_at[name], self.sendings[name]
+            del self.entries[name], self.changed_at[name]
+            self.sendings.pop(name, None)
+            self.not_alive.discard(name)
 
     def take_updates(self, limit: int) -> list[Member]:
         """Returns the least-told news, at most ``limit`` of it.
@@ -175,11 +220,15 @@
         """
         rounds = math.ceil(math.log2(len(self.entries) + 1))
         most = RETRANSMIT_FACTOR * rounds
-        fresh = [name for name, sent in self.sendings.items() if sent < most]
-        fresh.sort(key=lambda name: (self.sendings[name], name))
-        for name in fresh[:limit]:
+        fresh = sorted(
+            self.sendings, key=lambda name: (self.sendings[name], name)
+        )
+        chosen = fresh[:limit]
+        for name in chosen:
             self.sendings[name] += 1
-        return [self.entries[name] for name in fresh[:limit]]
+            if self.sendings[name] >= most:
+                del self.sendings[name]
+        return [self.entries[name] for name in chosen]
 
 
 def _is_up(member: Member) -> bool:
--- a/src/kingcupscale/usage/copying.py
+++ b/src/kingcupscale/usage/copying.py
@@ -2,7 +2,6 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import codec
-from kingcupscale import rendezvous
 from kingcupscale.peering import members as membership
 from kingcupscale.peering import peer_pb2
 from kingcupscale.peering import transport
@@ -49,9 +48,9 @@
 
     def collectors(self) -> list[membership.Member]:
         """Returns the members that keep copies for this node."""
-        others = {m.name: m for m in self.members.others()}
-        subject = f"usage/{self.members.me.name}"
-        return [others[n] for n in rendezvous.rank(subject, others)[:COPIES]]
+        ranked = self.members.ranked(f"usage/{self.members.me.name}")
+        others = [m for m in ranked if m.name != self.members.me.name]
+        return others[:COPIES]
 
     async def run(self) -> None:
         """Copies what has changed until cancelled."""
