--- /dev/null
+++ b/bench/mutations.py
@@ -0,0 +1,287 @@
+"""Deliberate breaks: each promise's mechanism broken must turn a test red.
+
+Every break is made in a copy of the tree, in which one test is run.
+"""
+
+import argparse
+from concurrent import futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import attrs
+import orjson
+
+ROOT = pathlib.Path(__file__).parent.parent
+SOURCE = pathlib.Path("src/kingcupscale")
+TEST_LIMIT_S = 400
+
+
+@attrs.frozen
+class Break:
+    """One mechanism broken on purpose.
+
+    Attributes:
+        promise: Which promise rests on it.
+        file: Source file.
+        old: Text that stands there once.
+        new: What takes its place.
+        test: The test that must fail.
+    """
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+BREAKS = (
+    Break(
+        "each sample names its versions",
+        "rollouts/step.py",
+        "and last.version == piece.version",
+        "and True",
+        "tests.test_rollouts.StepTest"
+        ".test_sample_over_a_swap_names_both_versions",
+    ),
+    Break(
+        "no sample is older than the bound",
+        "rollouts/step.py",
+        "return self.context.rule.allows(sample.oldest_version(), "
+        "self.version)",
+        "return True",
+        "tests.test_rollouts.StepTest"
+        ".test_samples_that_fell_behind_are_made_again",
+    ),
+    Break(
+        "each sample is delivered once",
+        "rollouts/trainer.py",
+        "if group.group in has or group.group not in wanted:",
+        "if group.group not in wanted:",
+        "tests.test_breaks.TrainerTest.test_repeated_group_is_dropped",
+    ),
+    Break(
+        "runs only for the key's organisation",
+        "serving/claims.py",
+        'key = f"{PREFIX}{organisation}/{digest}"',
+        'key = f"{PREFIX}{digest}"',
+        "tests.test_serving.PlainCallTest"
+        ".test_keys_of_two_organisations_do_not_clash",
+    ),
+    Break(
+        "no backend server sees a key",
+        "serving/plain.py",
+        'FORWARDED_HEADERS = ("accept", "accept-language", "content-type")',
+        'FORWARDED_HEADERS = ("accept", "authorization", "content-type")',
+        "tests.test_breaks.KeyTest.test_key_dropped_at_the_entry_stays_dropped",
+    ),
+    Break(
+        "no backend server sees a key",
+        "serving/entry.py",
+        "_check_exposure(request, text)\n        return grant",
+        "return grant",
+        "tests.test_serving.RefusalTest",
+    ),
+    Break(
+        "a withdrawn key stops within seconds",
+        "serving/sessions.py",
+        "session.withdraw()",
+        "pass",
+        "tests.test_configuration.ClusterTest"
+        ".test_withdrawal_ends_an_open_stream",
+    ),
+    Break(
+        "a withdrawn key stops within seconds",
+        "configuration/admission.py",
+        "is_open = self.ready and (self.is_confirmed() or self.has_majority())",
+        "is_open = self.ready",
+        "tests.test_configuration.ClusterTest"
+        ".test_node_cut_off_from_store_and_peers_stops_admitting",
+    ),
+    Break(
+        "orders from one process",
+        "duties/lease.py",
+        "return self.orders_from <= now < last",
+        "return now < last",
+        "tests.test_lease.LeaseTest.test_new_holder_waits_out_orders_under_way",
+    ),
+    Break(
+        "orders from one process",
+        "duties/lease.py",
+        "if self.epoch != epoch or not self.may_order():",
+        "if False:",
+        "tests.test_lease.LeaseTest"
+        ".test_paused_holder_is_followed_and_cannot_order",
+    ),
+    Break(
+        "orders from one process",
+        "duties/journal.py",
+        "if not answer.written:",
+        "if False:",
+        "tests.test_lease.JournalTest.test_former_holder_cannot_write",
+    ),
+    Break(
+        "no usage window with different figures",
+        "usage/reporting.py",
+        "totals[index] - before[index]",
+        "totals[index]",
+        "tests.test_usage.ReportingTest",
+    ),
+    Break(
+        "no usage window with different figures",
+        "usage/copying.py",
+        "collectors = self.collectors()",
+        "collectors = []",
+        "tests.test_usage.ReportingTest"
+        ".test_counts_of_a_crashed_node_are_reported",
+    ),
+    Break(
+        "whole answer to its own request",
+        "serving/generation.py",
+        "if chunk.request_id != order.request_id:",
+        "if False:",
+        "tests.test_breaks.CrossedTest"
+        ".test_piece_of_another_answer_is_not_passed_on",
+    ),
+    Break(
+        "whole answer to its own request",
+        "serving/generation.py",
+        'if last is None:\n            raise _BrokenError("the answer ended '
+        'early")',
+        "if last is None:\n            return",
+        "tests.test_serving.GenerationTest",
+    ),
+    Break(
+        "whole answer to its own request",
+        "serving/plain.py",
+        "if response.headers.get(REQUEST_ID_HEADER) != expected:",
+        "if False:",
+        "tests.test_serving.PlainCallTest.test_non_idempotent_call_runs_once",
+    ),
+    Break(
+        "a refusal that says not run is true",
+        "serving/plain.py",
+        "raise _unknown(e.reason) from e",
+        "raise errors.ServiceError(errors.ResultCode.BACKEND_FAILED) from e",
+        "tests.test_serving.PlainCallTest.test_non_idempotent_call_runs_once",
+    ),
+    Break(
+        "a non-idempotent request runs at most once",
+        "serving/plain.py",
+        "if e.request_left and not is_idempotent:",
+        "if False:",
+        "tests.test_serving.PlainCallTest.test_non_idempotent_call_runs_once",
+    ),
+    Break(
+        "a non-idempotent request runs at most once",
+        "serving/claims.py",
+        "is_same and claim.state is ClaimState.NOT_RUN",
+        "is_same and claim.state is not ClaimState.DONE",
+        "tests.test_serving.PlainCallTest"
+        ".test_retries_by_key_over_nodes_run_once",
+    ),
+    Break(
+        "a leaving server gets no new work",
+        "serving/routing.py",
+        "if not state.is_leaving and state.name not in wish.excluded",
+        "if state.name not in wish.excluded",
+        "tests.test_serving.GenerationTest"
+        ".test_leaving_engine_gets_nothing_new",
+    ),
+    Break(
+        "a planned stop cuts no request",
+        "node.py",
+        "while self.entry.active or self.sessions.open_sessions:",
+        "while False:",
+        "tests.test_serving.PlannedStopTest"
+        ".test_drain_cuts_no_request_and_loses_no_usage",
+    ),
+    Break(
+        "accepted configuration in force, never reverts",
+        "configuration/replica.py",
+        "if batch.snapshot and batch.snapshot.revision > self.revision:",
+        "if batch.snapshot:",
+        "tests.test_configuration.ReplicaTest",
+    ),
+    Break(
+        "accepted configuration in force, never reverts",
+        "configuration/editor.py",
+        "if not self.admission.has_majority():",
+        "if False:",
+        "tests.test_configuration.ClusterTest"
+        ".test_minority_that_reaches_the_store_accepts_no_change",
+    ),
+    Break(
+        "accepted configuration in force, never reverts",
+        "configuration/spreading.py",
+        "if self.replica.revision and self.admission.is_majority(reached):",
+        "if True:",
+        "tests.test_configuration.ClusterTest"
+        ".test_starting_node_admits_nothing_without_store_and_peers",
+    ),
+)
+
+
+@attrs.frozen
+class Outcome:
+    """What a break did.
+
+    Attributes:
+        promise: Which promise rests on the mechanism.
+        file: Source file.
+        test: The test.
+        is_red: Whether the test failed, as it must.
+    """
+
+    promise: str
+    file: str
+    test: str
+    is_red: bool
+
+
+def try_break(broken: Break) -> Outcome:
+    """Makes a break in a copy of the tree and runs its test."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder) / "tree"
+        ignored = shutil.ignore_patterns(".git", ".venv", "__pycache__")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        path = copy / SOURCE / broken.file
+        text = path.read_text(encoding="utf-8")
+        if text.count(broken.old) != 1:
+            raise ValueError(f"{broken.file}: {broken.old!r} stands not once")
+        path.write_text(text.replace(broken.old, broken.new), encoding="utf-8")
+        code = subprocess.run(
+            [sys.executable, "-m", "unittest", broken.test],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": f"{copy / 'src'}:{copy}"},
+            capture_output=True,
+            timeout=TEST_LIMIT_S,
+            check=False,
+        ).returncode
+    return Outcome(broken.promise, broken.file, broken.test, code != 0)
+
+
+def main() -> int:
+    """Tries all breaks from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
+    arguments = parser.parse_args()
+    with futures.ThreadPoolExecutor(arguments.jobs) as pool:
+        outcomes = list(pool.map(try_break, BREAKS))
+    green = [outcome for outcome in outcomes if not outcome.is_red]
+    if arguments.json:
+        print(orjson.dumps([attrs.asdict(o) for o in outcomes]).decode())
+    else:
+        for outcome in outcomes:
+            colour = "red" if outcome.is_red else "GREEN"
+            print(f"{colour:5} {outcome.promise}: {outcome.test}")
+    return 1 if green else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
