Be lenient with newer releases' data, strict with what people write

Cause: reading the code for a rolling upgrade: a field that a newer release adds to the change log or a lease would have stopped every older node, since unknown fields were refused everywhere.

Before: DecodeError in the node's background tasks. After: left out; settings, configuration files and callers' bodies are still held to the known fields.

Conclusion: a release may add fields; removing one needs two releases.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -144,7 +144,7 @@
         stand_ins = stack.enter_context(
             processes.started(*command, str(folder / "standins.toml"))
         )
-        pids = []
+        node_processes = []
         for each in node_settings:
             path = folder / f"{each.name}.toml"
             write_toml(path, codec.unstructure(each))
@@ -153,12 +153,15 @@
                     "kingcupscale", "node", "--settings", str(path)
                 )
             )
-            pids.append(process.pid)
+            node_processes.append(process)
+        pids = [process.pid for process in node_processes]
         deployment = Deployment(
             node_settings, pids, stand_ins.pid, tables, issued, [trainer]
         )
         trio.run(_configure, deployment)
         yield deployment
+        for process in node_processes:
+            process.terminate()
 
 
 def write_toml(path: pathlib.Path, tables: dict[str, Any]) -> None:
--- a/src/kingcupscale/codec.py
+++ b/src/kingcupscale/codec.py
@@ -104,8 +104,10 @@
         raise _MismatchError(value, "a date and time, ISO 8601") from None
 
 
-def _make_converter() -> cattrs.Converter:
-    converter = cattrs.preconf.orjson.make_converter(forbid_extra_keys=True)
+def _make_converter(is_strict: bool) -> cattrs.Converter:
+    converter = cattrs.preconf.orjson.make_converter(
+        forbid_extra_keys=is_strict
+    )
     hook = converter.register_structure_hook
     hook(int, _strict(int, "an integer"))
     hook(float, _strict((int, float), "a number"))
@@ -122,7 +124,10 @@
     return converter
 
 
-_converter = _make_converter()
+# What people write is held to the known fields; what other processes write
+# may come from a newer release with more of them.
+_strict_converter = _make_converter(is_strict=True)
+_converter = _make_converter(is_strict=False)
 
 
 def _describe(exception: BaseException, _: type | None) -> str:
@@ -146,17 +151,34 @@
 
 
 def structure(kind: type[T], value: Any) -> T:
-    """Turns plain data into a typed message.
+    """Turns plain data of another process into a typed message.
 
     Args:
         kind: The attrs class to make.
-        value: Plain data, as read from JSON or TOML.
+        value: Plain data; fields not known are left out.
 
     Raises:
         DecodeError: With every mistake in the data.
     """
+    return _structure(_converter, kind, value)
+
+
+def structure_strictly(kind: type[T], value: Any) -> T:
+    """Turns plain data that somebody wrote into a typed message.
+
+    Args:
+        kind: The attrs class to make.
+        value: Plain data, as read from JSON or TOML.
+
+    Raises:
+        DecodeError: With every mistake in the data, unknown fields included.
+    """
+    return _structure(_strict_converter, kind, value)
+
+
+def _structure(converter: cattrs.Converter, kind: type[T], value: Any) -> T:
     try:
-        return _converter.structure(value, kind)
+        return converter.structure(value, kind)
     except (cattrs.BaseValidationError, cattrs.ForbiddenExtraKeysError) as e:
         lines = cattrs.transform_error(e, format_exception=_describe)
         raise DecodeError([_to_mistake(line) for line in lines]) from None
@@ -177,10 +199,20 @@
 
 
 def decode(kind: type[T], data: bytes | str) -> T:
-    """Reads a typed message from JSON.
+    """Reads a typed message of another process from JSON.
 
     Raises:
         orjson.JSONDecodeError: If the data is not JSON in UTF-8.
         DecodeError: If the JSON does not fit the type.
     """
     return structure(kind, orjson.loads(data))
+
+
+def decode_strictly(kind: type[T], data: bytes) -> T:
+    """Reads a typed message that somebody wrote from JSON.
+
+    Raises:
+        orjson.JSONDecodeError: If the data is not JSON in UTF-8.
+        DecodeError: If the JSON does not fit, or has unknown fields.
+    """
+    return structure_strictly(kind, orjson.loads(data))
--- a/src/kingcupscale/configuration/check.py
+++ b/src/kingcupscale/configuration/check.py
@@ -45,7 +45,7 @@
     mistakes: list[codec.Mistake] = []
     checked = document.Document()
     try:
-        checked = codec.structure(document.Document, tables)
+        checked = codec.structure_strictly(document.Document, tables)
     except codec.DecodeError as e:
         mistakes += e.mistakes
     if isinstance(tables, dict):
--- a/src/kingcupscale/settings.py
+++ b/src/kingcupscale/settings.py
@@ -160,7 +160,7 @@
         SettingsError: With every mistake in the file.
     """
     try:
-        return codec.structure(kind, read_toml(path))
+        return codec.structure_strictly(kind, read_toml(path))
     except codec.DecodeError as e:
         lines = [f"  {mistake}" for mistake in e.mistakes]
         raise SettingsError(path, lines) from None
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -47,7 +47,7 @@
             ServiceError: ``BODY_MALFORMED`` or ``BODY_INVALID``.
         """
         try:
-            return codec.decode(kind, self.body)
+            return codec.decode_strictly(kind, self.body)
         except codec.DecodeError as e:
             raise errors.ServiceError(
                 errors.ResultCode.BODY_INVALID, str(e)
