--- a/src/kingcupscale/rollouts/activation.py
+++ b/src/kingcupscale/rollouts/activation.py
@@ -20,7 +20,7 @@
 STAGES_AT_A_TIME = 4
 STAGE_PATIENCE_S = 60.0
 STAGE_RETRY_S = 30.0
-REFRESH_S = 10.0
+REFRESH_S = 30.0
 QUARANTINE_S = 10.0
 READS_AT_A_TIME = 16
 ORDER_KIND = "engine"
