Call a change accepted only once a majority has confirmed it

A change was answered as accepted although every push was lost, so a part cut off right then would go on with a withdrawn key. And a node that started in an outage took an old confirmation, heard by gossip, for readiness, so it admitted after talking to one stale peer.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -150,10 +150,10 @@
     Break(
         "whole answer to its own request",
         "serving/generation.py",
-        'if last is None:\n            raise _BrokenError("the answer ended '
-        'early")',
-        "if last is None:\n            return",
-        "tests.test_serving.GenerationTest",
+        "if chunk.start != position:",
+        "if False:",
+        "tests.test_breaks.CrossedTest"
+        ".test_piece_that_comes_twice_is_not_passed_on",
     ),
     Break(
         "whole answer to its own request",
@@ -221,7 +221,15 @@
         "if self.replica.revision and self.admission.is_majority(reached):",
         "if True:",
         "tests.test_configuration.ClusterTest"
-        ".test_starting_node_admits_nothing_without_store_and_peers",
+        ".test_starting_node_waits_for_more_than_one_stale_peer",
+    ),
+    Break(
+        "accepted configuration in force, never reverts",
+        "configuration/editor.py",
+        "if not is_enough and not self.admission.is_majority(set(reached)):",
+        "if False:",
+        "tests.test_configuration.ClusterTest"
+        ".test_change_that_too_few_confirm_is_not_called_accepted",
     ),
 )
 
--- a/src/kingcupscale/configuration/admission.py
+++ b/src/kingcupscale/configuration/admission.py
@@ -51,7 +51,8 @@
         """Notes that the revision was the newest at a time."""
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
-            self.ready = True
+        # An old confirmation, heard of in an outage, readies no start.
+        self.ready = self.ready or self.is_confirmed()
 
     def confirmed_age_s(self) -> float | None:
         """Returns seconds since the time of confirmation."""
--- a/src/kingcupscale/configuration/editor.py
+++ b/src/kingcupscale/configuration/editor.py
@@ -111,7 +111,7 @@
         reached = await self.spreader.push()
         self._log_accepted(change)
         await self._compact()
-        return self._accepted(reached)
+        return self._accepted(reached, proposal.without_majority)
 
     async def _decide(self, proposal: Proposal) -> changes.Change:
         """Appends a change, again if only the nodes' own came between."""
@@ -222,12 +222,35 @@
                 reason=e.reason,
             )
 
-    def _accepted(self, reached: list[str]) -> Accepted:
+    def _accepted(
+        self, reached: list[str], without_majority: bool = False
+    ) -> Accepted:
+        """Returns the answer to a change that members have confirmed.
+
+        Raises:
+            ServiceError: ``MAJORITY_LOST`` if they are too few. The change is
+                written and will come into force, but a part that is cut off
+                might go on without it for now.
+        """
+        roster = self.replica.document.nodes
+        is_enough = without_majority or not roster
+        if not is_enough and not self.admission.is_majority(set(reached)):
+            raise errors.ServiceError(
+                errors.ResultCode.MAJORITY_LOST,
+                f"revision {self.replica.revision} is written, but only"
+                f" {', '.join(sorted(reached))} confirmed it; ask again",
+                errors.Run.RAN,
+                RETRY_AFTER_S,
+            )
         pending = {m.name for m in self.members.alive()} - set(reached)
         return Accepted(self.replica.revision, sorted(reached), sorted(pending))
 
     async def confirm(self) -> Accepted:
-        """Brings the newest revision to every member and tells who has it."""
+        """Brings the newest revision to every member and tells who has it.
+
+        Raises:
+            ServiceError: ``MAJORITY_LOST`` if too few have it.
+        """
         return self._accepted(await self.spreader.push())
 
     async def withdraw_in_emergency(
@@ -238,6 +261,9 @@
         The answer names the nodes that have confirmed it; on the others the
         key may work until they are reached or stop admitting. The withdrawal
         enters the configuration when the store is back.
+
+        Raises:
+            ServiceError: ``MAJORITY_LOST`` if too few have confirmed it.
         """
         self.replica.withdraw({key_id})
         events.log(
--- a/tests/test_breaks.py
+++ b/tests/test_breaks.py
@@ -73,6 +73,24 @@
         return message.Response(200, {}, body)
 
 
+class Stutterer:
+    """An engine that sends its first piece twice."""
+
+    def __init__(self, inner):
+        self.inner = inner
+
+    async def __call__(self, request):
+        response = await self.inner(request)
+        response.chunks = self._stutter(response.chunks)
+        return response
+
+    async def _stutter(self, chunks):
+        is_first = True
+        async for chunk in chunks:
+            yield chunk + chunk if is_first else chunk
+            is_first = False
+
+
 class CrossedTest(unittest.TestCase):
     @virtual.on_virtual_time
     async def test_piece_of_another_answer_is_not_passed_on(self):
@@ -83,3 +101,14 @@
                 answer = await cluster.caller(0).complete()
                 self.assertEqual(answer.status, 200)
                 self.assertTrue(answer.is_right)
+
+    @virtual.on_virtual_time
+    async def test_piece_that_comes_twice_is_not_passed_on(self):
+        size = clusters.ClusterSettings(nodes=1, trainers=0)
+        async with clusters.running(size) as cluster:
+            inner = cluster.world.engines["plume-1"]
+            cluster.network.serve("plume-1", "plume-1:80", Stutterer(inner))
+            for _ in range(8):
+                answer = await cluster.caller(0).complete(stream=True)
+                self.assertEqual(answer.status, 200)
+                self.assertTrue(answer.is_right)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,6 +13,7 @@
 from kingcupscale.configuration import check
 from kingcupscale.configuration import replica as replicas
 from kingcupscale.fakes import cluster as clusters
+from kingcupscale.fakes import faults
 from kingcupscale.fakes import tables as sample
 from kingcupscale.fakes import virtualtime
 from kingcupscale.operating import messages
@@ -190,7 +191,7 @@
     @virtual.on_virtual_time
     async def test_withdrawal_ends_an_open_stream(self):
         size = clusters.ClusterSettings()
-        size.engine_speed.stream_tokens_per_s = 0.5
+        size.engine_speed.stream_tokens_per_s = 4
         async with clusters.running(size) as cluster:
             answers = []
 
@@ -277,6 +278,12 @@
             )
             self.assertEqual(response.status, 503)
             self.assertIn(b"majority_lost", response.body)
+            written = [
+                value
+                for _, key, value in cluster.world.store.writes
+                if key.startswith("configuration/changes/") and value
+            ]
+            self.assertNotIn('"keys/customer-1-key":null', "".join(written))
 
     @virtual.on_virtual_time
     async def test_starting_node_admits_nothing_without_store_and_peers(self):
@@ -291,3 +298,46 @@
             await trio.sleep(30)
             self.assertTrue(node.admission.is_open())
             self.assertGreater(node.replica.revision, 0)
+
+    @virtual.on_virtual_time
+    async def test_change_that_too_few_confirm_is_not_called_accepted(self):
+        plan = faults.FaultPlan()
+        size = clusters.ClusterSettings()
+        async with clusters.running(size, plan) as cluster:
+            seen = plan.seen["node-1", "PushChanges"]
+            for place in range(seen, seen + 20):
+                strike = ("node-1", "PushChanges", place)
+                plan.faults[strike] = faults.Fault.ERROR_BEFORE
+            operator = cluster.operator("node-1")
+            first = await operator.withdraw("customer-1-key", "test")
+            self.assertEqual(first.status, 503)
+            self.assertIn(b"confirmed", first.body)
+            plan.faults.clear()
+            again = await operator.withdraw("customer-1-key", "test")
+            self.assertEqual(again.status, 200)
+
+    @virtual.on_virtual_time
+    async def test_starting_node_waits_for_more_than_one_stale_peer(self):
+        size = clusters.ClusterSettings(nodes=5, trainers=0)
+        async with clusters.running(size) as cluster:
+            cluster.network.on_crash = lambda _: None
+            cluster.world.store.down = True
+            cluster.network.crash("node-5")
+            await trio.sleep(30)
+            for near in ("node-1", "node-2", "node-3"):
+                for far in ("node-4", "node-5"):
+                    cluster.network.cut(near, far)
+            response = await cluster.operator("node-1").withdraw(
+                "customer-1-key", "test", emergency=True
+            )
+            self.assertEqual(response.status, 200)
+            cluster.start_node("node-5")
+            for _ in range(100):
+                await trio.sleep(0.1)
+                admission = cluster.nodes["node-5"].node.admission
+                self.assertFalse(admission.is_open())
+            cluster.network.heal()
+            await trio.sleep(30)
+            node = cluster.nodes["node-5"].node
+            self.assertTrue(node.admission.is_open())
+            self.assertIn("customer-1-key", node.replica.withdrawn)
