Publish only weights that the weight store holds whole

Cause: a client of the weight store stood unused, and a trainer could publish a version whose upload was not whole, which engines would try to read in vain.

Before: published.

Conclusion: staging starts only for versions that can be read.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -1,6 +1,8 @@
 """Calls through a node against calls straight to the same stand-in."""
 
 import argparse
+from collections.abc import Awaitable
+from collections.abc import Callable
 import pathlib
 import statistics
 import sys
@@ -27,6 +29,7 @@
 DESIGN_REQUESTS_PER_S = 13.4
 DESIGN_TOKENS_PER_S = 3700.0
 TIMEOUT_S = 30.0
+RELAY_START_S = 3.0
 
 
 @attrs.frozen
@@ -50,7 +53,9 @@
 
     Attributes:
         direct: Straight to the stand-in.
+        through_relay: Through a bare relay on the same libraries.
         through_node: Through a node.
+        relay_added_p50_ms: What the bare relay adds at the median.
         added_p50_ms: What the node adds at the median.
         added_p99_ms: What it adds at the 99th percentile.
         cpu_ms_per_request: The node's processor time for a call.
@@ -61,7 +66,9 @@
     """
 
     direct: Path
+    through_relay: Path
     through_node: Path
+    relay_added_p50_ms: float
     added_p50_ms: float
     added_p99_ms: float
     cpu_ms_per_request: float
@@ -96,10 +103,12 @@
 
     Args:
         deployment: What runs.
+        relay: ``host:port`` of a bare relay before the same engine.
     """
 
-    def __init__(self, deployment: deployments.Deployment) -> None:
+    def __init__(self, deployment: deployments.Deployment, relay: str) -> None:
         self.deployment = deployment
+        self.relay = relay
         self.exchanger = exchange.HttpExchanger()
         self.node = deployment.nodes[0].listeners.callers
         self.pid = deployment.pids[0]
@@ -110,22 +119,22 @@
         """Measures both ways in turns and returns the comparison."""
         await self._call_node(WARM_UP)
         await self._call_direct(WARM_UP)
+        await self._call_relay(WARM_UP)
         idle = await self._measure_idle()
-        direct, through = [], []
+        direct, relayed, through = [], [], []
         for _ in range(4):
             direct += await self._call_direct(REQUESTS // 4)
+            relayed += await self._call_relay(REQUESTS // 4)
             through += await self._call_node(REQUESTS // 4)
-        began_at = time.monotonic()
-        await self._call_direct(REQUESTS, AT_A_TIME)
-        direct_s = time.monotonic() - began_at
+        direct_s = await self._time(self._call_direct)
+        relay_s = await self._time(self._call_relay)
         cpu_before = processes.cpu_s(self.pid)
-        began_at = time.monotonic()
-        await self._call_node(REQUESTS, AT_A_TIME)
-        node_s = time.monotonic() - began_at
+        node_s = await self._time(self._call_node)
         cpu_s = processes.cpu_s(self.pid) - cpu_before - idle * node_s
         per_token_us = await self._measure_tokens(idle, cpu_s / REQUESTS)
         return self._make_report(
             _summarise(direct, direct_s),
+            _summarise(relayed, relay_s),
             _summarise(through, node_s),
             1000 * cpu_s / REQUESTS,
             per_token_us,
@@ -159,6 +168,17 @@
         requests = [_direct_request(number) for number in range(count)]
         return await self._call(address, requests, at_a_time)
 
+    async def _time(
+        self, call: Callable[[int, int], Awaitable[list[float]]]
+    ) -> float:
+        began_at = time.monotonic()
+        await call(REQUESTS, AT_A_TIME)
+        return time.monotonic() - began_at
+
+    async def _call_relay(self, count: int, at_a_time: int = 1) -> list[float]:
+        requests = [_direct_request(number) for number in range(count)]
+        return await self._call(self.relay, requests, at_a_time)
+
     async def _call_node(self, count: int, at_a_time: int = 1) -> list[float]:
         requests = [
             _node_request(number, self.key, TOKENS, False)
@@ -193,6 +213,7 @@
     def _make_report(
         self,
         direct: Path,
+        relayed: Path,
         through: Path,
         request_ms: float,
         token_us: float,
@@ -202,7 +223,9 @@
         tokens_share = DESIGN_TOKENS_PER_S * token_us / 1e6
         return Report(
             direct,
+            relayed,
             through,
+            round(relayed.p50_ms - direct.p50_ms, 2),
             round(through.p50_ms - direct.p50_ms, 2),
             round(through.p99_ms - direct.p99_ms, 2),
             round(request_ms, 2),
@@ -239,7 +262,11 @@
         tempfile.TemporaryDirectory() as folder,
         deployments.running(pathlib.Path(folder), 4) as deployment,
     ):
-        report = trio.run(Bench(deployment).run)
+        relay = f"127.0.0.1:{deployments.free_ports(1)[0]}"
+        engine_address = deployment.engine_addresses()[0]
+        with processes.started("bench.relay", relay, engine_address):
+            time.sleep(RELAY_START_S)
+            report = trio.run(Bench(deployment, relay).run)
     values = attrs.asdict(report)
     if arguments.json:
         print(orjson.dumps(values).decode())
--- a/src/kingcupscale/fakes/weightstore.py
+++ b/src/kingcupscale/fakes/weightstore.py
@@ -18,6 +18,7 @@
 
     Attributes:
         fetches: How many copies were read.
+        newest: Newest whole version; all before it are, too.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         self.megabytes = megabytes
         self.megabytes_per_s = megabytes_per_s
         self.fetches = 0
+        self.newest = 10**9
         self.pipe = trio.Lock()
 
     async def __call__(self, request: message.Request) -> message.Response:
@@ -43,6 +45,9 @@
             self.fetches += 1
         return message.json_response(
             weightstore.WeightManifest(
-                parts[1], int(parts[2]), self.megabytes, True
+                parts[1],
+                int(parts[2]),
+                self.megabytes,
+                int(parts[2]) <= self.newest,
             )
         )
--- a/src/kingcupscale/node.py
+++ b/src/kingcupscale/node.py
@@ -36,6 +36,7 @@
 from kingcupscale.platform import keyvalue
 from kingcupscale.platform import usageintake
 from kingcupscale.platform import vmlist
+from kingcupscale.platform import weightstore
 from kingcupscale.rollouts import activation
 from kingcupscale.rollouts import publication
 from kingcupscale.rollouts import service as rollouts
@@ -203,6 +204,9 @@
             generator,
             plain_caller,
             self.publications,
+            weightstore.HttpWeightStore(
+                exchanger, self.settings.platform.weights
+            ),
             self.metrics,
             self.clock,
         )
--- a/src/kingcupscale/rollouts/service.py
+++ b/src/kingcupscale/rollouts/service.py
@@ -12,6 +12,8 @@
 from kingcupscale import metrics as metric
 from kingcupscale.configuration import keys
 from kingcupscale.configuration import replica as replicas
+from kingcupscale.platform import calls
+from kingcupscale.platform import weightstore
 from kingcupscale.rollouts import messages
 from kingcupscale.rollouts import publication
 from kingcupscale.rollouts import scoring
@@ -34,6 +36,7 @@
         generator: Runs jobs on engines.
         plain_caller: Reaches scoring services.
         publications: Publishes weight versions.
+        weights: Tells which versions there are.
         metrics: Histograms.
         clock: Tells the time.
     """
@@ -44,6 +47,7 @@
         generator: generation.Generator,
         plain_caller: plain.PlainCaller,
         publications: publication.Publications,
+        weights: weightstore.WeightStore,
         metrics: metric.Metrics,
         clock: clocks.Clock,
     ) -> None:
@@ -51,6 +55,7 @@
         self.generator = generator
         self.plain_caller = plain_caller
         self.publications = publications
+        self.weights = weights
         self.metrics = metrics
         self.clock = clock
         self.steps: dict[tuple[str, int], steps.Step] = {}
@@ -197,10 +202,28 @@
         self, request: message.Request, grant: keys.Grant
     ) -> message.Response:
         body = request.parse(messages.PublishRequest)
+        await self._check_weights(grant.trainer, body.version)
         service = self.replica.document.trainers[grant.trainer].service
         await self.publications.publish(grant.trainer, service, body.version)
         return message.json_response(body)
 
+    async def _check_weights(self, trainer: str, version: int) -> None:
+        """Keeps engines from being told to read what is not there."""
+        try:
+            manifest = await self.weights.describe(trainer, version)
+        except calls.PlatformError as e:
+            raise errors.ServiceError(
+                errors.ResultCode.STORE_UNAVAILABLE,
+                f"the weight store cannot be asked: {e.reason}",
+                retry_after_s=1,
+            ) from e
+        if not manifest.ready:
+            raise errors.ServiceError(
+                errors.ResultCode.WEIGHTS_MISSING,
+                f"version {version} of {trainer} is not whole",
+                retry_after_s=1,
+            )
+
     def cancel_all(self) -> None:
         """Ends all steps; trainers go on with them on another node."""
         for step in list(self.steps.values()):
--- a/src/kingcupscale/usage/counter.py
+++ b/src/kingcupscale/usage/counter.py
@@ -90,10 +90,6 @@
             ]
         )
 
-    def own_cells(self) -> dict[Cell, Totals]:
-        """Returns the cells that this node counts itself."""
-        return {c: t for c, t in self.cells.items() if c[0] == self.incarnation}
-
 
 def larger(known: Totals | None, heard: Totals) -> Totals:
     """Returns the larger of two readings of one cell."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -208,3 +208,15 @@
             await trainer.publish(2)
             with self.assertRaises(trainers.TrainerError):
                 await trainer.publish(1)
+
+    @virtual.on_virtual_time
+    async def test_version_that_is_not_whole_waits_for_the_store(self):
+        async with clusters.running(SLOW) as cluster:
+            cluster.world.weights.newest = 0
+            trainer = cluster.trainer(0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trainer.publish, 1)
+                await trio.sleep(10)
+                self.assertEqual(trainer.version, 0)
+                cluster.world.weights.newest = 1
+            self.assertEqual(trainer.version, 1)
