--- a/src/kingcupscale/configuration/admission.py
+++ b/src/kingcupscale/configuration/admission.py
@@ -7,6 +7,7 @@
 from kingcupscale.peering import members as membership
 
 ISOLATION_BOUND_S = 12.0
+CONTACT_BOUND_S = 6.0
 READY_RETRY_S = 1.0
 
 
@@ -15,8 +16,8 @@
 
     A node is *confirmed* as of the time at which someone read the store, if
     by then it had everything that was in it. Confirmed within the bound, it
-    admits. Otherwise it admits only while it is in touch with a majority of
-    the nodes entered in its configuration: a change is accepted only by a node
+    admits. Otherwise it admits only while it is in fresh touch with a majority
+    of the nodes entered in its configuration: a change is accepted only by a node
     with such a majority in reach, so any change since then has reached
     somebody in this node's reach as well.
 
@@ -29,6 +30,8 @@
     Attributes:
         confirmed_at: Monotonic time as of which the revision is known to be
             the newest; None before the first confirmation.
+        contact_at: Monotonic time at which a peer was last asked that then
+            had nothing newer; None before the first.
         ready: Whether the node has caught up since it started.
     """
 
@@ -44,6 +47,7 @@
         self.clock = clock
         self.bound_s = bound_s
         self.confirmed_at: float | None = None
+        self.contact_at: float | None = None
         self.ready = False
         self.was_open: bool | None = None
 
@@ -54,6 +58,21 @@
         # An old confirmation, heard of in an outage, readies no start.
         self.ready = self.ready or self.is_confirmed()
 
+    def note_contact(self, at: float) -> None:
+        """Notes that a peer asked at a time had nothing newer."""
+        self.contact_at = max(at, self.contact_at or at)
+
+    def _has_fresh_contact(self) -> bool:
+        """Tells whether what is known of the members is of now.
+
+        A node that was suspended still counts everybody as alive.
+        """
+        if self.replica.document.nodes.keys() <= {self.members.me.name}:
+            return True
+        if self.contact_at is None:
+            return False
+        return self.clock.monotonic() - self.contact_at <= CONTACT_BOUND_S
+
     def confirmed_age_s(self) -> float | None:
         """Returns seconds since the time of confirmation."""
         if self.confirmed_at is None:
@@ -82,7 +101,8 @@
 
     def is_open(self) -> bool:
         """Tells whether the node admits requests."""
-        is_open = self.ready and (self.is_confirmed() or self.has_majority())
+        is_held = self._has_fresh_contact() and self.has_majority()
+        is_open = self.ready and (self.is_confirmed() or is_held)
         if is_open != self.was_open:
             self.was_open = is_open
             self._announce(is_open)
--- a/src/kingcupscale/configuration/spreading.py
+++ b/src/kingcupscale/configuration/spreading.py
@@ -99,7 +99,10 @@
         if message.revision > self.replica.revision and address:
             await self._pull(address)
         is_level = self.replica.revision >= message.revision
-        if asked_at is not None and message.confirmed and is_level:
+        if asked_at is None or not is_level:
+            return
+        self.admission.note_contact(asked_at)
+        if message.confirmed:
             self.admission.confirm(asked_at - message.confirmed_age_ms / 1000)
 
     async def _pull(self, address: str) -> None:
--- a/tests/goldenfiles.py
+++ b/tests/goldenfiles.py
@@ -29,6 +29,8 @@
         text = orjson.dumps({"name": name, **kept}, option=orjson.OPT_SORT_KEYS)
         lines.append(text.decode())
 
+    # eliot keeps what was logged before it had any destination for the first.
+    eliot.add_destinations(_drop)
     eliot.add_destinations(note)
     try:
         outcome = virtualtime.run(
@@ -36,12 +38,17 @@
         )
     finally:
         eliot.remove_destination(note)
+        eliot.remove_destination(_drop)
     if outcome.broken:
         raise AssertionError(outcome.broken)
     lines += _describe(outcome.record)
     return "\n".join(lines) + "\n"
 
 
+def _drop(_):
+    """Takes an event and does nothing with it."""
+
+
 def _describe(seen: judge.Record) -> list[str]:
     """Returns what callers and trainers saw, a line each."""
     answers = [
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -341,3 +341,16 @@
             node = cluster.nodes["node-5"].node
             self.assertTrue(node.admission.is_open())
             self.assertIn("customer-1-key", node.replica.withdrawn)
+
+    @virtual.on_virtual_time
+    async def test_node_that_was_suspended_admits_only_after_a_word(self):
+        async with clusters.running(clusters.ClusterSettings()) as cluster:
+            cluster.world.store.down = True
+            await trio.sleep(20)
+            admission = cluster.nodes["node-3"].node.admission
+            self.assertTrue(admission.is_open())
+            cluster.network.pause("node-3", 20)
+            await trio.sleep(20)
+            self.assertFalse(admission.is_open())
+            await trio.sleep(5)
+            self.assertTrue(admission.is_open())
