--- a/src/kingcupscale/configuration/admission.py
+++ b/src/kingcupscale/configuration/admission.py
@@ -17,8 +17,8 @@
     A node is *confirmed* as of the time at which someone read the store, if
     by then it had everything that was in it. Confirmed within the bound, it
     admits. Otherwise it admits only while it is in fresh touch with a majority
-    of the nodes entered in its configuration: a change is accepted only by a node
-    with such a majority in reach, so any change since then has reached
+    of the nodes entered in its configuration: a change is accepted only by a
+    node with such a majority in reach, so any change since then has reached
     somebody in this node's reach as well.
 
     Args:
