--- a/bench/requests.py
+++ b/bench/requests.py
@@ -16,7 +16,7 @@
 from bench import deployment as deployments
 from bench import processes
 from kingcupscale.fakes import tables as sample
-from kingcupscale.platform import engine
+from kingcupscale.providers import engine
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 
--- a/src/kingcupscale/capacity/ordering.py
+++ b/src/kingcupscale/capacity/ordering.py
@@ -11,7 +11,7 @@
 from kingcupscale.configuration import editor as editors
 from kingcupscale.duties import journal as journals
 from kingcupscale.duties import orders as orderdesk
-from kingcupscale.platform import capacityprovider
+from kingcupscale.providers import capacityprovider
 from kingcupscale.serving import services
 
 ORDER_KIND = "capacity"
--- a/src/kingcupscale/configuration/editor.py
+++ b/src/kingcupscale/configuration/editor.py
@@ -14,8 +14,8 @@
 from kingcupscale.configuration import replica as replicas
 from kingcupscale.configuration import spreading
 from kingcupscale.peering import members as membership
-from kingcupscale.platform import calls
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import calls
+from kingcupscale.providers import keyvalue
 
 SYSTEM_OPERATOR = "system"
 LOST_AFTER_S = 600.0
--- a/src/kingcupscale/configuration/log.py
+++ b/src/kingcupscale/configuration/log.py
@@ -5,7 +5,7 @@
 from kingcupscale import codec
 from kingcupscale.configuration import change as changes
 from kingcupscale.configuration import document
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import keyvalue
 
 SNAPSHOT_KEY = "configuration/snapshot"
 CHANGES_PREFIX = "configuration/changes/"
--- a/src/kingcupscale/configuration/spreading.py
+++ b/src/kingcupscale/configuration/spreading.py
@@ -15,8 +15,8 @@
 from kingcupscale.peering import members as membership
 from kingcupscale.peering import peer_pb2
 from kingcupscale.peering import transport
-from kingcupscale.platform import calls
-from kingcupscale.platform import vmlist
+from kingcupscale.providers import calls
+from kingcupscale.providers import vmlist
 
 WATCHERS_PER_ZONE = 2
 WATCH_S = 1.0
--- a/src/kingcupscale/duties/journal.py
+++ b/src/kingcupscale/duties/journal.py
@@ -7,7 +7,7 @@
 
 from kingcupscale import codec
 from kingcupscale.duties import lease as leases
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import keyvalue
 
 PREFIX = "journal/"
 SETTLED_KEPT = 64
--- a/src/kingcupscale/duties/lease.py
+++ b/src/kingcupscale/duties/lease.py
@@ -8,8 +8,8 @@
 from kingcupscale import codec
 from kingcupscale import errors
 from kingcupscale import events
-from kingcupscale.platform import calls
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import calls
+from kingcupscale.providers import keyvalue
 
 PREFIX = "leases/"
 
--- a/src/kingcupscale/duties/orders.py
+++ b/src/kingcupscale/duties/orders.py
@@ -10,7 +10,7 @@
 from kingcupscale import events
 from kingcupscale.duties import journal as journals
 from kingcupscale.duties import lease as leases
-from kingcupscale.platform import calls
+from kingcupscale.providers import calls
 
 Guard = Callable[[], None]
 
--- a/src/kingcupscale/fakes/capacityprovider.py
+++ b/src/kingcupscale/fakes/capacityprovider.py
@@ -5,7 +5,7 @@
 import attrs
 
 from kingcupscale import clock as clocks
-from kingcupscale.platform import capacityprovider
+from kingcupscale.providers import capacityprovider
 from kingcupscale.web import message
 from kingcupscale.web import routes
 
--- a/src/kingcupscale/fakes/engine.py
+++ b/src/kingcupscale/fakes/engine.py
@@ -13,7 +13,7 @@
 from kingcupscale import codec
 from kingcupscale.fakes import prefixcache
 from kingcupscale.fakes import text
-from kingcupscale.platform import engine
+from kingcupscale.providers import engine
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 from kingcupscale.web import routes
--- a/src/kingcupscale/fakes/keyvalue.py
+++ b/src/kingcupscale/fakes/keyvalue.py
@@ -8,7 +8,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import errors
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import keyvalue
 from kingcupscale.web import message
 from kingcupscale.web import routes
 
--- a/src/kingcupscale/fakes/usageintake.py
+++ b/src/kingcupscale/fakes/usageintake.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from kingcupscale.platform import usageintake
+from kingcupscale.providers import usageintake
 from kingcupscale.web import message
 from kingcupscale.web import routes
 
--- a/src/kingcupscale/fakes/vmlist.py
+++ b/src/kingcupscale/fakes/vmlist.py
@@ -5,7 +5,7 @@
 import attrs
 
 from kingcupscale import clock as clocks
-from kingcupscale.platform import vmlist
+from kingcupscale.providers import vmlist
 from kingcupscale.web import message
 from kingcupscale.web import routes
 
--- a/src/kingcupscale/fakes/weightstore.py
+++ b/src/kingcupscale/fakes/weightstore.py
@@ -4,7 +4,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import errors
-from kingcupscale.platform import weightstore
+from kingcupscale.providers import weightstore
 from kingcupscale.web import message
 
 
--- a/src/kingcupscale/fakes/world.py
+++ b/src/kingcupscale/fakes/world.py
@@ -15,7 +15,7 @@
 from kingcupscale.fakes import usageintake
 from kingcupscale.fakes import vmlist
 from kingcupscale.fakes import weightstore
-from kingcupscale.platform import vmlist as vms
+from kingcupscale.providers import vmlist as vms
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 
--- a/src/kingcupscale/node.py
+++ b/src/kingcupscale/node.py
@@ -31,12 +31,12 @@
 from kingcupscale.peering import members
 from kingcupscale.peering import peer_pb2
 from kingcupscale.peering import transport
-from kingcupscale.platform import calls
-from kingcupscale.platform import capacityprovider
-from kingcupscale.platform import keyvalue
-from kingcupscale.platform import usageintake
-from kingcupscale.platform import vmlist
-from kingcupscale.platform import weightstore
+from kingcupscale.providers import calls
+from kingcupscale.providers import capacityprovider
+from kingcupscale.providers import keyvalue
+from kingcupscale.providers import usageintake
+from kingcupscale.providers import vmlist
+from kingcupscale.providers import weightstore
 from kingcupscale.rollouts import activation
 from kingcupscale.rollouts import publication
 from kingcupscale.rollouts import service as rollouts
--- a/src/kingcupscale/operating/handover.py
+++ b/src/kingcupscale/operating/handover.py
@@ -10,8 +10,8 @@
 from kingcupscale.operating import messages
 from kingcupscale.peering import members as membership
 from kingcupscale.peering import peer_pb2
-from kingcupscale.platform import calls
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import calls
+from kingcupscale.providers import keyvalue
 from kingcupscale.serving import services
 from kingcupscale.usage import reporting
 
--- a/src/kingcupscale/platform/engine.py
+++ b/src/kingcupscale/providers/engine.py
@@ -6,7 +6,7 @@
 import attrs
 
 from kingcupscale import codec
-from kingcupscale.platform import calls
+from kingcupscale.providers import calls
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 
--- a/src/kingcupscale/platform/keyvalue.py
+++ b/src/kingcupscale/providers/keyvalue.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from kingcupscale.platform import calls
+from kingcupscale.providers import calls
 from kingcupscale.web import message
 
 T = TypeVar("T")
--- a/src/kingcupscale/platform/vmlist.py
+++ b/src/kingcupscale/providers/vmlist.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from kingcupscale.platform import calls
+from kingcupscale.providers import calls
 from kingcupscale.web import message
 
 
--- a/src/kingcupscale/rollouts/activation.py
+++ b/src/kingcupscale/rollouts/activation.py
@@ -11,8 +11,8 @@
 from kingcupscale.configuration import document
 from kingcupscale.duties import journal as journals
 from kingcupscale.duties import orders as orderdesk
-from kingcupscale.platform import calls
-from kingcupscale.platform import engine
+from kingcupscale.providers import calls
+from kingcupscale.providers import engine
 from kingcupscale.rollouts import publication
 from kingcupscale.serving import services
 from kingcupscale.web import exchange
--- a/src/kingcupscale/rollouts/service.py
+++ b/src/kingcupscale/rollouts/service.py
@@ -12,8 +12,8 @@
 from kingcupscale import metrics as metric
 from kingcupscale.configuration import keys
 from kingcupscale.configuration import replica as replicas
-from kingcupscale.platform import calls
-from kingcupscale.platform import weightstore
+from kingcupscale.providers import calls
+from kingcupscale.providers import weightstore
 from kingcupscale.rollouts import messages
 from kingcupscale.rollouts import publication
 from kingcupscale.rollouts import scoring
--- a/src/kingcupscale/serving/claims.py
+++ b/src/kingcupscale/serving/claims.py
@@ -8,8 +8,8 @@
 from kingcupscale import codec
 from kingcupscale import errors
 from kingcupscale import hashing
-from kingcupscale.platform import calls
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import calls
+from kingcupscale.providers import keyvalue
 from kingcupscale.web import message
 
 PREFIX = "claims/"
--- a/src/kingcupscale/serving/generation.py
+++ b/src/kingcupscale/serving/generation.py
@@ -13,7 +13,7 @@
 from kingcupscale import hashing
 from kingcupscale import metrics as metric
 from kingcupscale.configuration import document
-from kingcupscale.platform import engine
+from kingcupscale.providers import engine
 from kingcupscale.serving import routing
 from kingcupscale.serving import scheduler
 from kingcupscale.serving import services
--- a/src/kingcupscale/usage/reporting.py
+++ b/src/kingcupscale/usage/reporting.py
@@ -8,9 +8,9 @@
 from kingcupscale import hashing
 from kingcupscale.duties import journal
 from kingcupscale.duties import lease as leases
-from kingcupscale.platform import calls
-from kingcupscale.platform import keyvalue
-from kingcupscale.platform import usageintake
+from kingcupscale.providers import calls
+from kingcupscale.providers import keyvalue
+from kingcupscale.providers import usageintake
 from kingcupscale.usage import copying
 from kingcupscale.usage import counter
 
--- a/tests/test_breaks.py
+++ b/tests/test_breaks.py
@@ -7,7 +7,7 @@
 from kingcupscale.fakes import callers
 from kingcupscale.fakes import cluster as clusters
 from kingcupscale.fakes import virtualtime
-from kingcupscale.platform import engine
+from kingcupscale.providers import engine
 from kingcupscale.rollouts import messages
 from kingcupscale.rollouts import trainer as trainers
 from kingcupscale.serving import plain
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -12,8 +12,8 @@
 from kingcupscale.fakes import keyvalue as fake_keyvalue
 from kingcupscale.fakes import network as networks
 from kingcupscale.fakes import virtualtime
-from kingcupscale.platform import calls
-from kingcupscale.platform import keyvalue
+from kingcupscale.providers import calls
+from kingcupscale.providers import keyvalue
 from tests import virtual
 
 SETTINGS = leases.LeaseSettings(ttl_s=9, renew_s=3, order_timeout_s=2)
