--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,11 @@
+"""Starts a node from a checkout; the platform's build sets up the rest."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
+
+from kingcupscale.commands import serving  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(serving.main())
--- /dev/null
+++ b/src/kingcupscale/batches/coordinator.py
@@ -0,0 +1,517 @@
+"""Running the batches of one service's engines, on the node that leads it."""
+
+from collections.abc import Callable
+import contextlib
+
+import attrs
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale import metrics
+from kingcupscale.batches import batch as batches
+from kingcupscale.batches import book as books
+from kingcupscale.batches import placement
+from kingcupscale.batches import sample as samples
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import roster
+from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import forwarder
+from kingcupscale.storage import store as stores
+
+TICK_S = 0.05
+# Results that come within this time are listed by one write.
+GATHER_S = 0.2
+COMMIT_RETRY_S = 0.3
+# Time that an engine gets for the connection and for the whole run.
+CONNECT_S = 0.3
+RUN_LIMIT_S = 30.0
+# An engine that sends nothing for this long is given up for another one.
+SILENCE_S = 1.5
+# Pause before an item that an engine turned away is sent again.
+TURNED_AWAY_S = 0.05
+FAILED_PAUSE_S = 0.1
+# A scoring call has this many times the route's wanted latency.
+SCORE_PATIENCE = 10
+SCORE_PAUSE_S = 0.1
+# Weight of the newest run in the mean time of a token.
+TOKEN_WEIGHT = 0.1
+# Longer times of a token come from hints that were far off.
+LONGEST_TOKEN_S = 0.01
+# Texts of ended batches that are kept for items that come again.
+TEXTS_KEPT = 2000
+# Most results in one write, by the size of their texts in bytes.
+WRITE_BYTES = 400_000
+
+
+@attrs.define
+class Progress:
+    """Samples of one batch, by item."""
+
+    record: books.Record
+    samples: dict[str, samples.Sample]
+
+
+class Coordinator:
+    """Runs every open batch whose route goes to one service.
+
+    Args:
+        service: Name of the service.
+        book: The batches.
+        servers: The backend servers.
+        client: Calls them.
+        scoring: Passes scoring calls on.
+        measures: Counters and histograms.
+        clock: Tells the time.
+        catalogue_now: Returns the configuration in force.
+
+    Attributes:
+        is_active: Whether this node runs the service's batches.
+        token_s: Mean time of a token, in seconds.
+        event_s: Mean time of an event, in seconds; 0 before the first.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        book: books.Book,
+        servers: roster.Roster,
+        client: serverclient.ServerClient,
+        scoring: forwarder.Forwarder,
+        measures: metrics.Metrics,
+        clock: clocks.Clock,
+        catalogue_now: Callable[[], catalogue.Catalogue | None],
+    ) -> None:
+        self.service = service
+        self.book = book
+        self.servers = servers
+        self.client = client
+        self.scoring = scoring
+        self.measures = measures
+        self.clock = clock
+        self.catalogue_now = catalogue_now
+        self.is_active = False
+        self.token_s = placement.TOKEN_S
+        self.event_s = 0.0
+        self.progress: dict[str, Progress] = {}
+        self.prompts: dict[str, set[str]] = {}
+        self.texts: dict[str, list[serverclient.StreamEvent]] = {}
+        self.finished = trio.Event()
+        self.woken = trio.Event()
+
+    def open_samples(self) -> list[samples.Sample]:
+        """Returns all samples of open batches."""
+        return [
+            sample
+            for progress in self.progress.values()
+            for sample in progress.samples.values()
+        ]
+
+    def wake(self) -> None:
+        """Has the samples looked at again at once."""
+        self.woken.set()
+
+    async def run(self) -> None:
+        """Runs batches while active, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._commit_forever)
+            while True:
+                self._follow_batches()
+                if self.is_active:
+                    self._dispatch(nursery)
+                with trio.move_on_after(TICK_S):
+                    await self.woken.wait()
+                self.woken = trio.Event()
+
+    def _follow_batches(self) -> None:
+        """Takes up new batches and lets go of closed ones."""
+        for batch_id in list(self.progress):
+            progress = self.progress[batch_id]
+            is_over = not progress.record.is_open()
+            if is_over or not self.is_active:
+                self._let_go(progress)
+        if not self.is_active:
+            return
+        for batch_id, record in list(self.book.records.items()):
+            if batch_id not in self.progress and record.is_open():
+                self._take_up(record)
+
+    def _let_go(self, progress: Progress) -> None:
+        del self.progress[progress.record.batch.id]
+        for sample in progress.samples.values():
+            sample.scope.cancel()
+            if sample.events and sample.result is None:
+                self.texts[sample.id] = sample.events
+        while len(self.texts) > TEXTS_KEPT:
+            del self.texts[next(iter(self.texts))]
+        events.log(
+            events.Event.BATCH_CLOSED,
+            batch=progress.record.batch.id,
+            step=progress.record.batch.step,
+            listed=len(progress.record.results),
+            total=len(progress.record.batch.items),
+            ended=progress.record.is_ended,
+            active=self.is_active,
+            age_s=round(self._age_s(progress.record), 3),
+            unfinished=[
+                [s.id, s.stage.value, s.server, len(s.events)]
+                for s in progress.samples.values()
+                if not progress.record.is_listed(s.id)
+            ][:20],
+        )
+
+    def _age_s(self, record: books.Record) -> float:
+        return self.clock.now().timestamp() - record.submitted_ms / 1000
+
+    def _take_up(self, record: books.Record) -> None:
+        configured = self.catalogue_now()
+        if configured is None:
+            return
+        route = self._find_route(configured, record)
+        if route is None:
+            return
+        now = self.clock.monotonic()
+        listed = {result.item for result in record.results}
+        progress = Progress(record, {})
+        for item in record.batch.items:
+            if item.id not in listed:
+                sample = samples.Sample(item, record, route)
+                sample.waiting_since = now
+                sample.events = self.texts.pop(item.id, [])
+                progress.samples[item.id] = sample
+        self.progress[record.batch.id] = progress
+        events.log(
+            events.Event.BATCH_TAKEN_UP,
+            batch=record.batch.id,
+            step=record.batch.step,
+            model=record.batch.model,
+            minimum_version=record.batch.minimum_version,
+            items=len(progress.samples),
+            carried=sum(bool(s.events) for s in progress.samples.values()),
+            age_s=round(self._age_s(record), 3),
+        )
+
+    def _find_route(
+        self, configured: catalogue.Catalogue, record: books.Record
+    ) -> catalogue.Route | None:
+        """Returns a batch's route if its service is this one."""
+        for item in record.batch.items[:1]:
+            route = configured.find_route(record.batch.host, item.path)
+            names = [share.service for share in route.shares] if route else []
+            if self.service in names:
+                return route
+        return None
+
+    def _dispatch(self, nursery: trio.Nursery) -> None:
+        """Sends waiting samples to engines with room."""
+        now = self.clock.monotonic()
+        now_ms = int(self.clock.now().timestamp() * 1000)
+        self._give_up_old(now_ms)
+        waiting = [
+            s for s in self.open_samples() if s.stage is samples.Stage.WAITING
+        ]
+        usable = [
+            s for s in self.servers.of_service(self.service) if s.is_usable(now)
+        ]
+        while waiting:
+            choice = placement.choose(
+                waiting, usable, self.prompts, now, now_ms, self.token_s
+            )
+            if choice is None:
+                return
+            waiting.remove(choice.sample)
+            choice.sample.stage = samples.Stage.GENERATING
+            choice.sample.server = choice.server.id
+            choice.server.in_flight += 1
+            self._note_prompt(choice)
+            nursery.start_soon(self._run_sample, choice)
+
+    def _note_prompt(self, choice: placement.Choice) -> None:
+        if len(self.prompts) > TEXTS_KEPT:
+            self.prompts.clear()
+        group = choice.sample.item.group
+        self.prompts.setdefault(group, set()).add(choice.server.id)
+
+    def _give_up_old(self, now_ms: int) -> None:
+        for sample in self.open_samples():
+            age_s = (now_ms - sample.record.submitted_ms) / 1000
+            is_waiting = sample.stage is samples.Stage.WAITING
+            if is_waiting and age_s > sample.route.max_age_s:
+                self._finish(sample, None, "too old")
+
+    async def _run_sample(self, choice: placement.Choice) -> None:
+        sample, server = choice.sample, choice.server
+        is_whole = False
+        with trio.CancelScope() as sample.scope:
+            try:
+                is_whole = await self._generate(sample, server)
+            finally:
+                server.in_flight -= 1
+                self.wake()
+            if is_whole:
+                sample.stage = samples.Stage.SCORING
+                await self._score(sample)
+        if sample.stage is samples.Stage.GENERATING:
+            sample.stage = samples.Stage.WAITING
+            sample.waiting_since = self.clock.monotonic()
+
+    async def _generate(
+        self, sample: samples.Sample, server: roster.Server
+    ) -> bool:
+        """Runs a sample once; whether its text is whole."""
+        model = sample.record.batch.model
+        version = server.versions.get(model, 0)
+        sample.keep_usable_text(version)
+        began_at = self.clock.monotonic()
+        before = len(sample.events)
+        call = self._make_call(sample, version)
+        outcome = "whole"
+        try:
+            async with self.client.run(server, call, CONNECT_S) as answer:
+                outcome = await self._take_answer(sample, server, answer)
+        except serverclient.ServerError as e:
+            outcome = f"broken: {e.reason}"
+            server.note_failure(self.clock.monotonic())
+            self._postpone(sample, FAILED_PAUSE_S)
+        finally:
+            self._log_run(sample, server, outcome, began_at, before)
+        if outcome != "whole":
+            return False
+        server.note_success()
+        self._learn(sample, server, began_at, before)
+        return True
+
+    def _make_call(
+        self, sample: samples.Sample, version: int
+    ) -> serverclient.Call:
+        return serverclient.Call(
+            request_id=sample.id,
+            method="POST",
+            path=sample.item.path,
+            query="",
+            host=sample.record.batch.host,
+            headers=sample.item.headers,
+            body=sample.item.body,
+            time_left_s=RUN_LIMIT_S,
+            organisation=sample.record.batch.organisation or None,
+            expected_version=version or None,
+            resume_after=sample.resume_after(),
+            priority=min(9, sample.route.priority),
+        )
+
+    async def _take_answer(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        answer: serverclient.Answer,
+    ) -> str:
+        """Reads an answer; returns "whole" or why the text is not."""
+        now = self.clock.monotonic()
+        if answer.load is not None:
+            server.note_load(answer.load, now)
+        if answer.not_run:
+            self._postpone(sample, TURNED_AWAY_S)
+            if answer.wrong_server and answer.version:
+                model = sample.record.batch.model
+                server.versions[model] = answer.version
+            elif answer.wrong_server:
+                server.note_failure(now)
+            return f"turned away with {answer.status}"
+        if answer.status == 422:
+            self._finish(sample, None, "the server can never do it")
+            return "refused for good"
+        if not answer.is_success:
+            self._note_own_failure(sample, answer)
+            return f"failed with {answer.status}"
+        return await self._read_events(sample, answer)
+
+    def _note_own_failure(
+        self, sample: samples.Sample, answer: serverclient.Answer
+    ) -> None:
+        self._postpone(sample, FAILED_PAUSE_S)
+        if answer.status == 500 and answer.signature:
+            sample.failures += 1
+            if sample.failures >= sample.route.max_attempts:
+                self._finish(sample, None, "failed at every run")
+
+    async def _read_events(
+        self, sample: samples.Sample, answer: serverclient.Answer
+    ) -> str:
+        stream = self.client.events(answer)
+        async with contextlib.aclosing(stream):
+            while True:
+                event = None
+                with trio.move_on_after(SILENCE_S) as scope:
+                    event = await anext(stream, None)
+                if scope.cancelled_caught:
+                    raise serverclient.ServerError("silent in a stream", True)
+                if event is None:
+                    return "whole"
+                if not sample.add(event):
+                    raise serverclient.ServerError(
+                        f"event {event.number} after {len(sample.events)}",
+                        True,
+                    )
+
+    def _postpone(self, sample: samples.Sample, seconds: float) -> None:
+        sample.not_before = self.clock.monotonic() + seconds
+
+    def _learn(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        began_at: float,
+        before: int,
+    ) -> None:
+        made = len(sample.events) - before
+        if not made:
+            return
+        elapsed_s = self.clock.monotonic() - began_at
+        if before == 0 and sample.item.length_hint:
+            token_s = min(LONGEST_TOKEN_S, elapsed_s / sample.item.length_hint)
+            self.token_s += TOKEN_WEIGHT * (token_s - self.token_s)
+        self.event_s = self.event_s or elapsed_s / made
+        self.event_s += TOKEN_WEIGHT * (elapsed_s / made - self.event_s)
+        server.note_pace(elapsed_s / made / max(1e-6, self.event_s))
+
+    def _log_run(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        outcome: str,
+        began_at: float,
+        before: int,
+    ) -> None:
+        now = self.clock.monotonic()
+        events.log(
+            events.Event.SAMPLE_RUN,
+            item=sample.id,
+            batch=sample.record.batch.id,
+            server=server.id,
+            version=server.versions.get(sample.record.batch.model, 0),
+            outcome=outcome,
+            waited_s=round(began_at - sample.waiting_since, 3),
+            took_s=round(now - began_at, 3),
+            events=[before, len(sample.events)],
+            expected_tokens=sample.expected_tokens(),
+            in_flight=server.in_flight,
+        )
+
+    async def _score(self, sample: samples.Sample) -> None:
+        scorer = sample.item.scorer
+        if scorer is None:
+            self._finish(sample, "", "")
+            return
+        while sample.result is None:
+            try:
+                answer = await self.scoring.forward(self._score_call(scorer))
+                score = answer.signature if answer.status < 300 else ""
+            except errors.ServiceError as e:
+                events.log(
+                    events.Event.SCORING_FAILED,
+                    item=sample.id,
+                    request=scorer.id,
+                    reason=str(e),
+                )
+                await self.clock.sleep(SCORE_PAUSE_S)
+                continue
+            if score:
+                self._finish(sample, score, "")
+            else:
+                self._note_score_failure(sample, answer.status)
+                await self.clock.sleep(SCORE_PAUSE_S)
+
+    def _note_score_failure(self, sample: samples.Sample, status: int) -> None:
+        sample.score_failures += 1
+        events.log(
+            events.Event.SCORING_FAILED,
+            item=sample.id,
+            request=sample.item.scorer.id if sample.item.scorer else "",
+            reason=f"status {status}",
+            failures=sample.score_failures,
+        )
+        scorer = sample.item.scorer
+        configured = self.catalogue_now()
+        if scorer is None or configured is None:
+            return
+        route = configured.find_route(scorer.host, scorer.path)
+        if route and sample.score_failures >= route.max_attempts:
+            self._finish(sample, None, "its scoring call failed at every run")
+
+    def _score_call(self, scorer: batches.Scorer) -> forwarder.Inbound:
+        return forwarder.Inbound(
+            request_id=scorer.id,
+            method="POST",
+            host=scorer.host,
+            path=scorer.path,
+            query="",
+            headers={},
+            body=scorer.body,
+            key="",
+            patience_s=RUN_LIMIT_S,
+            received_at=self.clock.monotonic(),
+            is_background=True,
+        )
+
+    def _finish(
+        self, sample: samples.Sample, score: str | None, reason: str
+    ) -> None:
+        """Makes a result; without a score, that of a failed item."""
+        if score is None:
+            sample.fail()
+            events.log(
+                events.Event.SAMPLE_FAILED, item=sample.id, reason=reason
+            )
+        else:
+            sample.finish(score)
+        self.finished.set()
+
+    async def _commit_forever(self) -> None:
+        """Lists finished samples, several by one write."""
+        while True:
+            await self.finished.wait()
+            await self.clock.sleep(GATHER_S)
+            self.finished = trio.Event()
+            try:
+                await self._commit()
+            except (stores.StoreError, errors.ServiceError) as e:
+                events.log(
+                    events.Event.RESULTS_UNLISTED,
+                    service=self.service,
+                    reason=str(e),
+                )
+                await self.clock.sleep(COMMIT_RETRY_S)
+                self.finished.set()
+
+    async def _commit(self) -> None:
+        additions = self._gather()
+        if not additions:
+            return
+        is_listed = await self.book.append(additions)
+        for record, chunk in additions:
+            events.log(
+                events.Event.RESULTS_LISTED,
+                batch=record.batch.id,
+                items=[result.item for result in chunk.results],
+                listed=is_listed,
+                position=len(record.results),
+            )
+        # What did not fit, or met another writer, is looked at again.
+        self.finished.set()
+        self.wake()
+
+    def _gather(self) -> list[tuple[books.Record, books.Chunk]]:
+        additions = []
+        size = 0
+        for progress in self.progress.values():
+            results = []
+            for sample in progress.samples.values():
+                if sample.result is None or size > WRITE_BYTES:
+                    continue
+                if not progress.record.is_listed(sample.id):
+                    results.append(sample.result)
+                    size += len(sample.result.text) + 200
+            if results:
+                additions.append((progress.record, books.Chunk(results)))
+        return additions[:16]
--- a/src/kingcupscale/cli.py
+++ b/src/kingcupscale/cli.py
@@ -10,6 +10,7 @@
 from kingcupscale.commands import keys
 from kingcupscale.commands import operations
 from kingcupscale.commands import processes
+from kingcupscale.commands import serving
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -24,6 +25,7 @@
         dest="command", required=True, metavar="COMMAND"
     )
     processes.add_parsers(commands)
+    serving.add_parser(commands)
     config.add_parser(commands)
     keys.add_parser(commands)
     operations.add_parsers(commands)
--- /dev/null
+++ b/src/kingcupscale/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Calls passed on to backend servers: placement, retries, refusals."""
--- /dev/null
+++ b/src/kingcupscale/gateway/callers.py
@@ -0,0 +1,140 @@
+"""What callers ask of a node: single calls and batches."""
+
+from collections.abc import Callable
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale.batches import batch as batches
+from kingcupscale.batches import book as books
+from kingcupscale.fleet import catalogue
+from kingcupscale.gateway import forwarder
+from kingcupscale.web import message
+
+# A sender is answered this long before it stops waiting.
+ANSWER_MARGIN_S = 0.3
+# The longest that a batch waits for the store; outages often end sooner, and
+# its sender would only come back to another node before the same store.
+STORE_PATIENCE_S = 7.0
+
+
+class Callers:
+    """Answers callers.
+
+    Args:
+        forward: Passes single calls on.
+        book: The batches.
+        clock: Tells the time.
+        find_refusal: Returns why the node takes nothing now, or None.
+    """
+
+    def __init__(
+        self,
+        forward: forwarder.Forwarder,
+        book: books.Book,
+        clock: clocks.Clock,
+        find_refusal: Callable[[], errors.ServiceError | None],
+    ) -> None:
+        self.forwarder = forward
+        self.book = book
+        self.clock = clock
+        self.find_refusal = find_refusal
+
+    def check_admission(self) -> None:
+        """Refuses everything while the node may not take work.
+
+        Raises:
+            ServiceError: With the reason.
+        """
+        refusal = self.find_refusal()
+        if refusal is not None:
+            raise refusal
+
+    def admit(
+        self, inbound: forwarder.Inbound
+    ) -> tuple[catalogue.Route, catalogue.Organisation | None]:
+        """Returns a request's route and organisation.
+
+        Raises:
+            ServiceError: If the node, the route or the key do not allow it.
+        """
+        self.check_admission()
+        return self.forwarder.admit(inbound)
+
+    async def call(self, inbound: forwarder.Inbound) -> message.Response:
+        """Returns the answer to a single call.
+
+        Raises:
+            ServiceError: If there is none.
+        """
+        return await self.forwarder.forward(inbound)
+
+    async def submit(
+        self, new: batches.Batch, inbound: forwarder.Inbound
+    ) -> None:
+        """Keeps a batch for good.
+
+        Raises:
+            ServiceError: If it is of no use, or not surely kept.
+        """
+        problem = new.find_problem()
+        if problem is not None:
+            raise errors.ServiceError(errors.ResultCode.BODY_INVALID, problem)
+        known = self.book.records.get(new.id)
+        if known and known.batch.organisation != new.organisation:
+            raise errors.ServiceError(errors.ResultCode.BATCH_UNKNOWN)
+        patience_s = min(STORE_PATIENCE_S, inbound.patience_s - ANSWER_MARGIN_S)
+        is_new = await self.book.accept(new, patience_s)
+        events.log(
+            events.Event.BATCH_ACCEPTED,
+            batch=new.id,
+            organisation=new.organisation,
+            step=new.step,
+            items=len(new.items),
+            is_new=is_new,
+            took_s=round(self.clock.monotonic() - inbound.received_at, 3),
+        )
+
+    async def find(self, batch_id: str, key: str) -> books.Record:
+        """Returns a batch that a key gives access to.
+
+        Raises:
+            ServiceError: If there is none, or that cannot be known.
+        """
+        self.check_admission()
+        organisation = self.forwarder.authenticate(None, key)
+        name = organisation.name if organisation else ""
+        return await self.book.find(batch_id, name)
+
+    async def read(
+        self, record: books.Record, after: int, wait_s: float
+    ) -> list[batches.Result]:
+        """Returns results from a position on, waiting for the first."""
+        return await self.book.read(record, after, wait_s)
+
+    def item_body(self, record: books.Record, item_id: str) -> bytes:
+        """Returns the body of an item.
+
+        Raises:
+            ServiceError: ``ITEM_UNKNOWN``.
+        """
+        for item in record.batch.items:
+            if item.id == item_id:
+                return item.body
+        raise errors.ServiceError(errors.ResultCode.ITEM_UNKNOWN)
+
+    async def end(self, record: books.Record, patience_s: float) -> None:
+        """Ends a batch.
+
+        Raises:
+            ServiceError: If that is not surely known to the store.
+        """
+        patience_s = min(STORE_PATIENCE_S, patience_s - ANSWER_MARGIN_S)
+        await self.book.end(record, patience_s)
+        events.log(
+            events.Event.BATCH_ENDED,
+            batch=record.batch.id,
+            step=record.batch.step,
+            listed=len(record.results),
+            total=len(record.batch.items),
+        )
--- /dev/null
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -0,0 +1,464 @@
+"""Passing single calls on to plain servers and model engines."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import random
+from typing import Protocol
+
+import attrs
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale import metrics
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import roster
+from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import placement
+from kingcupscale.gateway import refusal
+from kingcupscale.web import message
+
+# A server in the same region accepts a connection within milliseconds.
+CONNECT_S = 0.25
+# An attempt is given up for another server after this many times the wanted
+# latency, if the call may be repeated; later attempts get twice as long.
+ATTEMPT_PATIENCE = 1.5
+ATTEMPT_LEAST_S = 0.15
+# How often a call looks for room while all servers are full, and for how much
+# of the wanted latency.
+ROOM_POLL_S = 0.02
+ROOM_PATIENCE = 1.0
+# Weight of the newest answer in a service's mean latency.
+LATENCY_WEIGHT = 0.05
+
+
+@attrs.frozen
+class Inbound:
+    """A caller's request, decoded.
+
+    Attributes:
+        request_id: Identity that the caller gave it.
+        method: Method.
+        host: Host header.
+        path: Path.
+        query: Query.
+        headers: Headers that may be passed on.
+        body: The whole body.
+        key: The caller's key; empty if it sent none.
+        patience_s: Seconds that the caller will wait, from ``received_at``.
+        received_at: Monotonic time of arrival.
+        resume_after: Number of the last event that the caller has.
+        is_background: Whether nobody waits for it directly.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    key: str
+    patience_s: float
+    received_at: float
+    resume_after: int | None = None
+    is_background: bool = False
+
+
+class UsageCounter(Protocol):
+    """Counts requests that began to run."""
+
+    def note_begun(self, organisation: str) -> None:
+        """Counts one, begun now."""
+        ...
+
+
+@attrs.define
+class Attempts:
+    """What has been tried for one call.
+
+    Attributes:
+        route: Its route.
+        organisation: Its organisation; None on an open route.
+        service: The service it goes to.
+        deadline: Monotonic time of its end.
+        tried: Servers that ran it or may have.
+        full: Servers that turned it away at the last look.
+        sent: How many attempts may have run.
+        reason: Why the last one failed.
+    """
+
+    route: catalogue.Route
+    organisation: catalogue.Organisation | None
+    service: str
+    deadline: float
+    tried: set[str] = attrs.field(factory=set)
+    full: set[str] = attrs.field(factory=set)
+    sent: int = 0
+    reason: str = ""
+
+
+class Forwarder:
+    """Answers single calls by way of backend servers.
+
+    Args:
+        servers: The servers.
+        client: Calls them.
+        usage: Counts what organisations run.
+        measures: Counters and histograms.
+        clock: Tells the time.
+        rng: Decides among equals.
+        zone: Availability zone of this node.
+    """
+
+    def __init__(
+        self,
+        servers: roster.Roster,
+        client: serverclient.ServerClient,
+        usage: UsageCounter,
+        measures: metrics.Metrics,
+        clock: clocks.Clock,
+        rng: random.Random,
+        zone: str,
+    ) -> None:
+        self.servers = servers
+        self.client = client
+        self.usage = usage
+        self.measures = measures
+        self.clock = clock
+        self.rng = rng
+        self.zone = zone
+        self.catalogue: catalogue.Catalogue | None = None
+        self.latency_s: dict[str, float] = {}
+
+    def admit(
+        self, inbound: Inbound
+    ) -> tuple[catalogue.Route, catalogue.Organisation | None]:
+        """Returns a request's route and organisation.
+
+        Raises:
+            ServiceError: If there is no route, or the key gives no access.
+        """
+        if self.catalogue is None:
+            raise errors.ServiceError(
+                errors.ResultCode.NOT_READY, retry_after_s=0.5
+            )
+        route = self.catalogue.find_route(inbound.host, inbound.path)
+        if route is None:
+            raise errors.ServiceError(errors.ResultCode.ROUTE_UNKNOWN)
+        return route, self.authenticate(route, inbound.key)
+
+    def authenticate(
+        self, route: catalogue.Route | None, key: str
+    ) -> catalogue.Organisation | None:
+        """Returns the organisation that holds a key; None on open routes.
+
+        Raises:
+            ServiceError: ``KEY_REFUSED``.
+        """
+        is_open = route is not None and route.is_open
+        if self.catalogue is None:
+            raise errors.ServiceError(
+                errors.ResultCode.NOT_READY, retry_after_s=0.5
+            )
+        if is_open or not self.catalogue.organisations:
+            return None
+        organisation = self.catalogue.find_organisation(key)
+        if organisation is None:
+            raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)
+        return organisation
+
+    async def forward(self, inbound: Inbound) -> message.Response:
+        """Returns the answer of a backend server.
+
+        Raises:
+            ServiceError: If none of them answers in time.
+        """
+        route, organisation = self.admit(inbound)
+        attempts = Attempts(
+            route,
+            organisation,
+            self._draw_service(route),
+            inbound.received_at + min(inbound.patience_s, route.timeout_s),
+        )
+        last: message.Response | None = None
+        while True:
+            server = await self._find_server(inbound, attempts)
+            if server is None:
+                break
+            answer = await self._attempt(inbound, attempts, server)
+            if answer is not None:
+                last = answer
+                if answer.status < 500 or not self._may_retry(attempts):
+                    break
+            elif attempts.reason and not self._may_retry(attempts):
+                break
+        if last is None:
+            raise self._failure(inbound, attempts)
+        self._record(inbound, attempts, last)
+        return last
+
+    def _record(
+        self, inbound: Inbound, attempts: Attempts, answer: message.Response
+    ) -> None:
+        elapsed_s = self.clock.monotonic() - inbound.received_at
+        label = attempts.organisation.name if attempts.organisation else "open"
+        self.measures.record(
+            label,
+            attempts.route.name,
+            metrics.Measure.TOTAL_MS,
+            elapsed_s * 1000,
+        )
+        is_late = elapsed_s > attempts.route.target_s
+        if is_late or answer.status >= 500 or attempts.sent > 1:
+            events.log(
+                events.Event.CALL_ANSWERED,
+                request=inbound.request_id,
+                route=attempts.route.name,
+                status=answer.status,
+                elapsed_s=round(elapsed_s, 3),
+                sent=attempts.sent,
+                tried=sorted(attempts.tried),
+                reason=attempts.reason,
+            )
+
+    def _draw_service(self, route: catalogue.Route) -> str:
+        weights = [share.weight for share in route.shares]
+        if len(weights) == 1 or sum(weights) <= 0:
+            return route.shares[0].service
+        return self.rng.choices(route.shares, weights)[0].service
+
+    def _may_retry(self, attempts: Attempts) -> bool:
+        return (
+            attempts.route.may_repeat()
+            and attempts.sent < attempts.route.max_attempts
+            and self.clock.monotonic() < attempts.deadline
+        )
+
+    async def _find_server(
+        self, inbound: Inbound, attempts: Attempts
+    ) -> roster.Server | None:
+        """Returns a server with room, waiting a little for one."""
+        patience_s = ROOM_PATIENCE * attempts.route.target_s
+        until = min(attempts.deadline, self.clock.monotonic() + patience_s)
+        if inbound.is_background:
+            until = attempts.deadline
+        while True:
+            now = self.clock.monotonic()
+            if now >= attempts.deadline:
+                return None
+            server = self._choose(inbound, attempts, now)
+            if server is not None:
+                return server
+            if now >= until:
+                return None
+            attempts.full.clear()
+            await self.clock.sleep(ROOM_POLL_S)
+
+    def _choose(
+        self, inbound: Inbound, attempts: Attempts, now: float
+    ) -> roster.Server | None:
+        usable = [
+            server
+            for server in self.servers.of_service(attempts.service)
+            if server.is_usable(now) and server.id not in attempts.full
+        ]
+        if inbound.is_background:
+            # Calls that nobody waits for leave a slot free at each server.
+            usable = [
+                s for s in usable if s.load(now) < max(1, s.entry.slots - 1)
+            ]
+        fresh = [s for s in usable if s.id not in attempts.tried]
+        return placement.choose(fresh or usable, self.zone, now, self.rng)
+
+    async def _attempt(
+        self, inbound: Inbound, attempts: Attempts, server: roster.Server
+    ) -> message.Response | None:
+        """Sends a call once; None if that brought no answer to pass on."""
+        now = self.clock.monotonic()
+        left_s = attempts.deadline - now
+        limit_s = left_s
+        if attempts.route.may_repeat() and not attempts.route.is_streaming:
+            limit_s = min(left_s, self._attempt_limit_s(attempts))
+        call = self._make_call(inbound, attempts, left_s)
+        server.in_flight += 1
+        answer: message.Response | None = None
+        try:
+            with trio.move_on_after(limit_s) as scope:
+                answer = await self._exchange(attempts, server, call)
+            if scope.cancelled_caught:
+                attempts.sent += 1
+                attempts.tried.add(server.id)
+                attempts.reason = f"no answer in {limit_s:.2f} s"
+                server.note_failure(self.clock.monotonic())
+        except serverclient.ServerError as e:
+            attempts.reason = e.reason
+            if e.may_have_run:
+                attempts.sent += 1
+                attempts.tried.add(server.id)
+            else:
+                attempts.full.add(server.id)
+                attempts.reason = ""
+            server.note_failure(self.clock.monotonic())
+            events.log(
+                events.Event.ANSWER_REJECTED,
+                request=call.request_id,
+                server=server.id,
+                reason=e.reason,
+                may_have_run=e.may_have_run,
+            )
+        finally:
+            server.in_flight -= 1
+        return answer
+
+    def _attempt_limit_s(self, attempts: Attempts) -> float:
+        if attempts.sent + 1 >= attempts.route.max_attempts:
+            return float("inf")
+        usual_s = max(
+            attempts.route.target_s,
+            2 * self.latency_s.get(attempts.service, 0.0),
+            ATTEMPT_LEAST_S,
+        )
+        return ATTEMPT_PATIENCE * usual_s * 2**attempts.sent
+
+    def _make_call(
+        self, inbound: Inbound, attempts: Attempts, left_s: float
+    ) -> serverclient.Call:
+        organisation = attempts.organisation
+        return serverclient.Call(
+            request_id=inbound.request_id,
+            method=inbound.method,
+            path=inbound.path,
+            query=inbound.query,
+            host=inbound.host,
+            headers=inbound.headers,
+            body=inbound.body,
+            time_left_s=left_s,
+            organisation=organisation.name if organisation else None,
+            resume_after=inbound.resume_after,
+        )
+
+    async def _exchange(
+        self,
+        attempts: Attempts,
+        server: roster.Server,
+        call: serverclient.Call,
+    ) -> message.Response | None:
+        began_at = self.clock.monotonic()
+        if attempts.route.is_streaming:
+            return await self._open_stream(attempts, server, call)
+        async with self.client.run(server, call, CONNECT_S) as answer:
+            if self._was_turned_away(attempts, server, answer):
+                return None
+            body = b"".join([piece async for piece in answer.body])
+        self._check(answer)
+        attempts.sent += 1
+        attempts.tried.add(server.id)
+        self._learn(attempts, server, began_at)
+        return message.Response(
+            answer.status, answer.headers, body, signature=answer.signature
+        )
+
+    def _was_turned_away(
+        self,
+        attempts: Attempts,
+        server: roster.Server,
+        answer: serverclient.Answer,
+    ) -> bool:
+        now = self.clock.monotonic()
+        if answer.load is not None:
+            server.note_load(answer.load, now)
+        if not answer.not_run:
+            return False
+        attempts.full.add(server.id)
+        if answer.wrong_server:
+            server.note_failure(now)
+        return True
+
+    def _check(self, answer: serverclient.Answer) -> None:
+        if not answer.signature:
+            raise serverclient.ServerError(
+                f"status {answer.status} without a signature", True
+            )
+
+    def _learn(
+        self, attempts: Attempts, server: roster.Server, began_at: float
+    ) -> None:
+        elapsed_s = self.clock.monotonic() - began_at
+        usual_s = self.latency_s.setdefault(attempts.service, elapsed_s)
+        self.latency_s[attempts.service] = usual_s + LATENCY_WEIGHT * (
+            elapsed_s - usual_s
+        )
+        server.note_success()
+        server.note_pace(elapsed_s / max(usual_s, 0.001))
+        if attempts.organisation is not None:
+            self.usage.note_begun(attempts.organisation.name)
+
+    async def _open_stream(
+        self,
+        attempts: Attempts,
+        server: roster.Server,
+        call: serverclient.Call,
+    ) -> message.Response | None:
+        """Returns an answer whose events are passed on as they come."""
+        stack = contextlib.AsyncExitStack()
+        async with contextlib.AsyncExitStack() as opening:
+            answer = await opening.enter_async_context(
+                self.client.run(server, call, CONNECT_S)
+            )
+            if self._was_turned_away(attempts, server, answer):
+                return None
+            self._check(answer)
+            stack = opening.pop_all()
+        attempts.sent += 1
+        attempts.tried.add(server.id)
+        if attempts.organisation is not None:
+            self.usage.note_begun(attempts.organisation.name)
+        pieces = self._relay(stack, answer)
+        return message.Response(answer.status, answer.headers, chunks=pieces)
+
+    async def _relay(
+        self, stack: contextlib.AsyncExitStack, answer: serverclient.Answer
+    ) -> AsyncIterator[bytes]:
+        async with stack:
+            async for piece in answer.body:
+                yield piece
+
+    def _failure(
+        self, inbound: Inbound, attempts: Attempts
+    ) -> errors.ServiceError:
+        now = self.clock.monotonic()
+        left_s = inbound.received_at + inbound.patience_s - now
+        if attempts.sent:
+            code = errors.ResultCode.BACKEND_FAILED
+            failure = errors.ServiceError(
+                code, attempts.reason, errors.Run.UNKNOWN
+            )
+        else:
+            servers = self.servers.of_service(attempts.service)
+            is_any = any(s.is_usable(now) for s in servers)
+            code = (
+                errors.ResultCode.DEADLINE_UNMET
+                if is_any
+                else errors.ResultCode.NO_SERVER
+            )
+            wait_s = self.latency_s.get(attempts.service, 0.1)
+            failure = errors.ServiceError(
+                code,
+                attempts.reason,
+                retry_after_s=refusal.retry_after_s(wait_s, left_s, self.rng),
+            )
+        events.log(
+            events.Event.CALL_REFUSED,
+            request=inbound.request_id,
+            route=attempts.route.name,
+            service=attempts.service,
+            code=code.number,
+            sent=attempts.sent,
+            tried=sorted(attempts.tried),
+            full=sorted(attempts.full),
+            reason=attempts.reason,
+            left_s=round(left_s, 3),
+        )
+        return failure
--- /dev/null
+++ b/src/kingcupscale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing else."""
--- /dev/null
+++ b/src/kingcupscale/platform/cloud.py
@@ -0,0 +1,71 @@
+"""The platform's interface for usage reports and for ordering servers."""
+
+from kingcupscale.capacity import fleetsize
+from kingcupscale.platform import names
+from kingcupscale.usage import windows
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+
+CALL_TIMEOUT_S = 1.0
+
+
+class PlatformCloud:
+    """Sends usage reports and orders over HTTP.
+
+    Args:
+        exchanger: Carries the calls.
+        address: ``host:port`` of the interface.
+    """
+
+    def __init__(self, exchanger: exchange.Exchanger, address: str) -> None:
+        self.exchanger = exchanger
+        self.address = address
+
+    async def report(
+        self, window: int, counts: dict[str, int], holder: str, fence: int
+    ) -> None:
+        """Sends one window's figures."""
+        body = {"window": window, "counts": counts}
+        try:
+            response = await self._post("/usage", body, holder, fence)
+        except exchange.ExchangeError as e:
+            raise windows.ReportError(e.reason, False) from e
+        if response.status != 200:
+            raise windows.ReportError(
+                f"status {response.status}", response.status == 409
+            )
+
+    async def order(
+        self, order: fleetsize.Order, holder: str, fence: int
+    ) -> fleetsize.OrderState:
+        """Orders a number of servers."""
+        body = {
+            "service": order.service,
+            "zone": order.zone,
+            "desired": order.number,
+        }
+        if order.is_spot:
+            body["spot"] = True
+        try:
+            response = await self._post("/scale", body, holder, fence)
+        except exchange.ExchangeError as e:
+            raise fleetsize.OrderError(e.reason) from e
+        if response.status == 200:
+            return fleetsize.OrderState.TAKEN
+        # 409 is either a newer holder or that there are none to be had.
+        if response.status == 409:
+            return fleetsize.OrderState.REFUSED
+        raise fleetsize.OrderError(f"status {response.status}")
+
+    async def _post(
+        self, path: str, body: object, holder: str, fence: int
+    ) -> message.Response:
+        headers = {
+            "host": self.address,
+            names.DUTY_HOLDER: holder,
+            names.FENCE: str(fence),
+        }
+        request = message.json_request(path, body, headers)
+        return await exchange.fetch(
+            self.exchanger, self.address, request, CALL_TIMEOUT_S
+        )
--- /dev/null
+++ b/src/kingcupscale/platform/documents.py
@@ -0,0 +1,270 @@
+"""Documents in the platform's store, decoded into the product's types."""
+
+import base64
+from typing import Any
+
+import orjson
+
+from kingcupscale.batches import batch
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import roster
+from kingcupscale.platform import names
+
+# The wire's kinds of route; a rollout route takes batches.
+_KINDS = {
+    "idempotent": catalogue.RouteKind.IDEMPOTENT,
+    "non_idempotent": catalogue.RouteKind.NON_IDEMPOTENT,
+    "rollout": catalogue.RouteKind.BATCH,
+}
+
+
+def decode_catalogue(value: bytes) -> catalogue.Catalogue:
+    """Returns the configuration that an operator wrote.
+
+    Raises:
+        ValueError: If it makes no sense.
+    """
+    try:
+        document = orjson.loads(value)
+        return catalogue.Catalogue(
+            version=int(document["version"]),
+            routes=tuple(_decode_route(r) for r in document["routes"]),
+            services={
+                service["name"]: _decode_service(service)
+                for service in document["services"]
+            },
+            organisations={
+                tenant["name"]: catalogue.Organisation(
+                    tenant["name"],
+                    frozenset(tenant.get("apiKeys", ())),
+                    tenant.get("priority"),
+                )
+                for tenant in document.get("tenants", ())
+            },
+            limits=_decode_limits(document.get("limits", {})),
+        )
+    except (KeyError, TypeError, AttributeError) as e:
+        raise ValueError(f"configuration: {e!r}") from e
+
+
+def _decode_route(route: dict[str, Any]) -> catalogue.Route:
+    if "split" in route:
+        shares = tuple(
+            catalogue.Share(part["service"], float(part["weight"]))
+            for part in route["split"]
+        )
+    else:
+        shares = (catalogue.Share(route["service"], 1.0),)
+    kind = _KINDS.get(route["kind"], catalogue.RouteKind.NON_IDEMPOTENT)
+    return catalogue.Route(
+        name=route["name"],
+        host=route["host"].lower(),
+        path_prefix=route["pathPrefix"],
+        kind=kind,
+        shares=shares,
+        timeout_s=float(route.get("timeoutMs", 60_000)) / 1000,
+        target_s=float(route.get("targetLatencyMs", 1000)) / 1000,
+        priority=int(route.get("priority", 5)),
+        max_attempts=max(1, int(route.get("maxAttempts", 2))),
+        is_open=bool(route.get("public", False)),
+        is_streaming=bool(route.get("streaming", False)),
+        is_resumable=bool(route.get("resumable", False)),
+        max_age_s=float(route.get("maxAgeS", 600)),
+        due_s=float(route.get("dueMs", 60_000)) / 1000,
+        single_version=bool(route.get("singleVersion", False)),
+    )
+
+
+def _decode_service(service: dict[str, Any]) -> catalogue.Service:
+    engine = service.get("engine") or {}
+    scaling = service.get("scaling")
+    return catalogue.Service(
+        name=service["name"],
+        max_connections=int(service.get("maxConnections", 100)),
+        slots=int(engine.get("slots", 0)),
+        models=tuple(model["name"] for model in engine.get("models", ())),
+        scaling=_decode_scaling(scaling) if scaling else None,
+    )
+
+
+def _decode_scaling(scaling: dict[str, Any]) -> catalogue.Scaling:
+    spot = scaling.get("spotPrice")
+    return catalogue.Scaling(
+        minimum=int(scaling["min"]),
+        maximum=int(scaling["max"]),
+        boot_s=float(scaling.get("bootS", 10)),
+        spot_price=None if spot is None else float(spot),
+        zone_prices={
+            zone: float(price)
+            for zone, price in scaling.get("zonePrices", {}).items()
+        },
+    )
+
+
+def _decode_limits(limits: dict[str, Any]) -> catalogue.Limits:
+    usual = catalogue.Limits()
+    return catalogue.Limits(
+        header_bytes=int(limits.get("maxHeaderBytes", usual.header_bytes)),
+        body_bytes=int(limits.get("maxBodyBytes", usual.body_bytes)),
+        header_s=float(limits.get("headerTimeoutMs", usual.header_s * 1000))
+        / 1000,
+        idle_s=float(limits.get("idleTimeoutMs", usual.idle_s * 1000)) / 1000,
+    )
+
+
+def decode_server(server_id: str, value: bytes) -> roster.ServerEntry:
+    """Returns what a backend server entered of itself.
+
+    Raises:
+        ValueError: If it comes from another writer or cannot be read.
+    """
+    try:
+        entry = orjson.loads(value)
+        address = entry["address"]
+        host, _, port = address.rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError(f"address {address!r}")
+        for name in ("service", "zone"):
+            if not isinstance(entry[name], str) or not entry[name]:
+                raise ValueError(f"{name} {entry[name]!r}")
+        return roster.ServerEntry(
+            id=server_id,
+            service=entry["service"],
+            address=address,
+            zone=entry["zone"],
+            state=roster.ServerState(entry["state"]),
+            slots=_whole(entry, "slots"),
+            born=_whole(entry, "born", 0),
+            sequence=_whole(entry, "sequence", 0),
+            versions=decode_versions(entry.get("models", ())),
+            is_spot=bool(entry.get("spot", False)),
+            cold_s=_whole(entry, "coldRemainingMs", 0) / 1000,
+        )
+    except (KeyError, TypeError, AttributeError) as e:
+        raise ValueError(f"server entry: {e!r}") from e
+
+
+def _whole(entry: dict[str, Any], name: str, default: int | None = None) -> int:
+    value = entry[name] if default is None else entry.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"{name} {value!r}")
+    return value
+
+
+def decode_versions(models: Any) -> dict[str, int]:
+    """Returns weight versions by model from a list of models."""
+    return {model["name"]: int(model["version"]) for model in models}
+
+
+def decode_named_version(value: bytes) -> tuple[str, int]:
+    """Returns the model and the weight version that a trainer named.
+
+    Raises:
+        ValueError: If it makes no sense.
+    """
+    try:
+        document = orjson.loads(value)
+        return str(document["model"]), int(document["version"])
+    except (KeyError, TypeError) as e:
+        raise ValueError(f"named version: {e!r}") from e
+
+
+def encode_retirement_state(state: str) -> bytes:
+    """Returns the state of a VM's retirement."""
+    return orjson.dumps({"state": state})
+
+
+def decode_batch(
+    batch_id: str, organisation: str, route: catalogue.Route, body: bytes
+) -> batch.Batch:
+    """Returns a batch as a trainer sent it.
+
+    Raises:
+        ValueError: With what is wrong with it.
+    """
+    try:
+        document = orjson.loads(body)
+        items = [_decode_item(item) for item in document["items"]]
+        return batch.Batch(
+            id=batch_id,
+            organisation=organisation,
+            route=route.name,
+            host=route.host,
+            step=int(document.get("step", 0)),
+            model=str(document.get("model", "")),
+            minimum_version=int(document.get("minVersion", 0)),
+            wanted_groups=int(document.get("desired", 0)),
+            items=items,
+        )
+    except (KeyError, TypeError, AttributeError) as e:
+        raise ValueError(f"batch: {e!r}") from e
+
+
+def _decode_item(item: dict[str, Any]) -> batch.Item:
+    scorer = item.get("scorer")
+    headers = item.get("headers", {})
+    if not all(isinstance(v, str) for v in headers.values()):
+        raise ValueError("headers must be text")
+    return batch.Item(
+        id=_text(item, "id"),
+        path=_text(item, "path"),
+        headers={name.lower(): value for name, value in headers.items()},
+        body=_base64(item["body"]),
+        tokens=int(item.get("tokens", 0)),
+        group=str(item.get("group", item["id"])),
+        scorer=None
+        if scorer is None
+        else batch.Scorer(
+            id=_text(scorer, "id"),
+            host=_text(scorer, "host"),
+            path=_text(scorer, "path"),
+            body=_base64(scorer["body"]),
+        ),
+        length_hint=_read_hint(headers),
+    )
+
+
+def _read_hint(headers: dict[str, str]) -> int:
+    for name, value in headers.items():
+        if name.lower() == names.LENGTH_HINT and value.strip().isdigit():
+            return int(value)
+    return 0
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} must be text")
+    return value
+
+
+def _base64(value: Any) -> bytes:
+    if not isinstance(value, str):
+        raise ValueError("a body must be base64 text")
+    return base64.b64decode(value, validate=True)
+
+
+def encode_results(
+    total: int, results: list[batch.Result], after: int
+) -> bytes:
+    """Returns results from a position on, as readers get them."""
+    return orjson.dumps(
+        {
+            "total": total,
+            "next": after + len(results),
+            "results": [_encode_result(result) for result in results],
+        }
+    )
+
+
+def _encode_result(result: batch.Result) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        "id": result.item,
+        "state": result.state.value,
+        "text": result.text,
+    }
+    if result.state is batch.ResultState.DONE:
+        fields["versions"] = result.versions
+        if result.score:
+            fields["score"] = result.score
+    return fields
--- /dev/null
+++ b/src/kingcupscale/platform/frontend.py
@@ -0,0 +1,162 @@
+"""Callers' requests on the platform's wire, and the answers to them."""
+
+from collections.abc import Callable
+import urllib.parse
+
+import orjson
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale.fleet import catalogue
+from kingcupscale.gateway import callers
+from kingcupscale.gateway import forwarder
+from kingcupscale.platform import documents
+from kingcupscale.platform import names
+from kingcupscale.web import message
+
+# For requests that do not say how long their callers wait.
+USUAL_PATIENCE_S = 10.0
+
+
+class Frontend:
+    """A handler for callers.
+
+    Args:
+        service: Answers the decoded requests.
+        clock: Tells the time.
+        is_draining: Tells whether connections are to be closed.
+    """
+
+    def __init__(
+        self,
+        service: callers.Callers,
+        clock: clocks.Clock,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self.service = service
+        self.clock = clock
+        self.is_draining = is_draining
+
+    async def __call__(self, request: message.Request) -> message.Response:
+        """Returns the response to one request."""
+        try:
+            response = await self._answer(request)
+        except errors.ServiceError as e:
+            response = encode_error(e)
+        if self.is_draining():
+            response.headers["connection"] = "close"
+        return response
+
+    async def _answer(self, request: message.Request) -> message.Response:
+        if request.path.startswith(names.BATCHES_PATH):
+            return await self._answer_batch(request)
+        if request.path.startswith(names.ITEMS_PATH):
+            return await self._answer_item(request)
+        inbound = self._decode(request)
+        route, organisation = self.service.admit(inbound)
+        if route.kind is not catalogue.RouteKind.BATCH:
+            return await self.service.call(inbound)
+        if request.method != "POST":
+            raise errors.ServiceError(errors.ResultCode.METHOD_NOT_ALLOWED)
+        try:
+            new = documents.decode_batch(
+                inbound.request_id,
+                organisation.name if organisation else "",
+                route,
+                request.body,
+            )
+        except ValueError as e:
+            raise errors.ServiceError(
+                errors.ResultCode.BODY_INVALID, str(e)
+            ) from None
+        await self.service.submit(new, inbound)
+        return message.Response(202)
+
+    async def _answer_batch(self, request: message.Request) -> message.Response:
+        batch_id = request.path.removeprefix(names.BATCHES_PATH)
+        key = request.headers.get(names.KEY, "")
+        record = await self.service.find(batch_id, key)
+        if request.method == "DELETE":
+            await self.service.end(record, _patience_s(request))
+            return message.json_response({})
+        if request.method != "GET":
+            raise errors.ServiceError(errors.ResultCode.METHOD_NOT_ALLOWED)
+        after = _decode_position(_query(request, "after") or "0")
+        wait_s = _milliseconds(request, names.WAIT_MS, 0.0)
+        results = await self.service.read(record, after, min(wait_s, 1.0))
+        body = documents.encode_results(len(record.batch.items), results, after)
+        return message.Response(200, {"content-type": "application/json"}, body)
+
+    async def _answer_item(self, request: message.Request) -> message.Response:
+        batch_id = request.path.removeprefix(names.ITEMS_PATH)
+        key = request.headers.get(names.KEY, "")
+        record = await self.service.find(batch_id, key)
+        if request.method != "GET":
+            raise errors.ServiceError(errors.ResultCode.METHOD_NOT_ALLOWED)
+        body = self.service.item_body(record, _query(request, "id"))
+        return message.Response(
+            200, {"content-type": "application/octet-stream"}, body
+        )
+
+    def _decode(self, request: message.Request) -> forwarder.Inbound:
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        if not request_id:
+            raise errors.ServiceError(
+                errors.ResultCode.HEADER_INVALID, "a request needs an id"
+            )
+        resume_after = request.headers.get(names.RESUME_AFTER, "")
+        dropped = names.CONNECTION_HEADERS | names.OWN_REQUEST_HEADERS
+        return forwarder.Inbound(
+            request_id=request_id,
+            method=request.method,
+            host=request.headers.get("host", ""),
+            path=request.path,
+            query=request.query,
+            headers={
+                name: value
+                for name, value in request.headers.items()
+                if name not in dropped
+            },
+            body=request.body,
+            key=request.headers.get(names.KEY, ""),
+            patience_s=_patience_s(request),
+            received_at=self.clock.monotonic(),
+            resume_after=int(resume_after) if resume_after.isdigit() else None,
+        )
+
+
+def _patience_s(request: message.Request) -> float:
+    return _milliseconds(request, names.DEADLINE_MS, USUAL_PATIENCE_S)
+
+
+def _milliseconds(
+    request: message.Request, name: str, default_s: float
+) -> float:
+    value = request.headers.get(name, "")
+    return int(value) / 1000 if value.isdigit() else default_s
+
+
+def _query(request: message.Request, name: str) -> str:
+    return urllib.parse.parse_qs(request.query).get(name, [""])[0]
+
+
+def _decode_position(value: str) -> int:
+    if not value.isdigit():
+        raise errors.ServiceError(
+            errors.ResultCode.HEADER_INVALID, f"position {value[:20]!r}"
+        )
+    return int(value)
+
+
+def encode_error(error: errors.ServiceError) -> message.Response:
+    """Returns the response that shows an error."""
+    response = message.Response(
+        error.code.status,
+        {"content-type": "application/json"},
+        orjson.dumps(error.to_body()),
+    )
+    if error.code.status == 503:
+        # Fractions of a second are understood here.
+        seconds = error.retry_after_s if error.retry_after_s else 0.5
+        response.headers["retry-after"] = f"{seconds:g}"
+    return response
--- /dev/null
+++ b/src/kingcupscale/platform/process.py
@@ -0,0 +1,132 @@
+"""A node's process on the platform: clients, listeners and signals."""
+
+import functools
+import gc
+import random
+import signal
+
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import deployment
+from kingcupscale import events
+from kingcupscale import runtime as runtimes
+from kingcupscale.platform import cloud
+from kingcupscale.platform import documents
+from kingcupscale.platform import frontend
+from kingcupscale.platform import names
+from kingcupscale.platform import servers
+from kingcupscale.platform import store
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+from kingcupscale.web import server
+
+# Servers close idle connections; one that is idle this long is not reused.
+SERVER_IDLE_S = 4.0
+STORE_IDLE_S = 20.0
+# Time between two looks at what listeners are told by the configuration.
+LIMITS_PAUSE_S = 0.5
+GC_ALLOCATIONS = 50_000
+
+KEYS = runtimes.Keys(
+    names.CONFIGURATION_KEY,
+    names.SERVERS_PREFIX,
+    names.VERSIONS_PREFIX,
+    names.RETIREMENTS_PREFIX,
+    names.RETIREMENT_STATES_PREFIX,
+)
+DECODERS = runtimes.Decoders(
+    documents.decode_catalogue,
+    documents.decode_server,
+    documents.decode_named_version,
+    documents.encode_retirement_state,
+)
+
+
+def make_runtime(settings: deployment.SiteSettings) -> runtimes.Runtime:
+    """Returns a node that speaks the platform's wire."""
+    to_store = exchange.HttpExchanger(idle_s=STORE_IDLE_S)
+    to_servers = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
+    to_cloud = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
+    client = cloud.PlatformCloud(to_cloud, settings.cloud)
+    return runtimes.Runtime(
+        settings,
+        runtimes.Surroundings(
+            store.PlatformStore(to_store, settings.store),
+            servers.PlatformServers(to_servers),
+            client,
+            client,
+            clocks.SystemClock(),
+            random.Random(),
+            KEYS,
+            DECODERS,
+        ),
+    )
+
+
+async def run(settings: deployment.SiteSettings, path: str) -> None:
+    """Runs a node until a signal begins its planned stop and that has ended.
+
+    Args:
+        settings: What it is told.
+        path: The file they were read from.
+    """
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS)
+    events.log(
+        events.Event.NODE_STARTED,
+        node=settings.node,
+        role=settings.role,
+        zone=settings.zone,
+        settings=path,
+    )
+    if not settings.callers:
+        await _wait_for_stop()
+        return
+    runtime = make_runtime(settings)
+    handler = frontend.Frontend(
+        runtime.callers, runtime.clock, lambda: runtime.is_draining
+    )
+    limits = server.Limits()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_await_signal, runtime)
+        await nursery.start(
+            functools.partial(
+                server.serve,
+                handler,
+                settings.callers,
+                limits,
+                runtime.stopped.wait,
+                graceful_timeout_s=settings.bounds.grace_s,
+            )
+        )
+        await nursery.start(
+            server.serve,
+            functools.partial(_answer_readiness, runtime),
+            settings.readiness,
+            limits,
+            runtime.stopped.wait,
+        )
+        await runtime.run()
+        events.log(events.Event.NODE_STOPPED, node=settings.node)
+
+
+async def _answer_readiness(
+    runtime: runtimes.Runtime, request: message.Request
+) -> message.Response:
+    is_ready = request.path == names.READY_PATH and runtime.is_ready()
+    return message.Response(200 if is_ready else 503)
+
+
+async def _await_signal(runtime: runtimes.Runtime) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            runtime.drain_asked.set()
+            return
+
+
+async def _wait_for_stop() -> None:
+    """Waits for the signal; this role holds nothing and answers nobody."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            return
--- /dev/null
+++ b/src/kingcupscale/platform/servers.py
@@ -0,0 +1,203 @@
+"""Calls to backend servers over the platform's wire."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import orjson
+
+from kingcupscale.fleet import roster
+from kingcupscale.fleet import serverclient
+from kingcupscale.platform import documents
+from kingcupscale.platform import names
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+
+# An order is acknowledged before it is carried out, so its answer is short.
+ORDER_TIMEOUT_S = 0.8
+
+_ORDER_OUTCOMES = {
+    202: serverclient.OrderOutcome.ACCEPTED,
+    200: serverclient.OrderOutcome.HOLDS_ALREADY,
+    409: serverclient.OrderOutcome.BUSY,
+    412: serverclient.OrderOutcome.FENCED,
+}
+
+
+class PlatformServers:
+    """A ``ServerClient`` over HTTP.
+
+    Args:
+        exchanger: Carries the calls.
+    """
+
+    def __init__(self, exchanger: exchange.Exchanger) -> None:
+        self.exchanger = exchanger
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, server: roster.Server, call: serverclient.Call, connect_s: float
+    ) -> AsyncIterator[serverclient.Answer]:
+        """Sends a request; leaving the context early abandons the answer."""
+        request = message.Request(
+            call.method,
+            call.path,
+            call.query,
+            _encode_headers(server, call),
+            call.body,
+        )
+        request.connect_timeout_s = connect_s
+        try:
+            async with self.exchanger.open(
+                server.entry.address, request, call.time_left_s
+            ) as response:
+                echoed = response.headers.get(names.REQUEST_ID)
+                if echoed != call.request_id and echoed is not None:
+                    raise serverclient.ServerError(
+                        f"answer to another request, {echoed}", True
+                    )
+                yield _decode_answer(response)
+        except exchange.ExchangeError as e:
+            raise serverclient.ServerError(e.reason, e.request_left) from e
+
+    async def events(
+        self, answer: serverclient.Answer
+    ) -> AsyncIterator[serverclient.StreamEvent]:
+        """Yields the whole events of a streamed answer."""
+        version = answer.version
+        pending = b""
+        async for piece in answer.body:
+            pending += piece
+            *blocks, pending = pending.split(b"\n\n")
+            for block in blocks:
+                event = _decode_event(block, version)
+                version = event.version
+                yield event
+        if pending.strip():
+            raise serverclient.ServerError("stream ends inside an event", True)
+
+    async def order(
+        self, server: roster.Server, order: serverclient.VersionOrder
+    ) -> serverclient.OrderOutcome:
+        """Gives an order and returns its ``OrderOutcome``."""
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            # "retain" lets runs go on, "park" lets them finish first.
+            "mode": "retain" if order.keeps_runs else "park",
+            "holder": order.holder,
+            "fence": order.fence,
+            # The wire calls the count of accepted orders a revision here.
+            "expectedRev": order.expected_sequence,
+        }
+        request = message.json_request(
+            "/order", body, {names.EXPECT_SERVER: server.id}
+        )
+        response = await self._fetch(server, request)
+        return _ORDER_OUTCOMES.get(
+            response.status, serverclient.OrderOutcome.REFUSED
+        )
+
+    async def report(self, server: roster.Server) -> serverclient.EngineReport:
+        """Returns how an engine stands."""
+        request = message.Request(
+            "GET", "/report", "", {names.EXPECT_SERVER: server.id}
+        )
+        response = await self._fetch(server, request)
+        if response.status != 200:
+            raise serverclient.ServerError(f"status {response.status}", False)
+        try:
+            fields = orjson.loads(response.body)
+            return serverclient.EngineReport(
+                documents.decode_versions(fields["models"]),
+                bool(fields["busy"]),
+                int(fields["sequence"]),
+            )
+        except (ValueError, KeyError, TypeError) as e:
+            raise serverclient.ServerError(f"report: {e!r}", False) from e
+
+    async def _fetch(
+        self, server: roster.Server, request: message.Request
+    ) -> message.Response:
+        request.headers["host"] = server.entry.address
+        try:
+            return await exchange.fetch(
+                self.exchanger, server.entry.address, request, ORDER_TIMEOUT_S
+            )
+        except exchange.ExchangeError as e:
+            raise serverclient.ServerError(e.reason, e.request_left) from e
+
+
+def _encode_headers(
+    server: roster.Server, call: serverclient.Call
+) -> dict[str, str]:
+    headers = dict(call.headers)
+    headers["host"] = call.host
+    headers[names.REQUEST_ID] = call.request_id
+    headers[names.DEADLINE_MS] = str(max(1, int(call.time_left_s * 1000)))
+    headers[names.EXPECT_SERVER] = server.id
+    if call.organisation is not None:
+        headers[names.ORGANISATION] = call.organisation
+    if call.expected_version is not None:
+        headers[names.EXPECT_VERSION] = str(call.expected_version)
+    if call.resume_after is not None:
+        headers[names.RESUME_AFTER] = str(call.resume_after)
+    if call.priority is not None:
+        headers[names.PRIORITY] = str(call.priority)
+    return headers
+
+
+def _decode_answer(response: message.Response) -> serverclient.Answer:
+    headers = response.headers
+    return serverclient.Answer(
+        status=response.status,
+        headers={
+            name: value
+            for name, value in headers.items()
+            if name not in names.CONNECTION_HEADERS
+        },
+        # Only this header, or a wrong server, says that nothing ran.
+        not_run=names.NOT_RUN in headers or response.status == 421,
+        wrong_server=response.status == 421,
+        signature=headers.get(names.SIGNATURE, ""),
+        version=_whole(headers.get(names.WEIGHT_VERSION)) or 0,
+        load=_decode_load(headers.get(names.SERVER_LOAD)),
+        body=response.chunks or _no_pieces(),
+    )
+
+
+async def _no_pieces() -> AsyncIterator[bytes]:
+    return
+    yield b""
+
+
+def _decode_load(value: str | None) -> int | None:
+    """Returns requests running and waiting, of "running,waiting,slots"."""
+    numbers = [_whole(part) for part in (value or "").split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    return (numbers[0] or 0) + (numbers[1] or 0)
+
+
+def _whole(value: str | None) -> int | None:
+    text = (value or "").strip()
+    return int(text) if text.isdigit() else None
+
+
+def _decode_event(block: bytes, version: int) -> serverclient.StreamEvent:
+    number: int | None = None
+    data: list[str] = []
+    for line in block.decode("utf-8", "replace").split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "id":
+            number = _whole(value)
+        elif name == "data":
+            data.append(value)
+        elif name == names.WEIGHT_VERSION:
+            version = _whole(value) or version
+    if number is None:
+        raise serverclient.ServerError("an event without a number", True)
+    return serverclient.StreamEvent(
+        number, "\n".join(data), version, block + b"\n\n"
+    )
--- /dev/null
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -0,0 +1,94 @@
+"""The settings file that the platform writes, as the product's settings."""
+
+import pathlib
+
+from kingcupscale import deployment
+from kingcupscale import settings
+
+
+def load(path: str) -> deployment.SiteSettings:
+    """Reads the file.
+
+    Raises:
+        SettingsError: With everything that is missing or of the wrong form.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as e:
+        raise settings.SettingsError(path, [f"  {e}"]) from None
+    reader = _Reader(_split(text))
+    duties = reader.text("cloud.duties").split(",")
+    loaded = deployment.SiteSettings(
+        node=reader.need("node"),
+        role=reader.text("role"),
+        zone=reader.need("zone"),
+        callers=reader.text("listen.front"),
+        readiness=reader.text("listen.ready"),
+        peers=reader.text("listen.control"),
+        store=reader.need("provider.address"),
+        cloud=reader.text("cloud.address"),
+        seeds=tuple(s for s in reader.text("seeds").split(",") if s),
+        least_lease_s=reader.number("provider.ttlMinMs", 1000.0) / 1000,
+        value_bytes=int(reader.number("provider.valueBytes", 1 << 20)),
+        heartbeat_s=reader.number("heartbeatMs", 1200.0) / 1000,
+        reports_usage="metering" in duties,
+        orders_servers="autoscaling" in duties,
+        bounds=_read_bounds(reader),
+    )
+    if reader.problems:
+        raise settings.SettingsError(path, reader.problems)
+    return loaded
+
+
+def _read_bounds(reader: "_Reader") -> deployment.Bounds:
+    usual = deployment.Bounds()
+    return deployment.Bounds(
+        contact_s=reader.milliseconds("bounds.contactMs", usual.contact_s),
+        drain_s=reader.milliseconds("bounds.drainMs", usual.drain_s),
+        grace_s=reader.number("bounds.graceS", usual.grace_s),
+        apply_s=reader.milliseconds("bounds.configApplyMs", usual.apply_s),
+        apply_stretch_s=reader.milliseconds(
+            "bounds.stretchMaxMs", usual.apply_stretch_s
+        ),
+        lease_s=reader.milliseconds("bounds.leaseMs", usual.lease_s),
+        window_s=reader.number("bounds.reportWindowS", usual.window_s),
+        late_s=reader.number("bounds.usageLateS", usual.late_s),
+        retention_s=reader.number("bounds.statusRetentionS", usual.retention_s),
+    )
+
+
+def _split(text: str) -> dict[str, str]:
+    lines = (line.partition("=") for line in text.splitlines() if "=" in line)
+    return {name.strip(): value.strip() for name, _, value in lines}
+
+
+class _Reader:
+    """Reads fields and collects what is wrong with them."""
+
+    def __init__(self, fields: dict[str, str]) -> None:
+        self.fields = fields
+        self.problems: list[str] = []
+
+    def text(self, name: str) -> str:
+        return self.fields.get(name, "")
+
+    def need(self, name: str) -> str:
+        value = self.text(name)
+        if not value:
+            self.problems.append(f"  {name}: found nothing, expected a value")
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        value = self.text(name)
+        try:
+            number = float(value) if value else default
+        except ValueError:
+            number = -1.0
+        if number < 0:
+            self.problems.append(
+                f"  {name}: found {value!r}, expected a number of 0 or more"
+            )
+        return number
+
+    def milliseconds(self, name: str, default_s: float) -> float:
+        return self.number(name, default_s * 1000) / 1000
--- /dev/null
+++ b/src/kingcupscale/platform/store.py
@@ -0,0 +1,164 @@
+"""The platform's metadata store as the product's store."""
+
+import base64
+from typing import Any
+import urllib.parse
+
+import orjson
+
+from kingcupscale.storage import store as stores
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+
+# The store answers in milliseconds; a call that takes longer is given up and
+# its fate resolved by reading. From the sheet: 4 ms, slowed to 60 times that.
+CALL_TIMEOUT_S = 0.8
+
+
+class PlatformStore:
+    """Calls the metadata store over HTTP.
+
+    Args:
+        exchanger: Carries the calls.
+        address: ``host:port`` of the store.
+    """
+
+    def __init__(self, exchanger: exchange.Exchanger, address: str) -> None:
+        self.exchanger = exchanger
+        self.address = address
+        self.calls = 0
+
+    async def get(self, key: str) -> stores.Entry | None:
+        """Returns one entry, or None if there is none."""
+        status, body = await self._call("GET", "/kv-key", {"key": key})
+        if status == 404:
+            return None
+        return _decode_entry(_expect_ok(status, body))
+
+    async def scan(self, prefix: str, after: str = "") -> stores.Page:
+        """Returns a page of the entries under a prefix, past a key."""
+        query = {"pathPrefix": prefix}
+        if after:
+            query["after"] = after
+        status, body = await self._call("GET", "/kv-range", query)
+        fields = _expect_ok(status, body)
+        entries = [_decode_entry(item) for item in fields.get("items", ())]
+        has_more = bool(fields.get("hasMore"))
+        return stores.Page(entries, int(fields["asOf"]), has_more)
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> stores.Page:
+        """Returns changes past a revision, waiting for the first."""
+        query = {
+            "pathPrefix": prefix,
+            "after": str(after),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        status, body = await self._call("GET", "/kv-watch", query, None, wait_s)
+        if status == 410:
+            raise stores.HistoryLostError
+        fields = _expect_ok(status, body)
+        entries = [_decode_entry(item) for item in fields.get("events", ())]
+        return stores.Page(entries, int(fields["asOf"]))
+
+    async def commit(self, transaction: stores.Transaction) -> int | None:
+        """Returns the new revision, or None if a condition did not hold."""
+        status, body = await self._call(
+            "POST", "/kv-txn", {}, _encode_transaction(transaction)
+        )
+        if status == 412:
+            return None
+        if status == 404:
+            raise stores.LeaseEndedError
+        return int(_expect_ok(status, body)["revision"])
+
+    async def grant(self, ttl_s: float) -> int:
+        """Returns the number of a new lease."""
+        request = {"ttlMs": int(ttl_s * 1000)}
+        status, body = await self._call("POST", "/kv-lease", {}, request)
+        return int(_expect_ok(status, body)["lease"])
+
+    async def renew(self, lease: int) -> None:
+        """Renews a lease."""
+        status, body = await self._call("POST", f"/kv-keep/{lease}", {})
+        if status == 404:
+            raise stores.LeaseEndedError
+        _expect_ok(status, body)
+
+    async def revoke(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        status, body = await self._call("DELETE", f"/kv-lease-end/{lease}", {})
+        if status == 404:
+            raise stores.LeaseEndedError
+        _expect_ok(status, body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: Any = None,
+        wait_s: float = 0.0,
+    ) -> tuple[int, dict[str, Any]]:
+        self.calls += 1
+        request = message.Request(
+            method,
+            path,
+            urllib.parse.urlencode(query, safe="/"),
+            {"host": self.address},
+        )
+        if body is not None:
+            request.headers["content-type"] = "application/json"
+            request.body = orjson.dumps(body)
+        try:
+            response = await exchange.fetch(
+                self.exchanger, self.address, request, CALL_TIMEOUT_S + wait_s
+            )
+            fields = orjson.loads(response.body) if response.body else {}
+        except exchange.ExchangeError as e:
+            raise stores.StoreError(e.reason, e.request_left) from e
+        except ValueError as e:
+            raise stores.StoreError(f"unreadable answer: {e}", True) from e
+        return response.status, fields if isinstance(fields, dict) else {}
+
+
+def _expect_ok(status: int, fields: dict[str, Any]) -> dict[str, Any]:
+    if status == 200:
+        return fields
+    # 429 and 503 say that nothing was done; so do refusals of the form.
+    raise stores.StoreError(f"status {status}", 500 <= status != 503)
+
+
+def _decode_entry(item: dict[str, Any]) -> stores.Entry:
+    try:
+        value = None
+        if not item.get("deleted"):
+            value = base64.b64decode(item["value"])
+        return stores.Entry(
+            item["key"],
+            value,
+            int(item["revision"]),
+            int(item.get("created", 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as e:
+        raise stores.StoreError(f"unreadable entry: {e!r}", True) from e
+
+
+def _encode_transaction(transaction: stores.Transaction) -> dict[str, Any]:
+    return {
+        "expectedRev": [
+            {"key": condition.key, "revision": condition.revision}
+            for condition in transaction.conditions
+        ],
+        "puts": [
+            {
+                "key": put.key,
+                "value": base64.b64encode(put.value).decode(),
+                # The wire calls no lease 0.
+                "lease": put.lease,
+            }
+            for put in transaction.puts
+        ],
+        "remove": list(transaction.removals),
+    }
--- /dev/null
+++ b/src/kingcupscale/runtime.py
@@ -0,0 +1,427 @@
+"""A node on the platform: its parts wired together, and its lifecycle."""
+
+from collections.abc import Callable
+import random
+
+import attrs
+import orjson
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import deployment
+from kingcupscale import errors
+from kingcupscale import events
+from kingcupscale import metrics
+from kingcupscale import rendezvous
+from kingcupscale.batches import book as books
+from kingcupscale.batches import coordinator as coordinators
+from kingcupscale.batches import loader as loaders
+from kingcupscale.capacity import fleetsize
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import roster
+from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import callers
+from kingcupscale.gateway import forwarder
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+from kingcupscale.storage import tenure as tenures
+from kingcupscale.usage import windows
+
+# Pause between two watches: a node that leads a service reads new batches
+# sooner than one that only answers readers.
+LEADER_PAUSE_S = 0.1
+FOLLOWER_PAUSE_S = 0.35
+DUTY_PAUSE_S = 0.2
+SWEEP_PAUSE_S = 0.25
+USAGE_PAUSE_S = 0.5
+# A batch is kept this much longer than it has to be readable.
+RETENTION_SLACK_S = 60.0
+# From a stop's signal: readiness goes first, callers are sent away meanwhile,
+# then the listeners close; the rest of the grace is for open requests.
+NOTICE_S = 3.0
+
+
+@attrs.frozen
+class Keys:
+    """Where operators and servers write in the store.
+
+    Attributes:
+        configuration: The configuration's key.
+        servers: Prefix of the servers' entries.
+        versions: Prefix of the versions that trainers name.
+        retirements: Prefix of requests to empty a VM.
+        retirement_states: Prefix of the answers to them.
+    """
+
+    configuration: str
+    servers: str
+    versions: str
+    retirements: str
+    retirement_states: str
+
+
+@attrs.frozen
+class Decoders:
+    """How what they write is read; each raises ``ValueError``."""
+
+    catalogue: Callable[[bytes], catalogue.Catalogue]
+    server: Callable[[str, bytes], roster.ServerEntry]
+    named_version: Callable[[bytes], tuple[str, int]]
+    retirement_state: Callable[[str], bytes]
+
+
+@attrs.frozen
+class Surroundings:
+    """What a node reaches the world by.
+
+    Attributes:
+        store: The shared store.
+        servers: Calls backend servers.
+        intake: Takes usage reports.
+        provider: Takes orders for servers.
+        clock: Tells the time.
+        rng: Decides among equals.
+        keys: Where operators and servers write.
+        decoders: How that is read.
+    """
+
+    store: stores.Store
+    servers: serverclient.ServerClient
+    intake: windows.Intake
+    provider: fleetsize.Provider
+    clock: clocks.Clock
+    rng: random.Random
+    keys: Keys
+    decoders: Decoders
+
+
+class ServiceDuty:
+    """One node's part in leading one service."""
+
+    def __init__(self, runtime: "Runtime", service: str) -> None:
+        around = runtime.surroundings
+        self.tenure = tenures.Tenure(
+            service, runtime.session, runtime.feed, around.clock
+        )
+        self.coordinator = coordinators.Coordinator(
+            service,
+            runtime.book,
+            runtime.roster,
+            around.servers,
+            runtime.forwarder,
+            runtime.measures,
+            around.clock,
+            lambda: runtime.catalogue,
+        )
+        self.loader = loaders.Loader(
+            self.tenure,
+            self.coordinator,
+            runtime.roster,
+            around.servers,
+            runtime.named_versions,
+            around.clock,
+            lambda: runtime.catalogue,
+        )
+        self.sizer = fleetsize.Sizer(
+            self.tenure,
+            runtime.roster,
+            around.provider,
+            around.clock,
+            lambda: runtime.catalogue,
+        )
+        self.runtime = runtime
+
+    async def run(self) -> None:
+        """Contends for the service and leads it while held."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.coordinator.run)
+            nursery.start_soon(self._watch_holder)
+
+            async def work() -> None:
+                await self.loader.step(nursery)
+                if self.runtime.settings.orders_servers:
+                    await self.sizer.step()
+
+            await tenures.hold(self.tenure, work, self._rank, DUTY_PAUSE_S)
+
+    def _rank(self) -> int:
+        return self.runtime.rank(self.tenure.name)
+
+    async def _watch_holder(self) -> None:
+        """Runs batches from taking the duty until another node has it."""
+        while True:
+            held = self.tenure.is_held()
+            entry = self.runtime.feed.entries.get(self.tenure.key)
+            own = f"{self.runtime.settings.node} ".encode()
+            is_others = entry is not None and not (
+                entry.value or b""
+            ).startswith(own)
+            if held:
+                self.coordinator.is_active = True
+            elif is_others or self.runtime.is_draining:
+                self.coordinator.is_active = False
+            await self.runtime.clock.sleep(0.05)
+
+
+class Runtime:
+    """One node.
+
+    Args:
+        settings: What it is told.
+        surroundings: What it reaches the world by.
+
+    Attributes:
+        catalogue: The configuration in force; None before the first.
+        callers: Answers callers.
+        is_draining: Whether a planned stop has begun.
+        stopped: Set when the listeners are to close.
+    """
+
+    def __init__(
+        self,
+        settings: deployment.SiteSettings,
+        surroundings: Surroundings,
+    ) -> None:
+        self.settings = settings
+        self.surroundings = surroundings
+        self.clock = surroundings.clock
+        self.measures = metrics.Metrics()
+        self.catalogue: catalogue.Catalogue | None = None
+        self.named_versions: dict[str, int] = {}
+        self.is_draining = False
+        self.drain_asked = trio.Event()
+        self.stopped = trio.Event()
+        self.duties: dict[str, ServiceDuty] = {}
+        self._make_storage()
+        self._make_serving()
+
+    def _make_storage(self) -> None:
+        settings, around = self.settings, self.surroundings
+        self.feed = feeds.Feed(
+            around.store, self.clock, settings.node, self._feed_pause_s
+        )
+        self.roster = roster.Roster(
+            self.clock,
+            lambda: self.feed.regained_at,
+            lambda: self.feed.is_lost,
+        )
+        self.book = books.Book(self.feed, self.clock, settings.value_bytes)
+        announcement = orjson.dumps({"peers": settings.peers})
+        ttl_s = max(settings.least_lease_s, settings.bounds.lease_s)
+        self.session = tenures.Session(
+            around.store, self.clock, settings.node, ttl_s, announcement
+        )
+        keys = around.keys
+        self.feed.subscribe(keys.configuration, self._take_configuration)
+        self.feed.subscribe(keys.servers, self._take_server)
+        self.feed.subscribe(keys.versions, self._take_version)
+
+    def _make_serving(self) -> None:
+        settings, around = self.settings, self.surroundings
+        self.usage = windows.WindowCounter(
+            self.feed, self.clock, settings.node, settings.bounds.window_s
+        )
+        self.forwarder = forwarder.Forwarder(
+            self.roster,
+            around.servers,
+            self.usage,
+            self.measures,
+            self.clock,
+            around.rng,
+            settings.zone,
+        )
+        self.callers = callers.Callers(
+            self.forwarder, self.book, self.clock, self.find_refusal
+        )
+        self.reporter = windows.WindowReporter(
+            tenures.Tenure(windows.DUTY, self.session, self.feed, self.clock),
+            self.feed,
+            around.intake,
+            self.clock,
+            settings.bounds.window_s,
+            settings.bounds.late_s,
+        )
+
+    def _feed_pause_s(self) -> float:
+        leads = any(d.tenure.is_held() for d in self.duties.values())
+        return LEADER_PAUSE_S if leads else FOLLOWER_PAUSE_S
+
+    def _take_configuration(self, entry: stores.Entry) -> None:
+        if entry.value is None:
+            return
+        try:
+            found = self.surroundings.decoders.catalogue(entry.value)
+        except ValueError as e:
+            events.log(
+                events.Event.STORE_ENTRY_UNREADABLE,
+                key=entry.key,
+                reason=str(e)[:200],
+            )
+            return
+        self.apply(found, "the store")
+
+    def apply(self, found: catalogue.Catalogue, source: str) -> None:
+        """Puts a configuration in force, unless a newer one is."""
+        if not catalogue.is_newer(found, self.catalogue):
+            return
+        self.catalogue = found
+        self.forwarder.catalogue = found
+        events.log(
+            events.Event.CONFIGURATION_APPLIED,
+            revision=found.version,
+            routes=len(found.routes),
+            organisations=len(found.organisations),
+            source=source,
+        )
+
+    def _take_server(self, entry: stores.Entry) -> None:
+        server_id = entry.key.removeprefix(self.surroundings.keys.servers)
+        if entry.value is None:
+            self.roster.remove(server_id)
+            return
+        try:
+            found = self.surroundings.decoders.server(server_id, entry.value)
+        except ValueError as e:
+            events.log(
+                events.Event.STORE_ENTRY_UNREADABLE,
+                key=entry.key,
+                reason=str(e)[:200],
+            )
+            return
+        self.roster.enter(found)
+
+    def _take_version(self, entry: stores.Entry) -> None:
+        if entry.value is None:
+            return
+        try:
+            model, version = self.surroundings.decoders.named_version(
+                entry.value
+            )
+        except ValueError as e:
+            events.log(
+                events.Event.STORE_ENTRY_UNREADABLE,
+                key=entry.key,
+                reason=str(e)[:200],
+            )
+            return
+        if version > self.named_versions.get(model, 0):
+            self.named_versions[model] = version
+            events.log(events.Event.VERSION_NAMED, model=model, version=version)
+
+    def find_refusal(self) -> errors.ServiceError | None:
+        """Returns why the node takes nothing now, or None."""
+        if self.catalogue is None:
+            return errors.ServiceError(
+                errors.ResultCode.NOT_READY, retry_after_s=0.5
+            )
+        return None
+
+    def is_ready(self) -> bool:
+        """Tells whether callers should be sent here."""
+        return not self.is_draining and self.find_refusal() is None
+
+    def rank(self, duty: str) -> int:
+        """Returns this node's place among the candidates for a duty."""
+        names = [
+            entry.key.removeprefix(tenures.NODES_PREFIX)
+            for entry in self.feed.under(tenures.NODES_PREFIX)
+        ]
+        ranking = rendezvous.rank(duty, names)
+        node = self.settings.node
+        return ranking.index(node) if node in ranking else len(ranking)
+
+    async def run(self) -> None:
+        """Runs until a planned stop has ended."""
+        async with trio.open_nursery() as nursery:
+            for task in (
+                self.feed.run,
+                self.session.run,
+                self._sweep_forever,
+                self._lead_services,
+                self._share_usage,
+                self._report_usage,
+            ):
+                nursery.start_soon(task)
+            await self.drain_asked.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
+        """Hands duties over, and leaves callers time to go elsewhere."""
+        events.log(events.Event.NODE_DRAINING, node=self.settings.node)
+        self.is_draining = True
+        await self.session.close()
+        with trio.move_on_after(1.0):
+            try:
+                await self.usage.share(is_last=True)
+            except stores.StoreError as e:
+                events.log(events.Event.STORE_FAILED, reason=e.reason)
+        await self.clock.sleep(NOTICE_S)
+        self.stopped.set()
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            self.roster.sweep()
+            await self.clock.sleep(SWEEP_PAUSE_S)
+
+    async def _lead_services(self) -> None:
+        """Contends for each service that has model engines."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                services = self.catalogue.services if self.catalogue else {}
+                for name, service in services.items():
+                    if service.slots and name not in self.duties:
+                        self.duties[name] = ServiceDuty(self, name)
+                        nursery.start_soon(self.duties[name].run)
+                await self.clock.sleep(DUTY_PAUSE_S)
+
+    async def _share_usage(self) -> None:
+        while True:
+            await self.clock.sleep(USAGE_PAUSE_S)
+            try:
+                await self.usage.share()
+            except stores.StoreError as e:
+                events.log(
+                    events.Event.STORE_FAILED,
+                    node=self.settings.node,
+                    reason=e.reason,
+                )
+
+    async def _report_usage(self) -> None:
+        if not self.settings.reports_usage:
+            return
+        await tenures.hold(
+            self.reporter.tenure,
+            self._look_after_store,
+            lambda: self.rank(windows.DUTY),
+            USAGE_PAUSE_S,
+        )
+
+    async def _look_after_store(self) -> None:
+        """Reports usage, empties VMs and forgets old batches."""
+        await self.reporter.step()
+        await self._answer_retirements()
+        await self._forget_old_batches()
+
+    async def _answer_retirements(self) -> None:
+        """VMs hold nothing that would have to be moved off them first."""
+        keys = self.surroundings.keys
+        done = self.surroundings.decoders.retirement_state("done")
+        for entry in self.feed.under(keys.retirements):
+            node = entry.key.removeprefix(keys.retirements)
+            key = keys.retirement_states + node
+            known = self.feed.entries.get(key)
+            if known is not None and known.revision > entry.revision:
+                continue
+            await self.feed.store.commit(
+                stores.Transaction(puts=[stores.Put(key, done)])
+            )
+            events.log(events.Event.VM_EMPTIED, vm=node)
+
+    async def _forget_old_batches(self) -> None:
+        now_ms = self.clock.now().timestamp() * 1000
+        kept_s = self.settings.bounds.retention_s + RETENTION_SLACK_S
+        for record in list(self.book.records.values()):
+            is_old = now_ms - record.submitted_ms > kept_s * 1000
+            if is_old and not record.is_open():
+                await self.book.forget(record)
--- /dev/null
+++ b/src/kingcupscale/storage/feed.py
@@ -0,0 +1,169 @@
+"""A mirror of the store's keys, kept by one watch a node."""
+
+from collections.abc import Callable
+
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale.storage import store as stores
+
+# A watch that hears nothing is ended by the store after this long, so that a
+# silent connection is noticed within a second or so.
+WATCH_WAIT_S = 1.0
+RETRY_LEAST_S = 0.1
+RETRY_MOST_S = 0.5
+
+Listener = Callable[[stores.Entry], None]
+
+
+class Feed:
+    """Every key of the store, and when it was last known to be current.
+
+    One watch serves all parts of a node, and changes are taken in bunches, so
+    that the number of calls does not grow with the number of changes.
+
+    Args:
+        store: The shared store.
+        clock: Tells the time.
+        node: The node's name, for the log.
+        pause_s: Shortest time between two watches, in seconds; by need.
+
+    Attributes:
+        entries: Present entries by key.
+        revision: The store's revision that the mirror is as of.
+        current_at: Monotonic time at which the last good answer was asked for;
+            negative before the first.
+        regained_at: Monotonic time at which the store last came back.
+        changed: Set and replaced whenever something has changed.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        clock: clocks.Clock,
+        node: str,
+        pause_s: Callable[[], float],
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.node = node
+        self.pause_s = pause_s
+        self.entries: dict[str, stores.Entry] = {}
+        self.listeners: list[tuple[str, Listener]] = []
+        self.revision = 0
+        self.current_at = -1.0
+        self.regained_at = 0.0
+        self.is_lost = False
+        self.changed = trio.Event()
+        self.hurried = trio.Event()
+
+    def subscribe(self, prefix: str, listener: Listener) -> None:
+        """Calls a listener with every change under a prefix."""
+        self.listeners.append((prefix, listener))
+
+    def age_s(self) -> float:
+        """Returns seconds since the mirror was known to be current."""
+        if self.current_at < 0:
+            return float("inf")
+        return self.clock.monotonic() - self.current_at
+
+    def under(self, prefix: str) -> list[stores.Entry]:
+        """Returns the present entries under a prefix, in key order."""
+        return [
+            self.entries[key]
+            for key in sorted(self.entries)
+            if key.startswith(prefix)
+        ]
+
+    def hurry(self) -> None:
+        """Has the next changes read without a pause."""
+        self.hurried.set()
+
+    def apply(self, entry: stores.Entry) -> None:
+        """Takes over one entry, unless a newer state of it is known."""
+        known = self.entries.get(entry.key)
+        if known is not None and known.revision >= entry.revision:
+            return
+        if entry.value is None:
+            if known is None:
+                return
+            del self.entries[entry.key]
+        else:
+            self.entries[entry.key] = entry
+        for prefix, listener in self.listeners:
+            if entry.key.startswith(prefix):
+                listener(entry)
+
+    async def run(self) -> None:
+        """Keeps the mirror current until cancelled."""
+        retry_s = RETRY_LEAST_S
+        is_loaded = False
+        while True:
+            try:
+                if not is_loaded:
+                    await self._load()
+                    is_loaded = True
+                await self._follow()
+                retry_s = RETRY_LEAST_S
+                await self._pause()
+            except stores.HistoryLostError:
+                events.log(
+                    events.Event.STORE_HISTORY_LOST, revision=self.revision
+                )
+                is_loaded = False
+            except stores.StoreError as e:
+                self._note_lost(e)
+                await self.clock.sleep(retry_s)
+                retry_s = min(RETRY_MOST_S, 2 * retry_s)
+
+    async def _load(self) -> None:
+        """Reads everything; what is not found any more is removed."""
+        asked_at = self.clock.monotonic()
+        found: set[str] = set()
+        first: int | None = None
+        after, has_more = "", True
+        while has_more:
+            page = await self.store.scan("", after)
+            first = page.revision if first is None else first
+            for entry in page.entries:
+                found.add(entry.key)
+                self.apply(entry)
+            has_more = page.has_more
+            after = page.entries[-1].key if page.entries else after
+        # Pages are no snapshot: what changed between them is watched again.
+        for key in [key for key in self.entries if key not in found]:
+            if self.entries[key].revision <= first:
+                self.apply(stores.Entry(key, None, first + 1))
+        self.revision = first or 0
+        self._note_current(asked_at)
+
+    async def _follow(self) -> None:
+        asked_at = self.clock.monotonic()
+        page = await self.store.watch("", self.revision, WATCH_WAIT_S)
+        for entry in page.entries:
+            self.apply(entry)
+        self.revision = max(self.revision, page.revision)
+        # An empty answer says that nothing changed up to its end.
+        self._note_current(asked_at)
+
+    def _note_current(self, asked_at: float) -> None:
+        self.current_at = asked_at
+        if self.is_lost:
+            self.is_lost = False
+            self.regained_at = self.clock.monotonic()
+            events.log(events.Event.STORE_REGAINED, node=self.node)
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
+    def _note_lost(self, error: stores.StoreError) -> None:
+        if not self.is_lost:
+            self.is_lost = True
+            events.log(
+                events.Event.STORE_FAILED, node=self.node, reason=error.reason
+            )
+
+    async def _pause(self) -> None:
+        with trio.move_on_after(self.pause_s()):
+            await self.hurried.wait()
+        self.hurried = trio.Event()
--- /dev/null
+++ b/src/kingcupscale/storage/tenure.py
@@ -0,0 +1,261 @@
+"""Duties that one node holds at a time, fenced by the store."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+
+NODES_PREFIX = "kingcupscale/nodes/"
+DUTIES_PREFIX = "kingcupscale/duties/"
+
+# A renewal may fail twice before the lease lapses.
+RENEWALS_PER_TTL = 4
+# Share of a lease's time at its end in which nothing is sent any more, for
+# clocks that drift and calls that are under way.
+SAFETY_SHARE = 0.25
+
+
+class Session:
+    """A node's lease, which its entry and its duties are bound to.
+
+    The lease's end counts from before its renewal was sent, on a clock that
+    goes on while the VM is suspended, so the node is always first to think it
+    over.
+
+    Args:
+        store: The shared store.
+        clock: Tells the time, suspended time included.
+        node: The node's name.
+        ttl_s: Seconds that the lease lasts.
+        announcement: Value of the node's own entry.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        clock: clocks.Clock,
+        node: str,
+        ttl_s: float,
+        announcement: bytes,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.node = node
+        self.ttl_s = ttl_s
+        self.announcement = announcement
+        self.lease = stores.NO_LEASE
+        self.ends_at = 0.0
+
+    def is_held(self) -> bool:
+        """Tells whether the lease surely holds right now."""
+        safety_s = self.ttl_s * SAFETY_SHARE
+        return self.clock.monotonic() < self.ends_at - safety_s
+
+    async def run(self) -> None:
+        """Keeps a lease until cancelled."""
+        while True:
+            try:
+                await self._keep()
+            except stores.LeaseEndedError:
+                self._end("the store has ended it")
+                continue
+            except stores.StoreError as e:
+                events.log(
+                    events.Event.LEASE_UNRENEWED,
+                    node=self.node,
+                    reason=e.reason,
+                    left_s=round(self.ends_at - self.clock.monotonic(), 2),
+                )
+            await self.clock.sleep(self.ttl_s / RENEWALS_PER_TTL)
+
+    async def _keep(self) -> None:
+        sent_at = self.clock.monotonic()
+        if self.lease == stores.NO_LEASE:
+            lease = await self.store.grant(self.ttl_s)
+            await self._announce(lease)
+            self.lease = lease
+            events.log(events.Event.SESSION_OPENED, node=self.node, lease=lease)
+        else:
+            await self.store.renew(self.lease)
+        self.ends_at = sent_at + self.ttl_s
+
+    async def _announce(self, lease: int) -> None:
+        put = stores.Put(NODES_PREFIX + self.node, self.announcement, lease)
+        await self.store.commit(stores.Transaction(puts=[put]))
+
+    def _end(self, reason: str) -> None:
+        events.log(
+            events.Event.SESSION_ENDED,
+            node=self.node,
+            lease=self.lease,
+            reason=reason,
+        )
+        self.lease = stores.NO_LEASE
+        self.ends_at = 0.0
+
+    async def close(self) -> None:
+        """Ends the lease, so that successors need not wait for its end."""
+        lease = self.lease
+        if lease == stores.NO_LEASE:
+            return
+        self._end("the node is stopping")
+        try:
+            await self.store.revoke(lease)
+        except (stores.StoreError, stores.LeaseEndedError) as e:
+            events.log(events.Event.STORE_FAILED, node=self.node, reason=str(e))
+
+
+class Tenure:
+    """One duty as seen by one node.
+
+    The revision at which the duty's key was created only grows and belongs to
+    one holder, so it serves as the fencing number.
+
+    Args:
+        name: Of the duty.
+        session: The node's lease.
+        feed: The mirror in which the key's state is seen.
+        clock: Tells the time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        session: Session,
+        feed: feeds.Feed,
+        clock: clocks.Clock,
+    ) -> None:
+        self.name = name
+        self.session = session
+        self.feed = feed
+        self.clock = clock
+        self.fence = 0
+        self.lease = stores.NO_LEASE
+
+    @property
+    def key(self) -> str:
+        """The duty's key."""
+        return DUTIES_PREFIX + self.name
+
+    def is_held(self) -> bool:
+        """Tells whether this node surely holds the duty right now."""
+        return (
+            self.fence > 0
+            and self.lease == self.session.lease
+            and self.session.is_held()
+        )
+
+    async def attempt(self) -> None:
+        """Takes the duty if nobody holds it.
+
+        Raises:
+            StoreError: If the store cannot be reached.
+        """
+        if self.is_held() or not self.session.is_held():
+            return
+        if self.fence and self.lease != self.session.lease:
+            self._lose()
+        known = self.feed.entries.get(self.key)
+        if known is not None and not self._is_own(known):
+            return
+        if known is None:
+            known = await self._create()
+        if known is not None and self._is_own(known):
+            self._gain(known.created)
+
+    def _own_value(self) -> bytes:
+        return f"{self.session.node} {self.session.lease}".encode()
+
+    def _is_own(self, entry: stores.Entry) -> bool:
+        return entry.value == self._own_value()
+
+    async def _create(self) -> stores.Entry | None:
+        lease = self.session.lease
+        put = stores.Put(self.key, self._own_value(), lease)
+        condition = stores.Condition(self.key, stores.ABSENT)
+        try:
+            await self.session.store.commit(
+                stores.Transaction([condition], [put])
+            )
+        except stores.LeaseEndedError:
+            events.log(
+                events.Event.SESSION_ENDED,
+                node=self.session.node,
+                lease=lease,
+                reason="ended before a duty was taken",
+            )
+            return None
+        except stores.StoreError as e:
+            if not e.may_have_run:
+                raise
+        # The write's own answer may be lost, and it may have met another
+        # writer's key: what stands there decides.
+        entry = await self.session.store.get(self.key)
+        if entry is not None:
+            self.feed.apply(entry)
+        return entry
+
+    def _gain(self, fence: int) -> None:
+        self.fence = fence
+        self.lease = self.session.lease
+        events.log(
+            events.Event.DUTY_TAKEN,
+            node=self.session.node,
+            duty=self.name,
+            fence=fence,
+        )
+
+    def _lose(self) -> None:
+        events.log(
+            events.Event.DUTY_LOST,
+            node=self.session.node,
+            duty=self.name,
+            fence=self.fence,
+        )
+        self.fence = 0
+
+
+async def hold(
+    tenure: Tenure,
+    work: Callable[[], Awaitable[None]],
+    rank: Callable[[], int],
+    pause_s: float,
+) -> None:
+    """Contends for a duty, and works at it at a steady pace while held.
+
+    Args:
+        tenure: The duty.
+        work: One round of it; raises nothing but ``StoreError``.
+        rank: This node's place among the candidates, 0 for the preferred one;
+            the others wait, so that they do not all write at once.
+        pause_s: Seconds between two rounds.
+    """
+    while True:
+        try:
+            if not tenure.is_held():
+                await _wait_for_turn(tenure, rank())
+                await tenure.attempt()
+            if tenure.is_held():
+                await work()
+        except stores.StoreError as e:
+            events.log(
+                events.Event.STORE_FAILED,
+                node=tenure.session.node,
+                duty=tenure.name,
+                reason=e.reason,
+            )
+        await tenure.clock.sleep(pause_s)
+
+
+async def _wait_for_turn(tenure: Tenure, rank: int) -> None:
+    """Gives preferred candidates time to take a free duty first."""
+    if tenure.key not in tenure.feed.entries and rank:
+        with trio.move_on_after(0.3 * rank):
+            while tenure.key not in tenure.feed.entries:
+                changed = tenure.feed.changed
+                await changed.wait()
--- /dev/null
+++ b/src/kingcupscale/usage/windows.py
@@ -0,0 +1,224 @@
+"""Usage by window of the wall clock, from counts of all nodes to one report."""
+
+from typing import Protocol
+
+import cattrs
+import orjson
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+from kingcupscale.storage import tenure as tenures
+
+COUNTS_PREFIX = "kingcupscale/usage/counts/"
+FIGURES_PREFIX = "kingcupscale/usage/figures/"
+DUTY = "usage"
+
+# After a window's end, requests that began in it may still be answered, and
+# clocks differ a little.
+COUNT_DELAY_S = 1.0
+# Share of the time until a report is late after which it is put together,
+# whoever's counts are missing.
+COLLECT_SHARE = 0.4
+# Windows that are kept in the store and looked after, the newest ones.
+WINDOWS_KEPT = 12
+
+
+class ReportError(Exception):
+    """A report that the intake did not take, or may not have.
+
+    Args:
+        reason: What went wrong.
+        is_fenced: Whether a newer holder has reported.
+    """
+
+    def __init__(self, reason: str, is_fenced: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.is_fenced = is_fenced
+
+
+class Intake(Protocol):
+    """Takes usage reports."""
+
+    async def report(
+        self, window: int, counts: dict[str, int], holder: str, fence: int
+    ) -> None:
+        """Sends one window's figures.
+
+        Raises:
+            ReportError: If it is not known to have taken them.
+        """
+        ...
+
+
+class WindowCounter:
+    """What one node's organisations began, by window.
+
+    Args:
+        feed: Where the counts are shared.
+        clock: Tells the time.
+        node: The node's name.
+        window_s: Length of a window in seconds.
+    """
+
+    def __init__(
+        self, feed: feeds.Feed, clock: clocks.Clock, node: str, window_s: float
+    ) -> None:
+        self.feed = feed
+        self.clock = clock
+        self.node = node
+        self.window_s = window_s
+        self.counts: dict[int, dict[str, int]] = {}
+
+    def window_at(self, seconds: float) -> int:
+        """Returns the window of a time in seconds since 1970."""
+        return int(seconds // self.window_s)
+
+    def note_begun(self, organisation: str) -> None:
+        """Counts a request that begins now."""
+        window = self.window_at(self.clock.now().timestamp())
+        counts = self.counts.setdefault(window, {})
+        counts[organisation] = counts.get(organisation, 0) + 1
+
+    async def share(self, is_last: bool = False) -> None:
+        """Writes the counts of ended windows, or of all at the last.
+
+        Raises:
+            StoreError: If the store cannot be reached; they are kept.
+        """
+        now_s = self.clock.now().timestamp()
+        ended = self.window_at(now_s - COUNT_DELAY_S)
+        for window in sorted(self.counts):
+            if window >= ended and not is_last:
+                continue
+            key = f"{COUNTS_PREFIX}{window}/{self.node}"
+            put = stores.Put(key, orjson.dumps(self.counts[window]))
+            await self.feed.store.commit(stores.Transaction(puts=[put]))
+            del self.counts[window]
+
+
+class WindowReporter:
+    """Reports each window once, with figures that never change.
+
+    The figures are written under the condition that the window has none yet,
+    before they are sent; whoever sends it later sends the same.
+
+    Args:
+        tenure: The duty.
+        feed: Where counts and figures are shared.
+        intake: Takes the reports.
+        clock: Tells the time.
+        window_s: Length of a window in seconds.
+        late_s: Seconds after its end when a report is late.
+    """
+
+    def __init__(
+        self,
+        tenure: tenures.Tenure,
+        feed: feeds.Feed,
+        intake: Intake,
+        clock: clocks.Clock,
+        window_s: float,
+        late_s: float,
+    ) -> None:
+        self.tenure = tenure
+        self.feed = feed
+        self.intake = intake
+        self.clock = clock
+        self.window_s = window_s
+        self.late_s = late_s
+        self.taken: set[int] = set()
+        self.first: int | None = None
+
+    async def step(self) -> None:
+        """Reports the windows that are due.
+
+        Raises:
+            StoreError: If the store cannot be reached.
+        """
+        now_s = self.clock.now().timestamp()
+        due = int((now_s - self.late_s * COLLECT_SHARE) // self.window_s) - 1
+        if self.first is None:
+            self.first = self._first_window(due)
+        for window in range(max(self.first, due - WINDOWS_KEPT), due + 1):
+            if window not in self.taken:
+                await self._report(window)
+        self.taken = {w for w in self.taken if w > due - 2 * WINDOWS_KEPT}
+
+    def _first_window(self, due: int) -> int:
+        """Returns the oldest window of which anything is known."""
+        windows = [
+            int(entry.key.removeprefix(prefix).partition("/")[0])
+            for prefix in (COUNTS_PREFIX, FIGURES_PREFIX)
+            for entry in self.feed.under(prefix)
+        ]
+        return min([*windows, due + 1])
+
+    async def _report(self, window: int) -> None:
+        figures = await self._settle_figures(window)
+        if figures is None or not self.tenure.is_held():
+            return
+        try:
+            await self.intake.report(
+                window, figures, self.tenure.session.node, self.tenure.fence
+            )
+        except ReportError as e:
+            events.log(
+                events.Event.USAGE_FAILED,
+                window=window,
+                fence=self.tenure.fence,
+                reason=e.reason,
+            )
+            if e.is_fenced:
+                self.taken.add(window)
+            return
+        self.taken.add(window)
+        events.log(
+            events.Event.USAGE_REPORTED,
+            window=window,
+            fence=self.tenure.fence,
+            organisations=len(figures),
+            requests=sum(figures.values()),
+        )
+
+    async def _settle_figures(self, window: int) -> dict[str, int] | None:
+        """Returns a window's figures, fixed in the store before they go."""
+        key = f"{FIGURES_PREFIX}{window}"
+        entry = self.feed.entries.get(key)
+        if entry is None:
+            figures = self._add_up(window)
+            put = stores.Put(
+                key, orjson.dumps(figures, option=orjson.OPT_SORT_KEYS)
+            )
+            condition = stores.Condition(key, stores.ABSENT)
+            old = f"{FIGURES_PREFIX}{window - 3 * WINDOWS_KEPT}"
+            removals = [old] if old in self.feed.entries else []
+            revision = await self.feed.store.commit(
+                stores.Transaction([condition], [put], removals)
+            )
+            if revision is not None:
+                return figures
+            entry = await self.feed.store.get(key)
+        if entry is None or entry.value is None:
+            return None
+        return orjson.loads(entry.value)
+
+    def _add_up(self, window: int) -> dict[str, int]:
+        totals: dict[str, int] = {}
+        for entry in self.feed.under(f"{COUNTS_PREFIX}{window}/"):
+            try:
+                counts = cattrs.structure(
+                    orjson.loads(entry.value or b"{}"), dict[str, int]
+                )
+            except (ValueError, cattrs.BaseValidationError) as e:
+                events.log(
+                    events.Event.STORE_ENTRY_UNREADABLE,
+                    key=entry.key,
+                    reason=repr(e)[:200],
+                )
+                continue
+            for organisation, number in counts.items():
+                totals[organisation] = totals.get(organisation, 0) + number
+        return totals
--- a/src/kingcupscale/web/exchange.py
+++ b/src/kingcupscale/web/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import socket
 from typing import Any
 from typing import Protocol
 
@@ -79,18 +80,39 @@
 _HTTP_ERRORS = (*_NOT_SENT, *_BROKEN, httpcore.TimeoutException)
 
 
+# How long sent bytes may stay unacknowledged before the connection ends.
+SILENCE_MS = 1500
+PROBE_AFTER_S = 1
+PROBES = 2
+_SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+]
+
+
 class HttpExchanger:
     """Sends requests over HTTP/1.1 with pooled connections.
 
+    A peer that goes silent is noticed by the kernel: unacknowledged bytes and
+    unanswered keep-alive probes end the connection.
+
     Args:
         max_connections: The most connections open at a time.
+        idle_s: Seconds after which an idle connection is not used again.
     """
 
-    def __init__(self, max_connections: int = 1024) -> None:
+    def __init__(
+        self, max_connections: int = 1024, idle_s: float = 30.0
+    ) -> None:
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
             max_keepalive_connections=max_connections,
-            keepalive_expiry=30,
+            keepalive_expiry=idle_s,
+            socket_options=_SOCKET_OPTIONS,
         )
 
     async def aclose(self) -> None:
@@ -130,6 +152,8 @@
 def _extensions(request: message.Request, timeout_s: float) -> dict[str, Any]:
     phases = ("connect", "read", "write", "pool")
     extensions: dict[str, Any] = {"timeout": dict.fromkeys(phases, timeout_s)}
+    if request.connect_timeout_s is not None:
+        extensions["timeout"]["connect"] = request.connect_timeout_s
     if request.before_send is message.allow_send:
         return extensions
 
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -31,6 +31,8 @@
         body: The whole body.
         before_send: Called after the connection is open and right before the
             first byte leaves; raises to keep the request from leaving.
+        connect_timeout_s: Seconds for the connection alone; None for the
+            timeout of the whole exchange.
     """
 
     method: str
@@ -39,6 +41,7 @@
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
     before_send: Callable[[], None] = allow_send
+    connect_timeout_s: float | None = None
 
     def parse(self, kind: type[T]) -> T:
         """Reads the body as a typed message.
@@ -67,12 +70,14 @@
         headers: Header values by lower-case name.
         body: The whole body when ``chunks`` is None.
         chunks: The body's pieces as they come.
+        signature: The backend server's signature, where it gave one.
     """
 
     status: int = 200
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
     chunks: AsyncIterator[bytes] | None = None
+    signature: str = ""
 
     async def read(self) -> bytes:
         """Returns the whole body, waiting for the last piece."""
