--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -124,6 +124,10 @@
         self.coordinator.wake()
 
     async def _order(self, load: weights.Load) -> serverclient.OrderOutcome:
+        if load.server.sequence is None:
+            await self._find_out(load)
+        if load.server.sequence is None:
+            raise serverclient.ServerError("the engine does not tell", False)
         order = serverclient.VersionOrder(
             load.model,
             load.version,
@@ -169,5 +173,5 @@
                 reason=e.reason,
             )
             return
-        load.server.sequence = max(load.server.sequence, report.sequence)
+        load.server.sequence = report.sequence
         load.server.versions.update(report.versions)
--- a/src/kingcupscale/errors.py
+++ b/src/kingcupscale/errors.py
@@ -43,6 +43,7 @@
     BACKEND_FAILED = (1301, 502, "The backend server failed; outcome unknown.")
     BACKEND_REFUSED = (1302, 502, "No backend server took the request.")
     ANSWER_REJECTED = (1304, 502, "The answer was not whole or not ours.")
+    BACKEND_TIMEOUT = (1305, 504, "No backend server answered in time.")
     IDEMPOTENCY_MISMATCH = (1401, 422, "The key was used for another request.")
     IDEMPOTENCY_BUSY = (1402, 409, "The first request is still running.")
     IDEMPOTENCY_UNKNOWN = (1403, 409, "The first request's outcome is unknown.")
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -17,6 +17,7 @@
     NODE_STARTED = (2001, "A node is up and has its listeners.")
     NODE_DRAINING = (2002, "A node takes no new work.")
     NODE_STOPPED = (2003, "A node has ended in order.")
+    SETTINGS_RELOADED = (2004, "The settings file was read again.")
     MEMBER_CHANGED = (2101, "A member became alive, suspect, dead or left.")
     ADMISSION_CHANGED = (2102, "The node started or stopped admitting.")
     CONFIGURATION_APPLIED = (2201, "A configuration revision is in force.")
--- a/src/kingcupscale/fleet/roster.py
+++ b/src/kingcupscale/fleet/roster.py
@@ -39,7 +39,6 @@
         state: Whether it takes work.
         slots: Requests it runs at once.
         born: When it started, in milliseconds since 1970; tells a restart.
-        sequence: Orders that it has accepted since then.
         versions: Weight version by model.
         is_spot: Whether it may be reclaimed.
         cold_s: Seconds for which it stays slow after its start.
@@ -52,7 +51,6 @@
     state: ServerState
     slots: int
     born: int
-    sequence: int = 0
     versions: dict[str, int] = attrs.field(factory=dict)
     is_spot: bool = False
     cold_s: float = 0.0
@@ -70,7 +68,8 @@
         failures: Failures in a row.
         ejected_until: Monotonic time before which it gets nothing.
         versions: Weight version by model, from entries, orders and answers.
-        sequence: Orders that it has accepted, as far as known.
+        sequence: Orders that it has accepted since its start; None if not
+            known.
         pace: How slow it is against others of its service; 1 is average.
         is_gone: Whether its entry has been removed.
         removed_at: Monotonic time at which the entry went missing.
@@ -83,7 +82,7 @@
     failures: int = 0
     ejected_until: float = 0.0
     versions: dict[str, int] = attrs.field(factory=dict)
-    sequence: int = 0
+    sequence: int | None = None
     pace: float = 1.0
     is_gone: bool = False
     removed_at: float | None = None
@@ -161,7 +160,7 @@
             if known is not None:
                 known.is_gone = True
             self.servers[entry.id] = Server(
-                entry, versions=dict(entry.versions), sequence=entry.sequence
+                entry, versions=dict(entry.versions)
             )
             events.log(
                 events.Event.SERVER_ENTERED,
@@ -180,7 +179,6 @@
         known.entry = entry
         known.removed_at = None
         known.is_gone = False
-        known.sequence = max(known.sequence, entry.sequence)
         for model, version in entry.versions.items():
             known.versions[model] = max(known.versions.get(model, 0), version)
 
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -431,7 +431,11 @@
         now = self.clock.monotonic()
         left_s = inbound.received_at + inbound.patience_s - now
         if attempts.sent:
-            code = errors.ResultCode.BACKEND_FAILED
+            code = (
+                errors.ResultCode.BACKEND_TIMEOUT
+                if now >= attempts.deadline
+                else errors.ResultCode.BACKEND_FAILED
+            )
             failure = errors.ServiceError(
                 code, attempts.reason, errors.Run.UNKNOWN
             )
--- a/src/kingcupscale/platform/documents.py
+++ b/src/kingcupscale/platform/documents.py
@@ -135,7 +135,7 @@
             state=roster.ServerState(entry["state"]),
             slots=_whole(entry, "slots"),
             born=_whole(entry, "born", 0),
-            sequence=_whole(entry, "sequence", 0),
+            # "sequence" counts its entries here, and its orders in reports.
             versions=decode_versions(entry.get("models", ())),
             is_spot=bool(entry.get("spot", False)),
             cold_s=_whole(entry, "coldRemainingMs", 0) / 1000,
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -11,11 +11,13 @@
 from kingcupscale import deployment
 from kingcupscale import events
 from kingcupscale import runtime as runtimes
+from kingcupscale import settings as settings_errors
 from kingcupscale.platform import cloud
 from kingcupscale.platform import documents
 from kingcupscale.platform import frontend
 from kingcupscale.platform import names
 from kingcupscale.platform import servers
+from kingcupscale.platform import settingsfile
 from kingcupscale.platform import store
 from kingcupscale.web import exchange
 from kingcupscale.web import message
@@ -81,7 +83,7 @@
         settings=path,
     )
     if not settings.callers:
-        await _wait_for_stop()
+        await _wait_for_stop(path)
         return
     runtime = make_runtime(settings)
     handler = frontend.Frontend(
@@ -89,7 +91,7 @@
     )
     limits = server.Limits()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_await_signal, runtime)
+        nursery.start_soon(_await_signal, runtime, path)
         await nursery.start(
             functools.partial(
                 server.serve,
@@ -118,15 +120,28 @@
     return message.Response(200 if is_ready else 503)
 
 
-async def _await_signal(runtime: runtimes.Runtime) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            runtime.drain_asked.set()
-            return
+async def _await_signal(runtime: runtimes.Runtime, path: str) -> None:
+    await _wait_for_stop(path)
+    runtime.drain_asked.set()
 
 
-async def _wait_for_stop() -> None:
-    """Waits for the signal; this role holds nothing and answers nobody."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            return
+async def _wait_for_stop(path: str) -> None:
+    """Waits for the signal to stop, and checks the settings at a reload.
+
+    What the settings name is fixed for the life of the process, so a reload
+    only tells whether the file could be used at the next start.
+    """
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+        async for number in received:
+            if number != signal.SIGHUP:
+                return
+            problems: list[str] = []
+            try:
+                settingsfile.load(path)
+            except settings_errors.SettingsError as e:
+                problems = e.problems
+            events.log(
+                events.Event.SETTINGS_RELOADED, path=path, problems=problems
+            )
