--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -351,8 +351,7 @@
             self.feed.apply(
                 stores.Entry(put.key, put.value, revision, revision)
             )
-        changed, self.feed.changed = self.feed.changed, trio.Event()
-        changed.set()
+        self.feed.announce()
         return True
 
     async def forget(self, record: Record) -> None:
--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -29,8 +29,8 @@
 RUN_LIMIT_S = 30.0
 # An engine that sends nothing for this long is given up for another one.
 SILENCE_S = 1.5
-# Pause before an item that an engine turned away is sent again.
-TURNED_AWAY_S = 0.05
+# Pause before an engine that turned a model's item away gets another one.
+TURNED_AWAY_S = 0.1
 FAILED_PAUSE_S = 0.1
 # A scoring call has this many times the route's wanted latency.
 SCORE_PATIENCE = 10
@@ -108,6 +108,13 @@
             for sample in progress.samples.values()
         ]
 
+    def demand(self) -> int:
+        """Returns how many samples have no whole text yet."""
+        return sum(
+            sample.stage in (samples.Stage.WAITING, samples.Stage.GENERATING)
+            for sample in self.open_samples()
+        )
+
     def wake(self) -> None:
         """Has the samples looked at again at once."""
         self.woken.set()
@@ -311,11 +318,12 @@
         if answer.load is not None:
             server.note_load(answer.load, now)
         if answer.not_run:
-            self._postpone(sample, TURNED_AWAY_S)
-            if answer.wrong_server and answer.version:
-                model = sample.record.batch.model
+            model = sample.record.batch.model
+            if not answer.wrong_server:
+                server.closed[model] = now + TURNED_AWAY_S
+            elif answer.version:
                 server.versions[model] = answer.version
-            elif answer.wrong_server:
+            else:
                 server.note_failure(now)
             return f"turned away with {answer.status}"
         if answer.status == 422:
--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -46,11 +46,12 @@
     return waiting.route.due_s - age_s - expected_s + rank_s
 
 
-def can_run(waiting: sample.Sample, server: roster.Server) -> bool:
-    """Tells whether an engine's weights will do for a sample."""
+def can_run(waiting: sample.Sample, server: roster.Server, now: float) -> bool:
+    """Tells whether an engine's weights will do for a sample, and are there."""
     batch = waiting.record.batch
     version = server.versions.get(batch.model, 0)
-    return version >= batch.minimum_version
+    is_open = server.closed.get(batch.model, 0.0) <= now
+    return is_open and version >= batch.minimum_version
 
 
 def finish_cost(
@@ -90,7 +91,7 @@
     ready = [w for w in waiting if w.not_before <= now]
     ready.sort(key=lambda w: slack_s(w, now_ms, token_s))
     for candidate in ready:
-        able = [s for s in free if can_run(candidate, s)]
+        able = [s for s in free if can_run(candidate, s, now)]
         if able:
             known = prompts.get(candidate.item.group, set())
             server = min(
@@ -114,6 +115,6 @@
         for server in servers:
             has_room = server.in_flight < server.entry.slots
             is_due = candidate.not_before <= now
-            if is_due and has_room and can_run(candidate, server):
+            if is_due and has_room and can_run(candidate, server, now):
                 return Choice(candidate, server)
     return None
--- a/src/kingcupscale/capacity/fleetsize.py
+++ b/src/kingcupscale/capacity/fleetsize.py
@@ -21,6 +21,11 @@
 # Pause after a refused order before the same zone is asked again.
 REFUSED_PAUSE_S = 2.0
 FAILED_PAUSE_S = 0.7
+# Peaks are remembered for this long, so that the number does not follow each
+# step of a trainer.
+MEMORY_S = 60.0
+# Percentage of the samples at a peak that find a slot at once.
+PEAK_PERCENT = 80
 
 
 class OrderState(enum.Enum):
@@ -88,8 +93,30 @@
     return wanted
 
 
+@attrs.define
+class Demand:
+    """The most that was asked of a service within a while.
+
+    Attributes:
+        readings: Recent readings as (monotonic time, samples).
+    """
+
+    readings: list[tuple[float, int]] = attrs.field(factory=list)
+
+    def note(self, now: float, samples: int) -> None:
+        """Adds a reading and drops old ones."""
+        self.readings.append((now, samples))
+        oldest = now - MEMORY_S
+        self.readings = [r for r in self.readings if r[0] >= oldest]
+
+    def servers(self, slots: int) -> int:
+        """Returns how many servers the peak asks for."""
+        peak = max((samples for _, samples in self.readings), default=0)
+        return -(-peak * PEAK_PERCENT // (100 * max(1, slots)))
+
+
 class Sizer:
-    """Keeps a service at its size, while this node holds the duty.
+    """Keeps a service at the size that its peaks need, while it is ours.
 
     Args:
         tenure: The duty of ordering for the service.
@@ -97,6 +124,7 @@
         provider: Takes the orders.
         clock: Tells the time.
         catalogue_now: Returns the configuration in force.
+        demand_now: Returns how many samples are to be generated.
     """
 
     def __init__(
@@ -106,7 +134,10 @@
         provider: Provider,
         clock: clocks.Clock,
         catalogue_now: Callable[[], catalogue.Catalogue | None],
+        demand_now: Callable[[], int],
     ) -> None:
+        self.demand_now = demand_now
+        self.demand = Demand()
         self.tenure = tenure
         self.servers = servers
         self.provider = provider
@@ -128,9 +159,12 @@
             for server in self.servers.of_service(service.name)
             if server.entry.state is roster.ServerState.READY
         ]
-        self.initial = max(self.initial, len(present))
+        self.demand.note(now, self.demand_now())
+        if not self.initial:
+            self.initial = len(present)
+        total = max(self.initial, self.demand.servers(service.slots))
         closed = {z for z, until in self.not_before.items() if until > now}
-        wanted = wanted_by_zone(service.scaling, self.initial, closed)
+        wanted = wanted_by_zone(service.scaling, total, closed)
         for zone, number in wanted.items():
             here = sum(server.entry.zone == zone for server in present)
             is_known = self.ordered.get(zone, here) == number
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -19,6 +19,8 @@
     NODE_STOPPED = (2003, "A node has ended in order.")
     SETTINGS_RELOADED = (2004, "The settings file was read again.")
     MEMBER_CHANGED = (2101, "A member became alive, suspect, dead or left.")
+    PEER_SILENT = (2103, "Another node does not answer.")
+    PEER_BACK = (2104, "Another node answers again.")
     ADMISSION_CHANGED = (2102, "The node started or stopped admitting.")
     CONFIGURATION_APPLIED = (2201, "A configuration revision is in force.")
     CONFIGURATION_CHANGED = (2202, "An operator's change was accepted.")
--- /dev/null
+++ b/src/kingcupscale/fleet/peers.py
@@ -0,0 +1,125 @@
+"""The other nodes: which one to follow, and which ones do not answer."""
+
+import random
+
+import orjson
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale.peering import relay
+from kingcupscale.storage import changelog
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import tenure as tenures
+
+# A node that did not answer is not asked again for this long.
+AVOID_S = 0.6
+# A node that does not answer for this long is taken for dead by those who are
+# to run its batches meanwhile; running them twice does no harm.
+SILENT_S = 0.7
+
+
+class Peers:
+    """What a node knows of the others.
+
+    Args:
+        node: This node's name.
+        client: Asks other nodes.
+        clock: Tells the time.
+        rng: Decides among equals.
+
+    Attributes:
+        feed: The mirror that tells of the nodes; set once it exists.
+        silent_since: Monotonic time of the first unanswered call, by node.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        client: relay.RelayClient,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.node = node
+        self.client = client
+        self.clock = clock
+        self.rng = rng
+        self.feed: feeds.Feed | None = None
+        self.silent_since: dict[str, float] = {}
+        self.not_before: dict[str, float] = {}
+
+    def addresses(self) -> dict[str, str]:
+        """Returns the other nodes' addresses by name."""
+        if self.feed is None:
+            return {}
+        found = {}
+        for entry in self.feed.under(tenures.NODES_PREFIX):
+            name = entry.key.removeprefix(tenures.NODES_PREFIX)
+            address = orjson.loads(entry.value or b"{}").get("peers", "")
+            if name != self.node and address:
+                found[name] = address
+        return found
+
+    def holder(self, duty: str) -> str:
+        """Returns the node that holds a duty; empty for none."""
+        entry = (
+            self.feed.entries.get(tenures.DUTIES_PREFIX + duty)
+            if self.feed
+            else None
+        )
+        return (entry.value or b"").decode().partition(" ")[0] if entry else ""
+
+    def leaders(self) -> list[str]:
+        """Returns the other nodes that hold a duty, in a fixed order."""
+        if self.feed is None:
+            return []
+        entries = self.feed.under(tenures.DUTIES_PREFIX)
+        names = [(e.value or b"").decode().partition(" ")[0] for e in entries]
+        return [n for n in dict.fromkeys(names) if n and n != self.node]
+
+    def is_silent(self, node: str) -> bool:
+        """Tells whether a node has not answered for a while."""
+        since = self.silent_since.get(node)
+        return since is not None and self.clock.monotonic() - since > SILENT_S
+
+    async def follow(
+        self, position: changelog.Position, any_node: bool
+    ) -> changelog.Changes | None:
+        """Returns another node's changes, a leader's if possible.
+
+        Args:
+            position: How far this node has read.
+            any_node: Whether nodes that lead nothing will do as well.
+        """
+        addresses = self.addresses()
+        names = [name for name in self.leaders() if name in addresses]
+        if any_node:
+            others = sorted(addresses.keys() - set(names))
+            self.rng.shuffle(others)
+            names += others[:2]
+        for name in names:
+            if self.not_before.get(name, 0.0) > self.clock.monotonic():
+                continue
+            changes = await self._ask(name, addresses[name], position)
+            if changes is not None:
+                return changes
+        return None
+
+    async def _ask(
+        self, name: str, address: str, position: changelog.Position
+    ) -> changelog.Changes | None:
+        asked_at = self.clock.monotonic()
+        try:
+            changes = await self.client.follow(address, position)
+        except relay.FollowedTooLateError:
+            self.silent_since.pop(name, None)
+            self.not_before[name] = self.clock.monotonic() + AVOID_S
+            return None
+        except relay.RelayError as e:
+            if name not in self.silent_since:
+                events.log(events.Event.PEER_SILENT, peer=name, reason=str(e))
+            self.silent_since.setdefault(name, asked_at)
+            self.not_before[name] = self.clock.monotonic() + AVOID_S
+            return None
+        if self.silent_since.pop(name, None) is not None:
+            events.log(events.Event.PEER_BACK, peer=name)
+        return changes
--- a/src/kingcupscale/fleet/roster.py
+++ b/src/kingcupscale/fleet/roster.py
@@ -71,6 +71,8 @@
         sequence: Orders that it has accepted since its start; None if not
             known.
         pace: How slow it is against others of its service; 1 is average.
+        closed: Monotonic time, by model, before which it takes no samples of
+            the model, because it is loading weights for it.
         is_gone: Whether its entry has been removed.
         removed_at: Monotonic time at which the entry went missing.
     """
@@ -84,6 +86,7 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     sequence: int | None = None
     pace: float = 1.0
+    closed: dict[str, float] = attrs.field(factory=dict)
     is_gone: bool = False
     removed_at: float | None = None
 
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -12,6 +12,7 @@
 from kingcupscale import events
 from kingcupscale import runtime as runtimes
 from kingcupscale import settings as settings_errors
+from kingcupscale.peering import relay
 from kingcupscale.platform import cloud
 from kingcupscale.platform import documents
 from kingcupscale.platform import frontend
@@ -49,6 +50,7 @@
     """Returns a node that speaks the platform's wire."""
     to_store = exchange.HttpExchanger(idle_s=STORE_IDLE_S)
     to_servers = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
+    to_peers = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
     to_cloud = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
     client = cloud.PlatformCloud(to_cloud, settings.cloud)
     return runtimes.Runtime(
@@ -60,6 +62,7 @@
             client,
             clocks.SystemClock(),
             random.Random(),
+            relay.HttpRelayClient(to_peers),
             KEYS,
             DECODERS,
         ),
@@ -109,6 +112,13 @@
             limits,
             runtime.stopped.wait,
         )
+        await nursery.start(
+            server.serve,
+            runtime.relay,
+            settings.peers,
+            limits,
+            runtime.stopped.wait,
+        )
         await runtime.run()
         events.log(events.Event.NODE_STOPPED, node=settings.node)
 
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -18,10 +18,13 @@
 from kingcupscale.batches import loader as loaders
 from kingcupscale.capacity import fleetsize
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import peers
 from kingcupscale.fleet import roster
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import callers
 from kingcupscale.gateway import forwarder
+from kingcupscale.peering import relay
+from kingcupscale.storage import changelog
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
@@ -32,6 +35,10 @@
 LEADER_PAUSE_S = 0.1
 FOLLOWER_PAUSE_S = 0.35
 DUTY_PAUSE_S = 0.2
+HOLDER_PAUSE_S = 0.05
+# Share of the time within which holders must not take turns; a shorter lease
+# is sooner taken over.
+LEASE_SHARE = 0.7
 SWEEP_PAUSE_S = 0.25
 USAGE_PAUSE_S = 0.5
 # A batch is kept this much longer than it has to be readable.
@@ -81,6 +88,7 @@
         provider: Takes orders for servers.
         clock: Tells the time.
         rng: Decides among equals.
+        relay: Asks other nodes for changes.
         keys: Where operators and servers write.
         decoders: How that is read.
     """
@@ -91,6 +99,7 @@
     provider: fleetsize.Provider
     clock: clocks.Clock
     rng: random.Random
+    relay: relay.RelayClient
     keys: Keys
     decoders: Decoders
 
@@ -128,6 +137,7 @@
             around.provider,
             around.clock,
             lambda: runtime.catalogue,
+            self.coordinator.demand,
         )
         self.runtime = runtime
 
@@ -148,19 +158,31 @@
         return self.runtime.rank(self.tenure.name)
 
     async def _watch_holder(self) -> None:
-        """Runs batches from taking the duty until another node has it."""
+        """Runs batches while holding the duty, or for a silent holder."""
         while True:
-            held = self.tenure.is_held()
-            entry = self.runtime.feed.entries.get(self.tenure.key)
-            own = f"{self.runtime.settings.node} ".encode()
-            is_others = entry is not None and not (
-                entry.value or b""
-            ).startswith(own)
-            if held:
+            holder = self.runtime.peers.holder(self.tenure.name)
+            if self.tenure.is_held():
                 self.coordinator.is_active = True
-            elif is_others or self.runtime.is_draining:
+            elif self.runtime.is_draining:
                 self.coordinator.is_active = False
-            await self.runtime.clock.sleep(0.05)
+            elif holder and holder != self.runtime.settings.node:
+                self.coordinator.is_active = self._stands_in_for(holder)
+            await self.runtime.clock.sleep(HOLDER_PAUSE_S)
+
+    def _stands_in_for(self, holder: str) -> bool:
+        """Tells whether this node runs the batches of a silent holder.
+
+        Items may run twice, so this needs no lease; orders do.
+        """
+        if not self.runtime.peers.is_silent(holder):
+            return False
+        ranking = self.runtime.ranking(self.tenure.name)
+        others = [
+            name
+            for name in ranking
+            if name != holder and not self.runtime.peers.is_silent(name)
+        ]
+        return others[:1] == [self.runtime.settings.node]
 
 
 class Runtime:
@@ -198,8 +220,17 @@
     def _make_storage(self) -> None:
         settings, around = self.settings, self.surroundings
         self.feed = feeds.Feed(
-            around.store, self.clock, settings.node, self._feed_pause_s
+            around.store,
+            self.clock,
+            settings.node,
+            self._feed_pause_s,
+            self._follow,
+        )
+        self.peers = peers.Peers(
+            settings.node, around.relay, self.clock, around.rng
         )
+        self.peers.feed = self.feed
+        self.relay = relay.RelayHandler(self.feed)
         self.roster = roster.Roster(
             self.clock,
             lambda: self.feed.regained_at,
@@ -207,7 +238,9 @@
         )
         self.book = books.Book(self.feed, self.clock, settings.value_bytes)
         announcement = orjson.dumps({"peers": settings.peers})
-        ttl_s = max(settings.least_lease_s, settings.bounds.lease_s)
+        ttl_s = max(
+            settings.least_lease_s, LEASE_SHARE * settings.bounds.lease_s
+        )
         self.session = tenures.Session(
             around.store, self.clock, settings.node, ttl_s, announcement
         )
@@ -242,9 +275,20 @@
             settings.bounds.late_s,
         )
 
+    def leads(self) -> bool:
+        """Tells whether this node holds a service's duty."""
+        return any(d.tenure.is_held() for d in self.duties.values())
+
+    async def _follow(
+        self, position: changelog.Position
+    ) -> changelog.Changes | None:
+        """Follows a leader, or any node while the store does not answer."""
+        if self.leads() and not self.feed.is_lost:
+            return None
+        return await self.peers.follow(position, any_node=self.feed.is_lost)
+
     def _feed_pause_s(self) -> float:
-        leads = any(d.tenure.is_held() for d in self.duties.values())
-        return LEADER_PAUSE_S if leads else FOLLOWER_PAUSE_S
+        return LEADER_PAUSE_S if self.leads() else FOLLOWER_PAUSE_S
 
     def _take_configuration(self, entry: stores.Entry) -> None:
         if entry.value is None:
@@ -320,13 +364,17 @@
         """Tells whether callers should be sent here."""
         return not self.is_draining and self.find_refusal() is None
 
-    def rank(self, duty: str) -> int:
-        """Returns this node's place among the candidates for a duty."""
+    def ranking(self, duty: str) -> list[str]:
+        """Returns the candidates for a duty, the preferred one first."""
         names = [
             entry.key.removeprefix(tenures.NODES_PREFIX)
             for entry in self.feed.under(tenures.NODES_PREFIX)
         ]
-        ranking = rendezvous.rank(duty, names)
+        return rendezvous.rank(duty, names)
+
+    def rank(self, duty: str) -> int:
+        """Returns this node's place among the candidates for a duty."""
+        ranking = self.ranking(duty)
         node = self.settings.node
         return ranking.index(node) if node in ranking else len(ranking)
 
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -1,11 +1,13 @@
 """A mirror of the store's keys, kept by one watch a node."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import trio
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.storage import changelog
 from kingcupscale.storage import store as stores
 
 # A watch that hears nothing is ended by the store after this long, so that a
@@ -13,8 +15,13 @@
 WATCH_WAIT_S = 1.0
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.5
+# A followed mirror that is older than this is no better than none.
+FOLLOWED_AGE_S = 1.2
 
 Listener = Callable[[stores.Entry], None]
+# Returns another node's changes past a position; None if there is no node to
+# follow or it does not answer.
+Follow = Callable[[changelog.Position], Awaitable[changelog.Changes | None]]
 
 
 class Feed:
@@ -28,14 +35,17 @@
         clock: Tells the time.
         node: The node's name, for the log.
         pause_s: Shortest time between two watches, in seconds; by need.
+        follow: Reads another node's mirror where that is wanted.
 
     Attributes:
         entries: Present entries by key.
-        revision: The store's revision that the mirror is as of.
+        revision: The store's revision up to which nothing is missing.
         current_at: Monotonic time at which the last good answer was asked for;
             negative before the first.
         regained_at: Monotonic time at which the store last came back.
+        is_lost: Whether neither the store nor another node answers.
         changed: Set and replaced whenever something has changed.
+        log: The latest changes, for nodes that follow this one.
     """
 
     def __init__(
@@ -44,11 +54,13 @@
         clock: clocks.Clock,
         node: str,
         pause_s: Callable[[], float],
+        follow: Follow,
     ) -> None:
         self.store = store
         self.clock = clock
         self.node = node
         self.pause_s = pause_s
+        self.follow = follow
         self.entries: dict[str, stores.Entry] = {}
         self.listeners: list[tuple[str, Listener]] = []
         self.revision = 0
@@ -57,6 +69,8 @@
         self.is_lost = False
         self.changed = trio.Event()
         self.hurried = trio.Event()
+        self.log = changelog.ChangeLog()
+        self.position = changelog.Position("", 0, 0)
 
     def subscribe(self, prefix: str, listener: Listener) -> None:
         """Calls a listener with every change under a prefix."""
@@ -91,10 +105,16 @@
             del self.entries[entry.key]
         else:
             self.entries[entry.key] = entry
+        self.log.add(entry)
         for prefix, listener in self.listeners:
             if entry.key.startswith(prefix):
                 listener(entry)
 
+    def announce(self) -> None:
+        """Wakes those who wait for changes."""
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
     async def run(self) -> None:
         """Keeps the mirror current until cancelled."""
         retry_s = RETRY_LEAST_S
@@ -104,9 +124,10 @@
                 if not is_loaded:
                     await self._load()
                     is_loaded = True
-                await self._follow()
+                if not await self._follow_node():
+                    await self._watch_store()
+                    await self._pause()
                 retry_s = RETRY_LEAST_S
-                await self._pause()
             except stores.HistoryLostError:
                 events.log(
                     events.Event.STORE_HISTORY_LOST, revision=self.revision
@@ -121,11 +142,11 @@
         """Reads everything; what is not found any more is removed."""
         asked_at = self.clock.monotonic()
         found: set[str] = set()
-        first: int | None = None
+        first = 0
         after, has_more = "", True
         while has_more:
             page = await self.store.scan("", after)
-            first = page.revision if first is None else first
+            first = first or page.revision
             for entry in page.entries:
                 found.add(entry.key)
                 self.apply(entry)
@@ -134,17 +155,35 @@
         # Pages are no snapshot: what changed between them is watched again.
         for key in [key for key in self.entries if key not in found]:
             if self.entries[key].revision <= first:
-                self.apply(stores.Entry(key, None, first + 1))
-        self.revision = first or 0
+                self.apply(stores.Entry(key, None, first))
+        self.revision = first
+        self.log.restart(first)
         self._note_current(asked_at)
 
-    async def _follow(self) -> None:
+    async def _follow_node(self) -> bool:
+        """Takes over another node's changes; False if there is none."""
+        asked_at = self.clock.monotonic()
+        position = changelog.Position(
+            self.position.log, self.position.number, self.revision
+        )
+        changes = await self.follow(position)
+        if changes is None or changes.age_s > FOLLOWED_AGE_S:
+            self.position = changelog.Position("", 0, 0)
+            return False
+        for entry in changes.entries:
+            self.apply(entry)
+        self.position = changes.position
+        self.revision = max(self.revision, changes.position.revision)
+        current_at = asked_at - changes.age_s
+        self._note_current(max(self.current_at, current_at))
+        return True
+
+    async def _watch_store(self) -> None:
         asked_at = self.clock.monotonic()
         page = await self.store.watch("", self.revision, WATCH_WAIT_S)
         for entry in page.entries:
             self.apply(entry)
         self.revision = max(self.revision, page.revision)
-        # An empty answer says that nothing changed up to its end.
         self._note_current(asked_at)
 
     def _note_current(self, asked_at: float) -> None:
@@ -153,8 +192,7 @@
             self.is_lost = False
             self.regained_at = self.clock.monotonic()
             events.log(events.Event.STORE_REGAINED, node=self.node)
-        changed, self.changed = self.changed, trio.Event()
-        changed.set()
+        self.announce()
 
     def _note_lost(self, error: stores.StoreError) -> None:
         if not self.is_lost:
