--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import traceback
 
 import attrs
 import trio
@@ -12,6 +13,7 @@
 from kingcupscale import metrics
 from kingcupscale.batches import batch as batches
 from kingcupscale.batches import book as books
+from kingcupscale.batches import moving
 from kingcupscale.batches import placement
 from kingcupscale.batches import sample as samples
 from kingcupscale.fleet import catalogue
@@ -27,8 +29,12 @@
 # Time that an engine gets for the connection and for the whole run.
 CONNECT_S = 0.3
 RUN_LIMIT_S = 30.0
-# An engine that sends nothing for this long is given up for another one.
-SILENCE_S = 1.5
+# An engine that sends nothing for this long is given up for another one; one
+# that loads weights keeps its runs waiting meanwhile.
+SILENCE_S = 0.8
+LOADING_SILENCE_S = 3.0
+# Tokens of an event before any has been counted.
+EVENT_TOKENS = 30.0
 # Pause before an engine that turned a model's item away gets another one.
 TURNED_AWAY_S = 0.1
 FAILED_PAUSE_S = 0.1
@@ -70,6 +76,7 @@
         is_active: Whether this node runs the service's batches.
         token_s: Mean time of a token, in seconds.
         event_s: Mean time of an event, in seconds; 0 before the first.
+        event_tokens: Geometric mean of the expected tokens for an event.
     """
 
     def __init__(
@@ -94,6 +101,7 @@
         self.is_active = False
         self.token_s = placement.TOKEN_S
         self.event_s = 0.0
+        self.event_tokens = EVENT_TOKENS
         self.progress: dict[str, Progress] = {}
         self.prompts: dict[str, set[str]] = {}
         self.texts: dict[str, list[serverclient.StreamEvent]] = {}
@@ -218,6 +226,7 @@
         waiting = [
             s for s in self.open_samples() if s.stage is samples.Stage.WAITING
         ]
+        self._move_slow_runs(now, waiting)
         usable = [
             s for s in self.servers.of_service(self.service) if s.is_usable(now)
         ]
@@ -232,7 +241,43 @@
             choice.sample.server = choice.server.id
             choice.server.in_flight += 1
             self._note_prompt(choice)
-            nursery.start_soon(self._run_sample, choice)
+            nursery.start_soon(self._run_guarded, choice)
+
+    def _move_slow_runs(
+        self, now: float, waiting: list[samples.Sample]
+    ) -> None:
+        """Ends runs that would be done sooner on another engine."""
+        free = [
+            s
+            for s in self.servers.of_service(self.service)
+            if s.is_usable(now) and s.in_flight < s.entry.slots
+        ]
+        taken = len(waiting)
+        for sample in self.open_samples():
+            if sample.stage is not samples.Stage.GENERATING:
+                continue
+            here = self.servers.servers.get(sample.server)
+            others = [
+                s
+                for s in free
+                if s.id != sample.server and placement.can_run(sample, s, now)
+            ]
+            room = sum(s.entry.slots - s.in_flight for s in others)
+            if not others or here is None or room <= taken:
+                continue
+            best = min(placement.finish_cost(sample, s, False) for s in others)
+            pace = moving.Pace(
+                sample.run_events,
+                len(sample.events),
+                sample.event_s(now),
+                sample.moves,
+            )
+            expected = sample.expected_tokens() / self.event_tokens
+            if moving.is_worth_moving(pace, best * self.event_s, expected):
+                sample.moves += 1
+                taken += 1
+                here.note_pace(pace.event_s / max(1e-6, self.event_s))
+                sample.run_scope.cancel()
 
     def _note_prompt(self, choice: placement.Choice) -> None:
         if len(self.prompts) > TEXTS_KEPT:
@@ -247,6 +292,20 @@
             if is_waiting and age_s > sample.route.max_age_s:
                 self._finish(sample, None, "too old")
 
+    async def _run_guarded(self, choice: placement.Choice) -> None:
+        """Runs a sample; an unexpected error ends only this run."""
+        try:
+            await self._run_sample(choice)
+        except Exception as e:
+            events.log(
+                events.Event.REQUEST_FAILED,
+                kind=type(e).__name__,
+                item=choice.sample.id,
+                trace=traceback.format_tb(e.__traceback__),
+            )
+            choice.sample.stage = samples.Stage.WAITING
+            self._postpone(choice.sample, SILENCE_S)
+
     async def _run_sample(self, choice: placement.Choice) -> None:
         sample, server = choice.sample, choice.server
         is_whole = False
@@ -270,13 +329,17 @@
         model = sample.record.batch.model
         version = server.versions.get(model, 0)
         sample.keep_usable_text(version)
+        sample.begin_run()
         began_at = self.clock.monotonic()
         before = len(sample.events)
         call = self._make_call(sample, version)
         outcome = "whole"
         try:
-            async with self.client.run(server, call, CONNECT_S) as answer:
-                outcome = await self._take_answer(sample, server, answer)
+            with sample.run_scope:
+                async with self.client.run(server, call, CONNECT_S) as answer:
+                    outcome = await self._take_answer(sample, server, answer)
+            if sample.run_scope.cancelled_caught:
+                outcome = "moved"
         except serverclient.ServerError as e:
             outcome = f"broken: {e.reason}"
             server.note_failure(self.clock.monotonic())
@@ -332,7 +395,7 @@
         if not answer.is_success:
             self._note_own_failure(sample, answer)
             return f"failed with {answer.status}"
-        return await self._read_events(sample, answer)
+        return await self._read_events(sample, server, answer)
 
     def _note_own_failure(
         self, sample: samples.Sample, answer: serverclient.Answer
@@ -344,24 +407,31 @@
                 self._finish(sample, None, "failed at every run")
 
     async def _read_events(
-        self, sample: samples.Sample, answer: serverclient.Answer
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        answer: serverclient.Answer,
     ) -> str:
         stream = self.client.events(answer)
         async with contextlib.aclosing(stream):
             while True:
                 event = None
-                with trio.move_on_after(SILENCE_S) as scope:
+                with trio.move_on_after(self._silence_s(server)) as scope:
                     event = await anext(stream, None)
                 if scope.cancelled_caught:
                     raise serverclient.ServerError("silent in a stream", True)
                 if event is None:
                     return "whole"
-                if not sample.add(event):
+                if not sample.add(event, self.clock.monotonic()):
                     raise serverclient.ServerError(
                         f"event {event.number} after {len(sample.events)}",
                         True,
                     )
 
+    def _silence_s(self, server: roster.Server) -> float:
+        is_loading = server.loading_until > self.clock.monotonic()
+        return LOADING_SILENCE_S if is_loading else SILENCE_S
+
     def _postpone(self, sample: samples.Sample, seconds: float) -> None:
         sample.not_before = self.clock.monotonic() + seconds
 
@@ -377,6 +447,8 @@
             return
         elapsed_s = self.clock.monotonic() - began_at
         if before == 0 and sample.item.length_hint:
+            ratio = sample.item.length_hint / len(sample.events)
+            self.event_tokens *= (ratio / self.event_tokens) ** TOKEN_WEIGHT
             token_s = min(LONGEST_TOKEN_S, elapsed_s / sample.item.length_hint)
             self.token_s += TOKEN_WEIGHT * (token_s - self.token_s)
         self.event_s = self.event_s or elapsed_s / made
--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -176,6 +176,7 @@
         before = load.server.versions.get(load.model, 0)
         trial_s = TRIAL_SHARE * self.load_s
         load.server.closed[load.model] = began_at + trial_s
+        load.server.loading_until = began_at + 2 * self.load_s
         await self.clock.sleep(trial_s)
         # Samples bear the version they expect, so that a trial that comes too
         # early is turned away without a run.
--- a/src/kingcupscale/batches/sample.py
+++ b/src/kingcupscale/batches/sample.py
@@ -1,5 +1,6 @@
 """One item on its way to a result."""
 
+import collections
 import enum
 
 import attrs
@@ -12,6 +13,8 @@
 
 # An item whose length nobody knows is taken for one of this many tokens.
 USUAL_TOKENS = 400
+# Events over which the pace of a run is measured.
+PACE_EVENTS = 6
 
 
 class Stage(enum.Enum):
@@ -39,7 +42,11 @@
         result: Its result, once there is one.
         server: Where it runs.
         waiting_since: Monotonic time since which it waits.
-        scope: Ends its present run.
+        scope: Ends all work on it.
+        run_scope: Ends its present run only.
+        moves: How often it has left an engine for another one.
+        event_times: Monotonic times of the latest events of its run.
+        run_events: Events that its present run has made.
     """
 
     item: batch.Item
@@ -54,6 +61,12 @@
     server: str = ""
     waiting_since: float = 0.0
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    run_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    moves: int = 0
+    event_times: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=PACE_EVENTS)
+    )
+    run_events: int = 0
 
     @property
     def id(self) -> str:
@@ -84,13 +97,33 @@
         if is_old or is_mixed:
             self.events.clear()
 
-    def add(self, event: serverclient.StreamEvent) -> bool:
+    def begin_run(self) -> None:
+        """Forgets the pace of the run before."""
+        self.event_times.clear()
+        self.run_events = 0
+        self.run_scope = trio.CancelScope()
+
+    def add(self, event: serverclient.StreamEvent, now: float) -> bool:
         """Adds the next event; False if it is not the next one."""
         if event.number != len(self.events) + 1:
             return False
         self.events.append(event)
+        self.event_times.append(now)
+        self.run_events += 1
         return True
 
+    def event_s(self, now: float) -> float:
+        """Returns seconds that an event takes of late; 0 if unknown.
+
+        Args:
+            now: Monotonic time; a pause that goes on counts as well.
+        """
+        gaps = len(self.event_times) - 1
+        if gaps < 1:
+            return 0.0
+        first, last = self.event_times[0], self.event_times[-1]
+        return max((last - first) / gaps, (now - first) / (gaps + 1))
+
     def finish(self, score: str) -> None:
         """Makes the result of a scored text."""
         self.result = batch.Result(
--- a/src/kingcupscale/fleet/roster.py
+++ b/src/kingcupscale/fleet/roster.py
@@ -73,6 +73,8 @@
         pace: How slow it is against others of its service; 1 is average.
         closed: Monotonic time, by model, before which it takes no samples of
             the model, because it is loading weights for it.
+        loading_until: Monotonic time until which runs may have to wait,
+            because it is loading weights.
         is_gone: Whether its entry has been removed.
         removed_at: Monotonic time at which the entry went missing.
     """
@@ -87,6 +89,7 @@
     sequence: int | None = None
     pace: float = 1.0
     closed: dict[str, float] = attrs.field(factory=dict)
+    loading_until: float = 0.0
     is_gone: bool = False
     removed_at: float | None = None
 
