--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -49,6 +49,8 @@
 TEXTS_KEPT = 2000
 # Most results in one write, by the size of their texts in bytes.
 WRITE_BYTES = 400_000
+# Most batches in one write; a transaction takes 32 entries at the least.
+WRITE_BATCHES = 16
 
 
 @attrs.define
@@ -74,6 +76,8 @@
 
     Attributes:
         is_active: Whether this node runs the service's batches.
+        leftovers: Finished samples of batches that another node runs by now;
+            whichever node lists a result first, it stands.
         token_s: Mean time of a token, in seconds.
         event_s: Mean time of an event, in seconds; 0 before the first.
         event_tokens: Geometric mean of the expected tokens for an event.
@@ -105,6 +109,7 @@
         self.progress: dict[str, Progress] = {}
         self.prompts: dict[str, set[str]] = {}
         self.texts: dict[str, list[serverclient.StreamEvent]] = {}
+        self.leftovers: list[samples.Sample] = []
         self.finished = trio.Event()
         self.woken = trio.Event()
 
@@ -158,6 +163,8 @@
             sample.scope.cancel()
             if sample.events and sample.result is None:
                 self.texts[sample.id] = sample.events
+            if sample.result is not None and progress.record.is_open():
+                self.leftovers.append(sample)
         while len(self.texts) > TEXTS_KEPT:
             del self.texts[next(iter(self.texts))]
         events.log(
@@ -582,16 +589,25 @@
         self.wake()
 
     def _gather(self) -> list[tuple[books.Record, books.Chunk]]:
-        additions = []
+        """Returns the results that are not listed yet, as far as fits."""
+        self.leftovers = [
+            sample
+            for sample in self.leftovers
+            if sample.record.is_open()
+            and not sample.record.is_listed(sample.id)
+        ]
+        found: dict[str, tuple[books.Record, dict[str, batches.Result]]] = {}
         size = 0
-        for progress in self.progress.values():
-            results = []
-            for sample in progress.samples.values():
-                if sample.result is None or size > WRITE_BYTES:
-                    continue
-                if not progress.record.is_listed(sample.id):
-                    results.append(sample.result)
-                    size += len(sample.result.text) + 200
-            if results:
-                additions.append((progress.record, books.Chunk(results)))
-        return additions[:16]
+        for sample in [*self.open_samples(), *self.leftovers]:
+            record = sample.record
+            if sample.result is None or record.is_listed(sample.id):
+                continue
+            if size > WRITE_BYTES:
+                break
+            size += len(sample.result.text) + 200
+            _, results = found.setdefault(record.batch.id, (record, {}))
+            results.setdefault(sample.id, sample.result)
+        return [
+            (record, books.Chunk(list(results.values())))
+            for record, results in list(found.values())[:WRITE_BATCHES]
+        ]
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -155,7 +155,10 @@
             await tenures.hold(self.tenure, work, self._rank, DUTY_PAUSE_S)
 
     def _rank(self) -> int:
-        return self.runtime.rank(self.tenure.name)
+        """Prefers the node that already runs the service's batches."""
+        if self.coordinator.is_active:
+            return 0
+        return 1 + self.runtime.rank(self.tenure.name)
 
     async def _watch_holder(self) -> None:
         """Runs batches while holding the duty, or for a silent holder."""
