--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -83,6 +83,7 @@
         organisation: Its organisation; None on an open route.
         service: The service it goes to.
         deadline: Monotonic time of its end.
+        wait_until: Monotonic time until which it waits for room.
         tried: Servers that ran it or may have.
         full: Servers that turned it away at the last look.
         sent: How many attempts may have run.
@@ -93,6 +94,7 @@
     organisation: catalogue.Organisation | None
     service: str
     deadline: float
+    wait_until: float
     tried: set[str] = attrs.field(factory=set)
     full: set[str] = attrs.field(factory=set)
     sent: int = 0
@@ -181,6 +183,7 @@
             organisation,
             self._draw_service(route),
             inbound.received_at + min(inbound.patience_s, route.timeout_s),
+            inbound.received_at + ROOM_PATIENCE * route.target_s,
         )
         last: message.Response | None = None
         while True:
@@ -240,8 +243,7 @@
         self, inbound: Inbound, attempts: Attempts
     ) -> roster.Server | None:
         """Returns a server with room, waiting a little for one."""
-        patience_s = ROOM_PATIENCE * attempts.route.target_s
-        until = min(attempts.deadline, self.clock.monotonic() + patience_s)
+        until = attempts.wait_until
         if inbound.is_background:
             until = attempts.deadline
         while True:
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+import attrs
 import trio
 
 from kingcupscale import clock as clocks
@@ -46,29 +47,54 @@
 )
 
 
-def make_runtime(settings: deployment.SiteSettings) -> runtimes.Runtime:
-    """Returns a node that speaks the platform's wire."""
-    to_store = exchange.HttpExchanger(idle_s=STORE_IDLE_S)
-    to_servers = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
-    to_peers = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
-    to_cloud = exchange.HttpExchanger(idle_s=SERVER_IDLE_S)
-    client = cloud.PlatformCloud(to_cloud, settings.cloud)
+@attrs.frozen
+class Exchangers:
+    """What carries a node's calls, by whom they go to."""
+
+    store: exchange.Exchanger
+    servers: exchange.Exchanger
+    peers: exchange.Exchanger
+    cloud: exchange.Exchanger
+
+
+def make_runtime(
+    settings: deployment.SiteSettings,
+    exchangers: Exchangers,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> runtimes.Runtime:
+    """Returns a node that speaks the platform's wire.
+
+    Args:
+        settings: What it is told.
+        exchangers: What carries its calls.
+        clock: Tells the time.
+        rng: Decides among equals.
+    """
+    client = cloud.PlatformCloud(exchangers.cloud, settings.cloud)
     return runtimes.Runtime(
         settings,
         runtimes.Surroundings(
-            store.PlatformStore(to_store, settings.store),
-            servers.PlatformServers(to_servers),
+            store.PlatformStore(exchangers.store, settings.store),
+            servers.PlatformServers(exchangers.servers),
             client,
             client,
-            clocks.SystemClock(),
-            random.Random(),
-            relay.HttpRelayClient(to_peers),
+            clock,
+            rng,
+            relay.HttpRelayClient(exchangers.peers),
             KEYS,
             DECODERS,
         ),
     )
 
 
+def make_frontend(runtime: runtimes.Runtime) -> frontend.Frontend:
+    """Returns the handler for a node's callers."""
+    return frontend.Frontend(
+        runtime.callers, runtime.clock, lambda: runtime.is_draining
+    )
+
+
 async def run(settings: deployment.SiteSettings, path: str) -> None:
     """Runs a node until a signal begins its planned stop and that has ended.
 
@@ -88,10 +114,16 @@
     if not settings.callers:
         await _wait_for_stop(path)
         return
-    runtime = make_runtime(settings)
-    handler = frontend.Frontend(
-        runtime.callers, runtime.clock, lambda: runtime.is_draining
+    exchangers = Exchangers(
+        exchange.HttpExchanger(idle_s=STORE_IDLE_S),
+        exchange.HttpExchanger(idle_s=SERVER_IDLE_S),
+        exchange.HttpExchanger(idle_s=SERVER_IDLE_S),
+        exchange.HttpExchanger(idle_s=SERVER_IDLE_S),
+    )
+    runtime = make_runtime(
+        settings, exchangers, clocks.SystemClock(), random.Random()
     )
+    handler = make_frontend(runtime)
     limits = server.Limits()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_await_signal, runtime, path)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter, and of whole nodes behind it."""
