--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -10,6 +10,7 @@
 from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale.batches import batch
+from kingcupscale.storage import detour
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 
@@ -26,6 +27,8 @@
 # Pause between two tries of a write that the store did not take.
 RETRY_S = 0.15
 RETRY_MOST_S = 0.6
+# Time for a node that is followed to tell that nothing is missing.
+REFRESH_S = 2.5
 # Most results in one answer, by the size of their texts in bytes.
 PAGE_BYTES = 900_000
 
@@ -108,15 +111,20 @@
 
     Args:
         feed: The mirror of the store.
+        store: Where batches are written.
         clock: Tells the time.
         value_bytes: Largest value that the store holds.
     """
 
     def __init__(
-        self, feed: feeds.Feed, clock: clocks.Clock, value_bytes: int
+        self,
+        feed: feeds.Feed,
+        store: detour.DetourStore,
+        clock: clocks.Clock,
+        value_bytes: int,
     ) -> None:
         self.feed = feed
-        self.store = feed.store
+        self.store = store
         self.clock = clock
         self.part_bytes = int(value_bytes * VALUE_SHARE)
         self.records: dict[str, Record] = {}
@@ -136,8 +144,9 @@
                 self._take_specification(batch_id, number, entry.value)
             elif kind == RESULTS and batch_id in self.records:
                 self._take_chunk(batch_id, int(number), entry.value)
+                self.feed.drop_value(entry.key)
             elif kind == END and batch_id in self.records:
-                self.records[batch_id].is_ended = True
+                self._note_ended(self.records[batch_id])
         except (ValueError, cattrs.BaseValidationError) as e:
             events.log(
                 events.Event.STORE_ENTRY_UNREADABLE,
@@ -166,8 +175,20 @@
             specification.submitted_ms,
         )
         del self.waiting_parts[batch_id]
+        for number in parts:
+            self.feed.drop_value(key_of(batch_id, SPECIFICATION, number))
         self._take_waiting(batch_id)
 
+    def _note_ended(self, record: Record) -> None:
+        """Notes the end; bodies need not be shown any more after it."""
+        if not record.is_ended:
+            record.is_ended = True
+            items = [
+                attrs.evolve(item, body=b"", headers={}, scorer=None)
+                for item in record.batch.items
+            ]
+            record.batch = attrs.evolve(record.batch, items=items)
+
     def _take_waiting(self, batch_id: str) -> None:
         """Takes over keys of a batch that came before its specification."""
         for kind in (RESULTS, END):
@@ -288,9 +309,21 @@
                 has_more = page.has_more
                 after = page.entries[-1].key if page.entries else after
         except stores.StoreError as e:
-            raise errors.ServiceError(
-                errors.ResultCode.STORE_UNAVAILABLE, e.reason, retry_after_s=0.5
-            ) from e
+            if not await self._is_refreshed_by_followed_node():
+                raise errors.ServiceError(
+                    errors.ResultCode.STORE_UNAVAILABLE,
+                    e.reason,
+                    retry_after_s=0.5,
+                ) from e
+
+    async def _is_refreshed_by_followed_node(self) -> bool:
+        """Waits a little for the mirror to become current by another node."""
+        asked_at = self.clock.monotonic()
+        with trio.move_on_after(REFRESH_S):
+            while self.feed.current_at < asked_at:
+                await self.feed.changed.wait()
+            return True
+        return False
 
     async def read(
         self, record: Record, after: int, wait_s: float
@@ -323,7 +356,7 @@
             [stores.Condition(key, stores.ABSENT)], [stores.Put(key, b"1")]
         )
         await self._commit_for_sure(transaction, patience_s, record.batch.id)
-        record.is_ended = True
+        self._note_ended(record)
         self.feed.hurry()
 
     async def append(self, additions: list[tuple[Record, Chunk]]) -> bool:
--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -20,6 +20,7 @@
 from kingcupscale.fleet import roster
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import forwarder
+from kingcupscale.peering import handover
 from kingcupscale.storage import store as stores
 
 TICK_S = 0.05
@@ -45,6 +46,8 @@
 TOKEN_WEIGHT = 0.1
 # Longer times of a token come from hints that were far off.
 LONGEST_TOKEN_S = 0.01
+# A copied text replaces one that is shorter by more events than this.
+ADOPTED_LEAD = 8
 # Texts of ended batches that are kept for items that come again.
 TEXTS_KEPT = 2000
 # Most results in one write, by the size of their texts in bytes.
@@ -109,6 +112,7 @@
         self.progress: dict[str, Progress] = {}
         self.prompts: dict[str, set[str]] = {}
         self.texts: dict[str, list[serverclient.StreamEvent]] = {}
+        self.results: dict[str, batches.Result] = {}
         self.leftovers: list[samples.Sample] = []
         self.finished = trio.Event()
         self.woken = trio.Event()
@@ -121,6 +125,55 @@
             for sample in progress.samples.values()
         ]
 
+    def unlisted_samples(self) -> list[samples.Sample]:
+        """Returns samples of which something would be lost with this node."""
+        return [
+            sample
+            for sample in [*self.open_samples(), *self.leftovers]
+            if (sample.events or sample.result)
+            and not sample.record.is_listed(sample.id)
+        ]
+
+    def take_copy(self, copy: handover.Copy) -> None:
+        """Takes over texts that another node has made."""
+        present = {sample.id: sample for sample in self.open_samples()}
+        for text in copy.texts:
+            known = self.texts.get(text.item, [])
+            first = text.events[0].number if text.events else 0
+            if first == 1:
+                known = list(text.events)
+            elif first == len(known) + 1:
+                known = known + list(text.events)
+            self.texts[text.item] = known
+            if text.result is not None:
+                self.results[text.item] = text.result
+            sample = present.get(text.item)
+            if sample is not None:
+                self._adopt(sample)
+        self._bound_copies()
+
+    def _adopt(self, sample: samples.Sample) -> None:
+        """Goes on with a copied text or result, if it is ahead."""
+        if sample.result is not None:
+            return
+        text = self.texts.get(sample.id, [])
+        if sample.id in self.results:
+            sample.result = self.results.pop(sample.id)
+            sample.stage = samples.Stage.FINISHED
+            sample.scope.cancel()
+            self.finished.set()
+        elif (
+            sample.stage is not samples.Stage.SCORING
+            and len(text) > len(sample.events) + ADOPTED_LEAD
+        ):
+            sample.run_scope.cancel()
+            sample.events = list(text)
+
+    def _bound_copies(self) -> None:
+        for kept in (self.texts, self.results):
+            while len(kept) > TEXTS_KEPT:
+                del kept[next(iter(kept))]
+
     def demand(self) -> int:
         """Returns how many samples have no whole text yet."""
         return sum(
@@ -162,11 +215,10 @@
         for sample in progress.samples.values():
             sample.scope.cancel()
             if sample.events and sample.result is None:
-                self.texts[sample.id] = sample.events
+                self.texts[sample.id] = list(sample.events)
             if sample.result is not None and progress.record.is_open():
                 self.leftovers.append(sample)
-        while len(self.texts) > TEXTS_KEPT:
-            del self.texts[next(iter(self.texts))]
+        self._bound_copies()
         events.log(
             events.Event.BATCH_CLOSED,
             batch=progress.record.batch.id,
@@ -202,6 +254,8 @@
                 sample.waiting_since = now
                 sample.events = self.texts.pop(item.id, [])
                 progress.samples[item.id] = sample
+                if item.id in self.results:
+                    self._adopt(sample)
         self.progress[record.batch.id] = progress
         events.log(
             events.Event.BATCH_TAKEN_UP,
--- /dev/null
+++ b/src/kingcupscale/batches/copying.py
@@ -0,0 +1,98 @@
+"""Copying texts on their way to the node that would take over."""
+
+from collections.abc import Callable
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale.batches import coordinator as coordinators
+from kingcupscale.peering import handover
+
+# What a takeover loses is at most what was made within this time.
+COPY_PAUSE_S = 0.3
+# Most texts in one copy.
+TEXTS_MOST = 400
+
+
+class Copier:
+    """Sends what one service's samples have added to one other node.
+
+    Args:
+        coordinator: Runs the samples.
+        client: Sends the copies.
+        clock: Tells the time.
+        find_target: Returns the name and the address of the node to send to;
+            None if there is none.
+    """
+
+    def __init__(
+        self,
+        coordinator: coordinators.Coordinator,
+        client: handover.CopyClient,
+        clock: clocks.Clock,
+        find_target: Callable[[], tuple[str, str] | None],
+    ) -> None:
+        self.coordinator = coordinator
+        self.client = client
+        self.clock = clock
+        self.find_target = find_target
+        self.target = ""
+        self.sent: dict[str, int] = {}
+        self.sent_results: set[str] = set()
+
+    async def run(self) -> None:
+        """Sends copies until cancelled."""
+        while True:
+            await self.clock.sleep(COPY_PAUSE_S)
+            await self.send()
+
+    async def send(self) -> None:
+        """Sends what is new, if anything is."""
+        target = self.find_target()
+        if target is None:
+            return
+        name, address = target
+        if name != self.target:
+            self.target = name
+            self._forget()
+        texts = self._collect()
+        if not texts:
+            return
+        copy = handover.Copy(self.coordinator.service, texts)
+        try:
+            await self.client.send(address, copy)
+        except handover.CopyError as e:
+            self._forget()
+            events.log(
+                events.Event.COPY_FAILED,
+                peer=name,
+                texts=len(texts),
+                reason=str(e),
+            )
+            return
+        for text in texts:
+            self.sent[text.item] = self.sent.get(text.item, 0) + len(
+                text.events
+            )
+            if text.result is not None:
+                self.sent_results.add(text.item)
+
+    def _forget(self) -> None:
+        self.sent = {}
+        self.sent_results = set()
+
+    def _collect(self) -> list[handover.Text]:
+        texts = []
+        open_items = set()
+        for sample in self.coordinator.unlisted_samples():
+            open_items.add(sample.id)
+            sent = self.sent.get(sample.id, 0)
+            if sent > len(sample.events):
+                sent = 0
+            added = sample.events[sent:]
+            is_new = sample.result and sample.id not in self.sent_results
+            if added or is_new:
+                texts.append(handover.Text(sample.id, added, sample.result))
+                self.sent[sample.id] = sent
+        self.sent = {i: n for i, n in self.sent.items() if i in open_items}
+        self.sent_results &= open_items
+        return texts[:TEXTS_MOST]
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -6,9 +6,11 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.peering import commits
 from kingcupscale.peering import relay
 from kingcupscale.storage import changelog
 from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
 
 # A node that did not answer is not asked again for this long.
@@ -16,6 +18,8 @@
 # A node that does not answer for this long is taken for dead by those who are
 # to run its batches meanwhile; running them twice does no harm.
 SILENT_S = 0.7
+# Nodes that are asked to write for this one before it gives up.
+DETOURS_MOST = 2
 
 
 class Peers:
@@ -23,7 +27,8 @@
 
     Args:
         node: This node's name.
-        client: Asks other nodes.
+        client: Asks other nodes for changes.
+        commits_client: Has other nodes write to the store.
         clock: Tells the time.
         rng: Decides among equals.
 
@@ -36,11 +41,13 @@
         self,
         node: str,
         client: relay.RelayClient,
+        commits_client: commits.CommitClient,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self.node = node
         self.client = client
+        self.commits = commits_client
         self.clock = clock
         self.rng = rng
         self.feed: feeds.Feed | None = None
@@ -104,6 +111,40 @@
                 return changes
         return None
 
+    async def commit(
+        self, transaction: stores.Transaction
+    ) -> tuple[int | None] | None:
+        """Has another node write; None if there is none to ask.
+
+        Raises:
+            StoreError: If the last node that was asked did not succeed.
+        """
+        addresses = self.addresses()
+        names = [name for name in self.leaders() if name in addresses]
+        names += sorted(addresses.keys() - set(names))
+        failure: stores.StoreError | None = None
+        for name in [n for n in names if not self.is_silent(n)][:DETOURS_MOST]:
+            try:
+                revision = await self.commits.commit(
+                    addresses[name], transaction
+                )
+            except stores.StoreError as e:
+                ran = e.may_have_run or bool(failure and failure.may_have_run)
+                failure = stores.StoreError(f"{name}: {e.reason}", ran)
+            else:
+                return (revision,)
+        if failure is not None:
+            raise failure
+        return None
+
+    def successor(self, ranking: list[str]) -> tuple[str, str] | None:
+        """Returns the first other node of a ranking that answers."""
+        addresses = self.addresses()
+        for name in ranking:
+            if name in addresses and not self.is_silent(name):
+                return name, addresses[name]
+        return None
+
     async def _ask(
         self, name: str, address: str, position: changelog.Position
     ) -> changelog.Changes | None:
--- a/src/kingcupscale/gateway/callers.py
+++ b/src/kingcupscale/gateway/callers.py
@@ -113,13 +113,13 @@
         return await self.book.read(record, after, wait_s)
 
     def item_body(self, record: books.Record, item_id: str) -> bytes:
-        """Returns the body of an item.
+        """Returns the body of an item, until its batch is ended.
 
         Raises:
             ServiceError: ``ITEM_UNKNOWN``.
         """
         for item in record.batch.items:
-            if item.id == item_id:
+            if item.id == item_id and not record.is_ended:
                 return item.body
         raise errors.ServiceError(errors.ResultCode.ITEM_UNKNOWN)
 
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -13,6 +13,8 @@
 from kingcupscale import events
 from kingcupscale import runtime as runtimes
 from kingcupscale import settings as settings_errors
+from kingcupscale.peering import commits
+from kingcupscale.peering import handover
 from kingcupscale.peering import relay
 from kingcupscale.platform import cloud
 from kingcupscale.platform import documents
@@ -82,6 +84,8 @@
             clock,
             rng,
             relay.HttpRelayClient(exchangers.peers),
+            commits.HttpCommitClient(exchangers.peers),
+            handover.HttpCopyClient(exchangers.peers),
             KEYS,
             DECODERS,
         ),
@@ -146,7 +150,7 @@
         )
         await nursery.start(
             server.serve,
-            runtime.relay,
+            runtime.answer_peer,
             settings.peers,
             limits,
             runtime.stopped.wait,
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -15,6 +15,7 @@
 from kingcupscale import rendezvous
 from kingcupscale.batches import book as books
 from kingcupscale.batches import coordinator as coordinators
+from kingcupscale.batches import copying
 from kingcupscale.batches import loader as loaders
 from kingcupscale.capacity import fleetsize
 from kingcupscale.fleet import catalogue
@@ -23,12 +24,16 @@
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import callers
 from kingcupscale.gateway import forwarder
+from kingcupscale.peering import commits
+from kingcupscale.peering import handover
 from kingcupscale.peering import relay
 from kingcupscale.storage import changelog
+from kingcupscale.storage import detour
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
 from kingcupscale.usage import windows
+from kingcupscale.web import message
 
 # Pause between two watches: a node that leads a service reads new batches
 # sooner than one that only answers readers.
@@ -89,6 +94,8 @@
         clock: Tells the time.
         rng: Decides among equals.
         relay: Asks other nodes for changes.
+        commits: Has other nodes write to the store.
+        copies: Sends texts on their way to other nodes.
         keys: Where operators and servers write.
         decoders: How that is read.
     """
@@ -100,6 +107,8 @@
     clock: clocks.Clock
     rng: random.Random
     relay: relay.RelayClient
+    commits: commits.CommitClient
+    copies: handover.CopyClient
     keys: Keys
     decoders: Decoders
 
@@ -139,13 +148,32 @@
             lambda: runtime.catalogue,
             self.coordinator.demand,
         )
+        self.copier = copying.Copier(
+            self.coordinator, around.copies, around.clock, self._find_successor
+        )
         self.runtime = runtime
 
+    async def hand_over(self) -> None:
+        """Stops running batches and sends their texts to the next node."""
+        self.coordinator.is_active = False
+        self.coordinator.wake()
+        await self.copier.send()
+
+    def _find_successor(self) -> tuple[str, str] | None:
+        """Returns the node that runs the batches next, if not this one."""
+        peers_known = self.runtime.peers
+        holder = peers_known.holder(self.tenure.name)
+        ranking = self.runtime.ranking(self.tenure.name)
+        if holder and not self.tenure.is_held():
+            ranking = [holder, *ranking]
+        return peers_known.successor(ranking)
+
     async def run(self) -> None:
         """Contends for the service and leads it while held."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.coordinator.run)
             nursery.start_soon(self._watch_holder)
+            nursery.start_soon(self.copier.run)
 
             async def work() -> None:
                 await self.loader.step(nursery)
@@ -169,7 +197,10 @@
             elif self.runtime.is_draining:
                 self.coordinator.is_active = False
             elif holder and holder != self.runtime.settings.node:
+                was_active = self.coordinator.is_active
                 self.coordinator.is_active = self._stands_in_for(holder)
+                if was_active and not self.coordinator.is_active:
+                    await self.copier.send()
             await self.runtime.clock.sleep(HOLDER_PAUSE_S)
 
     def _stands_in_for(self, holder: str) -> bool:
@@ -230,7 +261,11 @@
             self._follow,
         )
         self.peers = peers.Peers(
-            settings.node, around.relay, self.clock, around.rng
+            settings.node,
+            around.relay,
+            around.commits,
+            self.clock,
+            around.rng,
         )
         self.peers.feed = self.feed
         self.relay = relay.RelayHandler(self.feed)
@@ -239,7 +274,12 @@
             lambda: self.feed.regained_at,
             lambda: self.feed.is_lost,
         )
-        self.book = books.Book(self.feed, self.clock, settings.value_bytes)
+        self.book = books.Book(
+            self.feed,
+            detour.DetourStore(around.store, self.peers.commit),
+            self.clock,
+            settings.value_bytes,
+        )
         announcement = orjson.dumps({"peers": settings.peers})
         ttl_s = max(
             settings.least_lease_s, LEASE_SHARE * settings.bounds.lease_s
@@ -278,6 +318,18 @@
             settings.bounds.late_s,
         )
 
+    async def answer_peer(self, request: message.Request) -> message.Response:
+        """Answers another node."""
+        if request.path == commits.PATH:
+            return await commits.answer(self.surroundings.store, request)
+        if request.path == handover.PATH:
+            copy = handover.decode(request.body)
+            duty = self.duties.get(copy.service)
+            if duty is not None:
+                duty.coordinator.take_copy(copy)
+            return message.Response(200)
+        return await self.relay(request)
+
     def leads(self) -> bool:
         """Tells whether this node holds a service's duty."""
         return any(d.tenure.is_held() for d in self.duties.values())
@@ -401,6 +453,8 @@
         """Hands duties over, and leaves callers time to go elsewhere."""
         events.log(events.Event.NODE_DRAINING, node=self.settings.node)
         self.is_draining = True
+        for duty in self.duties.values():
+            await duty.hand_over()
         await self.session.close()
         with trio.move_on_after(1.0):
             try:
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -7,8 +7,10 @@
 
 from kingcupscale.storage import store as stores
 
-# Changes kept; a node that is further behind reads from the store.
+# Changes kept, and the bytes of their values; a node that is further behind
+# reads from the store.
 CHANGES_KEPT = 3000
+BYTES_KEPT = 4_000_000
 
 
 @attrs.frozen
@@ -52,24 +54,28 @@
     def __init__(self) -> None:
         self.id = uuid.uuid4().hex
         self.changes: collections.deque[tuple[int, stores.Entry]] = (
-            collections.deque(maxlen=CHANGES_KEPT)
+            collections.deque()
         )
         self.number = 0
         self.complete_from = 0
+        self.size = 0
 
     def restart(self, revision: int) -> None:
         """Begins anew after everything was read at a revision."""
         self.id = uuid.uuid4().hex
         self.changes.clear()
+        self.size = 0
         self.complete_from = revision
 
     def add(self, entry: stores.Entry) -> None:
         """Adds a change."""
         self.number += 1
-        if len(self.changes) == CHANGES_KEPT:
-            dropped = self.changes[0][1].revision
-            self.complete_from = max(self.complete_from, dropped)
         self.changes.append((self.number, entry))
+        self.size += len(entry.value or b"")
+        while len(self.changes) > CHANGES_KEPT or self.size > BYTES_KEPT:
+            _, dropped = self.changes.popleft()
+            self.size -= len(dropped.value or b"")
+            self.complete_from = max(self.complete_from, dropped.revision)
 
     def since(self, position: Position) -> list[stores.Entry] | None:
         """Returns the changes past a position, or None if some are lost."""
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import attrs
 import trio
 
 from kingcupscale import clock as clocks
@@ -12,11 +13,11 @@
 
 # A watch that hears nothing is ended by the store after this long, so that a
 # silent connection is noticed within a second or so.
-WATCH_WAIT_S = 1.0
+WATCH_WAIT_S = 0.8
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.5
 # A followed mirror that is older than this is no better than none.
-FOLLOWED_AGE_S = 1.2
+FOLLOWED_AGE_S = 1.5
 
 Listener = Callable[[stores.Entry], None]
 # Returns another node's changes past a position; None if there is no node to
@@ -110,6 +111,12 @@
             if entry.key.startswith(prefix):
                 listener(entry)
 
+    def drop_value(self, key: str) -> None:
+        """Lets go of a value that its listener has taken over."""
+        entry = self.entries.get(key)
+        if entry is not None:
+            self.entries[key] = attrs.evolve(entry, value=b"")
+
     def announce(self) -> None:
         """Wakes those who wait for changes."""
         changed, self.changed = self.changed, trio.Event()
@@ -184,7 +191,9 @@
         for entry in page.entries:
             self.apply(entry)
         self.revision = max(self.revision, page.revision)
-        self._note_current(asked_at)
+        # The store keeps an empty answer back for the whole of the wait.
+        is_quiet = not page.entries
+        self._note_current(asked_at + (WATCH_WAIT_S if is_quiet else 0.0))
 
     def _note_current(self, asked_at: float) -> None:
         self.current_at = asked_at
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -482,7 +482,7 @@
         self.scope = trio.CancelScope()
         site.network.add(name, self.scope.cancel)
         site.network.serve(name, settings.callers, self.frontend)
-        site.network.serve(name, settings.peers, self.runtime.relay)
+        site.network.serve(name, settings.peers, self.runtime.answer_peer)
 
     async def run(self):
         with self.scope:
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -88,6 +88,52 @@
             self.assertEqual(results[: len(listed)], listed)
             nursery.cancel_scope.cancel()
 
+    @parameterized.parameterized.expand([("killed",), ("stopped",), ("cut",)])
+    @virtual.on_virtual_time
+    async def test_texts_go_on_after_a_takeover(self, how):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery, nodes=3)
+            await site.start()
+            leader = site.holder()
+            reader = site.other(leader)
+            for server in site.servers.values():
+                server.length = 200
+            await site.submit(reader, items=6)
+            await trio.sleep(2)
+            if how == "killed":
+                site.network.crash(leader.name)
+            elif how == "stopped":
+                leader.runtime.drain_asked.set()
+            else:
+                site.network.cut(leader.name, "store")
+            left_at = trio.current_time()
+            results = await site.read_all(reader)
+            self.assertEqual(
+                [r["text"] for r in results], [standin.text_of(200)] * 6
+            )
+            later = [
+                r for r in site.runs if r.at > left_at and "-i" in r.request
+            ]
+            self.assertEqual([r for r in later if not r.resumed_after], [])
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_node_that_the_store_turns_away_serves_batches(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery, nodes=3)
+            await site.start()
+            node = site.other(site.holder())
+            site.network.cut(node.name, "store")
+            await trio.sleep(3)
+            self.assertEqual((await site.submit(node)).status, 202)
+            self.assertEqual(len(await site.read_all(node)), 4)
+            path = names.BATCHES_PATH + "b1"
+            response = await site.call(node, "DELETE", path)
+            self.assertEqual(response.status, 200)
+            status, _ = await site.read(node, "b9")
+            self.assertEqual(status, 404)
+            nursery.cancel_scope.cancel()
+
     @virtual.on_virtual_time
     async def test_stand_in_runs_batches_while_the_store_is_down(self):
         async with trio.open_nursery() as nursery:
