--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -1,4 +1,4 @@
-"""Running one model's batches on one service's engines."""
+"""Running the batches of some models on one service's engines."""
 
 from collections.abc import Callable
 import contextlib
@@ -65,11 +65,10 @@
 
 
 class Coordinator:
-    """Runs every open batch of one model whose route goes to one service.
+    """Runs the open batches of some models whose routes go to one service.
 
     Args:
         service: Name of the service.
-        model: Name of the model.
         book: The batches.
         servers: The backend servers.
         client: Calls them.
@@ -79,7 +78,7 @@
         catalogue_now: Returns the configuration in force.
 
     Attributes:
-        is_active: Whether this node runs the service's batches.
+        active: Models whose batches this node runs.
         leftovers: Finished samples of batches that another node runs by now;
             whichever node lists a result first, it stands.
         token_s: Mean time of a token, in seconds.
@@ -90,7 +89,6 @@
     def __init__(
         self,
         service: str,
-        model: str,
         book: books.Book,
         servers: roster.Roster,
         client: serverclient.ServerClient,
@@ -100,7 +98,6 @@
         catalogue_now: Callable[[], catalogue.Catalogue | None],
     ) -> None:
         self.service = service
-        self.model = model
         self.book = book
         self.servers = servers
         self.client = client
@@ -108,7 +105,7 @@
         self.measures = measures
         self.clock = clock
         self.catalogue_now = catalogue_now
-        self.is_active = False
+        self.active: set[str] = set()
         self.token_s = placement.TOKEN_S
         self.event_s = 0.0
         self.event_tokens = EVENT_TOKENS
@@ -128,12 +125,13 @@
             for sample in progress.samples.values()
         ]
 
-    def unlisted_samples(self) -> list[samples.Sample]:
-        """Returns samples of which something would be lost with this node."""
+    def unlisted_samples(self, model: str) -> list[samples.Sample]:
+        """Returns a model's samples that would be lost with this node."""
         return [
             sample
             for sample in [*self.open_samples(), *self.leftovers]
-            if (sample.events or sample.result)
+            if sample.record.batch.model == model
+            and (sample.events or sample.result)
             and not sample.record.is_listed(sample.id)
         ]
 
@@ -177,14 +175,16 @@
             while len(kept) > TEXTS_KEPT:
                 del kept[next(iter(kept))]
 
-    @property
-    def duty(self) -> str:
-        """Name of the duty of running these batches."""
-        return f"{self.service}/{self.model}"
+    def is_active(self, model: str) -> bool:
+        """Tells whether this node runs a model's batches."""
+        return model in self.active
 
-    def has_unlisted(self) -> bool:
-        """Tells whether something would be lost with this node."""
-        return bool(self.progress or self.leftovers)
+    def set_active(self, model: str, is_active: bool) -> None:
+        """Takes up a model's batches, or lets them go."""
+        if is_active != self.is_active(model):
+            self.active ^= {model}
+            self._follow_batches()
+            self.wake()
 
     def wake(self) -> None:
         """Has the samples looked at again at once."""
@@ -196,8 +196,7 @@
             nursery.start_soon(self._commit_forever)
             while True:
                 self._follow_batches()
-                if self.is_active:
-                    self._dispatch(nursery)
+                self._dispatch(nursery)
                 with trio.move_on_after(TICK_S):
                     await self.woken.wait()
                 self.woken = trio.Event()
@@ -207,12 +206,10 @@
         for batch_id in list(self.progress):
             progress = self.progress[batch_id]
             is_over = not progress.record.is_open()
-            if is_over or not self.is_active:
+            if is_over or not self.is_active(progress.record.batch.model):
                 self._let_go(progress)
-        if not self.is_active:
-            return
         for batch_id, record in list(self.book.records.items()):
-            is_ours = record.batch.model == self.model
+            is_ours = self.is_active(record.batch.model)
             is_known = batch_id in self.progress
             if is_ours and not is_known and record.is_open():
                 self._take_up(record)
@@ -233,7 +230,7 @@
             listed=len(progress.record.results),
             total=len(progress.record.batch.items),
             ended=progress.record.is_ended,
-            active=self.is_active,
+            active=self.is_active(progress.record.batch.model),
             age_s=round(self._age_s(progress.record), 3),
             unfinished=[
                 [s.id, s.stage.value, s.server, len(s.events)]
@@ -613,6 +610,12 @@
             )
         else:
             sample.finish(score)
+            self.measures.record(
+                sample.record.batch.organisation,
+                sample.route.name,
+                metrics.Measure.SAMPLE_MS,
+                1000 * self._age_s(sample.record),
+            )
         self.finished.set()
 
     async def _commit_forever(self) -> None:
--- a/src/kingcupscale/batches/copying.py
+++ b/src/kingcupscale/batches/copying.py
@@ -18,6 +18,7 @@
 
     Args:
         coordinator: Runs the samples.
+        model: The model.
         client: Sends the copies.
         clock: Tells the time.
         find_target: Returns the name and the address of the node to send to;
@@ -27,11 +28,13 @@
     def __init__(
         self,
         coordinator: coordinators.Coordinator,
+        model: str,
         client: handover.CopyClient,
         clock: clocks.Clock,
         find_target: Callable[[], tuple[str, str] | None],
     ) -> None:
         self.coordinator = coordinator
+        self.model = model
         self.client = client
         self.clock = clock
         self.find_target = find_target
@@ -57,7 +60,7 @@
         texts = self._collect()
         if not texts:
             return
-        copy = handover.Copy(self.coordinator.duty, texts)
+        copy = handover.Copy(self.coordinator.service, texts)
         try:
             await self.client.send(address, copy)
         except handover.CopyError as e:
@@ -83,7 +86,7 @@
     def _collect(self) -> list[handover.Text]:
         texts = []
         open_items = set()
-        for sample in self.coordinator.unlisted_samples():
+        for sample in self.coordinator.unlisted_samples(self.model):
             open_items.add(sample.id)
             sent = self.sent.get(sample.id, 0)
             if sent > len(sample.events):
--- a/src/kingcupscale/commands/serving.py
+++ b/src/kingcupscale/commands/serving.py
@@ -30,13 +30,21 @@
         metavar="FILE",
         help=f"the platform's settings; default: {SETTINGS_VARIABLE}",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=0,
+        metavar="PORT",
+        help="serve metrics on this port of the node's address; 0 for none",
+    )
 
 
 def run_serve(arguments: argparse.Namespace) -> None:
     """Runs a node until SIGTERM."""
     loaded = settingsfile.load(arguments.settings)
-    logs.to_standard_output(clocks.SystemClock())
-    trio.run(process.run, loaded, arguments.settings)
+    lines = logs.to_standard_output(clocks.SystemClock())
+    options = process.Options(arguments.settings, arguments.metrics_port, lines)
+    trio.run(process.run, loaded, options)
 
 
 def main() -> int:
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -40,6 +40,16 @@
         self.tenure = tenures.Tenure(
             service, runtime.session, runtime.feed, around.clock
         )
+        self.coordinator = coordinators.Coordinator(
+            service,
+            runtime.book,
+            runtime.roster,
+            around.servers,
+            runtime.forwarder,
+            runtime.measures,
+            around.clock,
+            lambda: runtime.catalogue,
+        )
         self.loader = loaders.Loader(
             self.tenure,
             runtime.roster,
@@ -63,6 +73,7 @@
         """Contends for the service and leads it while held."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            nursery.start_soon(self.coordinator.run)
 
             async def work() -> None:
                 await self.loader.step(nursery)
@@ -103,46 +114,41 @@
 
     Args:
         runtime: The node.
-        service: The service.
+        leader: This node's part in leading the service.
         model: The model.
     """
 
     def __init__(
-        self, runtime: "runtimes.Runtime", service: str, model: str
+        self, runtime: "runtimes.Runtime", leader: ServiceDuty, model: str
     ) -> None:
         around = runtime.surroundings
         self.runtime = runtime
-        self.service = service
+        self.leader = leader
+        self.service = leader.service
+        self.model = model
+        self.coordinator = leader.coordinator
         self.tenure = tenures.Tenure(
-            model_duty(service, model),
+            model_duty(leader.service, model),
             runtime.session,
             runtime.feed,
             around.clock,
         )
-        self.coordinator = coordinators.Coordinator(
-            service,
+        self.copier = copying.Copier(
+            self.coordinator,
             model,
-            runtime.book,
-            runtime.roster,
-            around.servers,
-            runtime.forwarder,
-            runtime.measures,
+            around.copies,
             around.clock,
-            lambda: runtime.catalogue,
-        )
-        self.copier = copying.Copier(
-            self.coordinator, around.copies, around.clock, self._find_successor
+            self._find_successor,
         )
 
     async def hand_over(self) -> None:
         """Stops running samples and sends their texts to the next node."""
-        self.coordinator.is_active = False
-        self.coordinator.wake()
+        self.coordinator.set_active(self.model, False)
         await self.copier.send()
 
     def _find_successor(self) -> tuple[str, str] | None:
         """Returns the node that runs the samples next, if not this one."""
-        if not self.coordinator.has_unlisted():
+        if not self.coordinator.unlisted_samples(self.model):
             return None
         peers_known = self.runtime.peers
         holder = peers_known.holder(self.tenure.name)
@@ -154,7 +160,6 @@
     async def run(self) -> None:
         """Contends for the model and runs its samples while held."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.coordinator.run)
             nursery.start_soon(self._watch_holder)
             nursery.start_soon(self.copier.run)
             await tenures.hold(
@@ -166,15 +171,13 @@
 
     def _rank(self) -> int:
         """Prefers the node that runs the samples, then ones without duty."""
-        if self.coordinator.is_active:
+        if self.coordinator.is_active(self.model):
             return 0
         ranking = self._ranking()
         node = self.runtime.settings.node
         place = ranking.index(node) if node in ranking else len(ranking)
         if self._is_small_fleet():
-            service = self.runtime.services.get(self.service)
-            leads = service is not None and service.tenure.is_held()
-            return 0 if leads else 1 + place
+            return 0 if self.leader.tenure.is_held() else 1 + place
         return 1 + place + HELD_PLACES * self.runtime.duties_held()
 
     def _is_small_fleet(self) -> bool:
@@ -193,16 +196,20 @@
         while True:
             holder = self.runtime.peers.holder(self.tenure.name)
             if self.tenure.is_held():
-                self.coordinator.is_active = True
+                self.coordinator.set_active(self.model, True)
             elif self.runtime.is_draining:
-                self.coordinator.is_active = False
+                self.coordinator.set_active(self.model, False)
             elif holder and holder != self.runtime.settings.node:
-                was_active = self.coordinator.is_active
-                self.coordinator.is_active = self._stands_in_for(holder)
-                if was_active and not self.coordinator.is_active:
-                    await self.copier.send()
+                await self._follow_holder(holder)
             await self.runtime.clock.sleep(HOLDER_PAUSE_S)
 
+    async def _follow_holder(self, holder: str) -> None:
+        was_active = self.coordinator.is_active(self.model)
+        is_active = self._stands_in_for(holder)
+        self.coordinator.set_active(self.model, is_active)
+        if was_active and not is_active:
+            await self.copier.send()
+
     def _stands_in_for(self, holder: str) -> bool:
         """Tells whether this node runs the samples of a silent holder.
 
--- a/src/kingcupscale/logs.py
+++ b/src/kingcupscale/logs.py
@@ -1,5 +1,6 @@
 """Log lines on standard output, bounded in number and never blocking."""
 
+import collections
 import fcntl
 import os
 import sys
@@ -25,12 +26,16 @@
 
     Attributes:
         dropped: Lines that were dropped since the last one written.
+        dropped_total: Lines that were dropped since the start.
+        counts: Events by number, dropped ones too.
     """
 
     def __init__(self, descriptor: int, clock: clocks.Clock) -> None:
         self.descriptor = descriptor
         self.clock = clock
         self.dropped = 0
+        self.dropped_total = 0
+        self.counts: collections.Counter[int] = collections.Counter()
         self.allowance = BURST_LINES
         self.filled_at = clock.monotonic()
         flags = fcntl.fcntl(descriptor, fcntl.F_GETFL)
@@ -38,8 +43,9 @@
 
     def __call__(self, fields: dict[str, Any]) -> None:
         """Writes one message, or counts it as dropped."""
+        self.counts[fields.get("event", 0)] += 1
         if not self._is_allowed():
-            self.dropped += 1
+            self._drop()
             return
         if self.dropped:
             fields = {**fields, "dropped_before": self.dropped}
@@ -58,7 +64,11 @@
             self.dropped = 0
         except OSError:
             # The reader is behind or gone; the next line tells how many.
-            self.dropped += 1
+            self._drop()
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.dropped_total += 1
 
     def _is_allowed(self) -> bool:
         now = self.clock.monotonic()
@@ -71,6 +81,8 @@
         return True
 
 
-def to_standard_output(clock: clocks.Clock) -> None:
-    """Sends log events to standard output."""
-    eliot.add_destinations(LineWriter(sys.stdout.fileno(), clock))
+def to_standard_output(clock: clocks.Clock) -> LineWriter:
+    """Sends log events to standard output, and returns what writes them."""
+    writer = LineWriter(sys.stdout.fileno(), clock)
+    eliot.add_destinations(writer)
+    return writer
--- a/src/kingcupscale/metrics.py
+++ b/src/kingcupscale/metrics.py
@@ -17,6 +17,7 @@
     QUEUE_MS = "queue_ms"
     FIRST_TOKEN_MS = "first_token_ms"
     TOTAL_MS = "total_ms"
+    SAMPLE_MS = "sample_ms"
     STALENESS_VERSIONS = "staleness_versions"
 
 
--- /dev/null
+++ b/src/kingcupscale/operating/exposition.py
@@ -0,0 +1,79 @@
+"""A node's counters, gauges and histograms as text."""
+
+from kingcupscale import logs
+from kingcupscale import metrics
+from kingcupscale import runtime as runtimes
+from kingcupscale.web import message
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+PREFIX = "kingcupscale_"
+
+
+class MetricsHandler:
+    """Serves the metrics of one node.
+
+    Args:
+        runtime: The node.
+        lines: Where its log lines go, which counts them by event.
+    """
+
+    def __init__(
+        self, runtime: runtimes.Runtime, lines: logs.LineWriter | None
+    ) -> None:
+        self.runtime = runtime
+        self.lines = lines
+
+    async def __call__(self, request: message.Request) -> message.Response:
+        """Returns all metrics, whatever the path."""
+        rows = [*self._gauges(), *self._events(), *self._histograms()]
+        body = "".join(f"{PREFIX}{row}\n" for row in rows).encode()
+        return message.Response(200, {"content-type": CONTENT_TYPE}, body)
+
+    def _gauges(self) -> list[str]:
+        runtime = self.runtime
+        configured = runtime.catalogue
+        usable = [
+            server
+            for server in runtime.roster.servers.values()
+            if server.is_usable(runtime.clock.monotonic())
+        ]
+        return [
+            f"ready {int(runtime.is_ready())}",
+            f"configuration_version {configured.version if configured else 0}",
+            f"mirror_age_seconds {runtime.feed.age_s():.3f}",
+            f"mirror_revision {runtime.feed.revision}",
+            f"duties_held {runtime.duties_held()}",
+            f"servers_known {len(runtime.roster.servers)}",
+            f"servers_usable {len(usable)}",
+            f"batches_known {len(runtime.book.records)}",
+            f"readers_waiting {runtime.book.readers}",
+        ]
+
+    def _events(self) -> list[str]:
+        if self.lines is None:
+            return []
+        rows = [
+            f'events_total{{event="{number}"}} {count}'
+            for number, count in sorted(self.lines.counts.items())
+        ]
+        return [*rows, f"log_lines_dropped_total {self.lines.dropped_total}"]
+
+    def _histograms(self) -> list[str]:
+        return [
+            row
+            for summary in self.runtime.measures.summaries()
+            for row in _rows_of(summary)
+        ]
+
+
+def _rows_of(summary: metrics.Summary) -> list[str]:
+    labels = (
+        f'organisation="{summary.organisation}",route="{summary.service_class}"'
+    )
+    name = summary.measure.value
+    return [
+        f"{name}_count{{{labels}}} {summary.count}",
+        f'{name}{{{labels},quantile="0.5"}} {summary.p50}',
+        f'{name}{{{labels},quantile="0.99"}} {summary.p99}',
+        f'{name}{{{labels},quantile="1"}} {summary.maximum}',
+    ]
--- a/src/kingcupscale/peering/handover.py
+++ b/src/kingcupscale/peering/handover.py
@@ -41,9 +41,9 @@
 
 @attrs.frozen
 class Copy:
-    """Texts of the samples that belong to one duty."""
+    """Texts of one service's samples."""
 
-    duty: str
+    service: str
     texts: list[Text]
 
 
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -11,8 +11,10 @@
 from kingcupscale import clock as clocks
 from kingcupscale import deployment
 from kingcupscale import events
+from kingcupscale import logs
 from kingcupscale import runtime as runtimes
 from kingcupscale import settings as settings_errors
+from kingcupscale.operating import exposition
 from kingcupscale.peering import commits
 from kingcupscale.peering import handover
 from kingcupscale.peering import loads
@@ -101,13 +103,29 @@
     )
 
 
-async def run(settings: deployment.SiteSettings, path: str) -> None:
+@attrs.frozen
+class Options:
+    """What a process is told beside its settings.
+
+    Attributes:
+        path: The file that the settings were read from.
+        metrics_port: Port for metrics; 0 for none.
+        lines: Where log lines go.
+    """
+
+    path: str
+    metrics_port: int = 0
+    lines: logs.LineWriter | None = None
+
+
+async def run(settings: deployment.SiteSettings, options: Options) -> None:
     """Runs a node until a signal begins its planned stop and that has ended.
 
     Args:
         settings: What it is told.
-        path: The file they were read from.
+        options: What it is told beside them.
     """
+    path = options.path
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)
     events.log(
@@ -157,6 +175,15 @@
             limits,
             runtime.stopped.wait,
         )
+        if options.metrics_port:
+            host = settings.readiness.rpartition(":")[0]
+            await nursery.start(
+                server.serve,
+                exposition.MetricsHandler(runtime, options.lines),
+                f"{host}:{options.metrics_port}",
+                limits,
+                runtime.stopped.wait,
+            )
         await runtime.run()
         events.log(events.Event.NODE_STOPPED, node=settings.node)
 
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -222,7 +222,7 @@
             return await commits.answer(self.surroundings.store, request)
         if request.path == handover.PATH:
             copy = handover.decode(request.body)
-            duty = self.models.get(copy.duty)
+            duty = self.services.get(copy.service)
             if duty is not None:
                 duty.coordinator.take_copy(copy)
             return message.Response(200)
@@ -240,7 +240,7 @@
         server.versions[state.model] = state.version
         server.closed[state.model] = now + state.closed_s
         server.loading_until = now + state.loading_s
-        for duty in self.models.values():
+        for duty in self.services.values():
             duty.coordinator.wake()
 
     def open_items(self, service: str) -> int:
@@ -275,7 +275,7 @@
         if self.leads():
             return LEADER_PAUSE_S
         is_needed = self.book.readers or any(
-            duty.coordinator.is_active for duty in self.models.values()
+            duty.coordinator.active for duty in self.services.values()
         )
         if self.feed.is_following and is_needed:
             return NEEDED_PAUSE_S
@@ -418,7 +418,7 @@
                         duty = leading.model_duty(name, model)
                         if duty not in self.models:
                             self.models[duty] = leading.ModelDuty(
-                                self, name, model
+                                self, self.services[name], model
                             )
                             nursery.start_soon(self.models[duty].run)
                 await self.clock.sleep(LEAD_PAUSE_S)
