--- a/src/kingcupscale/cli.py
+++ b/src/kingcupscale/cli.py
@@ -7,6 +7,7 @@
 from kingcupscale import settings
 from kingcupscale.commands import config
 from kingcupscale.commands import connection
+from kingcupscale.commands import deploy
 from kingcupscale.commands import keys
 from kingcupscale.commands import operations
 from kingcupscale.commands import processes
@@ -26,6 +27,7 @@
     )
     processes.add_parsers(commands)
     serving.add_parser(commands)
+    deploy.add_parser(commands)
     config.add_parser(commands)
     keys.add_parser(commands)
     operations.add_parsers(commands)
--- /dev/null
+++ b/tests/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of batches on plain data."""
--- /dev/null
+++ b/tests/platform/test_files.py
@@ -0,0 +1,106 @@
+"""The platform's settings file and the deploy file."""
+
+import pathlib
+import tempfile
+import unittest
+
+import parameterized
+
+from kingcupscale import settings
+from kingcupscale.platform import deployfile
+from kingcupscale.platform import settingsfile
+
+ROOT = pathlib.Path(__file__).parents[2]
+GOOD = {
+    "node": "n1",
+    "zone": "a",
+    "listen.front": "10.0.0.1:80",
+    "provider.address": "10.0.0.9:1",
+    "cloud.address": "10.0.0.8:1",
+    "cloud.duties": "metering,autoscaling",
+    "bounds.leaseMs": "3000",
+    "bounds.graceS": "8",
+    "new.field": "left out",
+}
+
+
+def write(folder, text):
+    path = pathlib.Path(folder) / "file"
+    path.write_text(text, encoding="utf-8")
+    return str(path)
+
+
+class SettingsFileTest(unittest.TestCase):
+    def _load(self, **changes):
+        fields = {**GOOD, **changes}
+        text = "\n".join(f"{k}={v}" for k, v in fields.items() if v is not None)
+        with tempfile.TemporaryDirectory() as folder:
+            return settingsfile.load(write(folder, text))
+
+    def test_fields_are_taken_over_in_seconds(self):
+        loaded = self._load()
+        self.assertEqual(loaded.bounds.lease_s, 3.0)
+        self.assertEqual(loaded.callers, "10.0.0.1:80")
+        self.assertTrue(loaded.reports_usage and loaded.orders_servers)
+
+    @parameterized.parameterized.expand(
+        [
+            ("no_name", {"node": None}, "node"),
+            ("no_store", {"provider.address": None}, "provider.address"),
+            ("not_a_number", {"bounds.leaseMs": "soon"}, "bounds.leaseMs"),
+            ("below_zero", {"bounds.graceS": "-1"}, "bounds.graceS"),
+        ]
+    )
+    def test_every_mistake_is_named(self, _, changes, name):
+        with self.assertRaises(settings.SettingsError) as caught:
+            self._load(**changes)
+        self.assertIn(name, "\n".join(caught.exception.problems))
+
+    def test_missing_file(self):
+        with self.assertRaises(settings.SettingsError):
+            settingsfile.load("/nowhere/settings.conf")
+
+
+class DeployFileTest(unittest.TestCase):
+    def test_own_file_is_sound(self):
+        path = ROOT / "deploy" / "system.toml"
+        self.assertEqual(deployfile.check(str(path)), [])
+
+    def test_requirements_are_the_package_s(self):
+        package = settings.read_toml(str(ROOT / "pyproject.toml"))
+        wanted = package["project"]["dependencies"]
+        lines = (ROOT / "requirements.txt").read_text("utf-8").split()
+        self.assertEqual(lines, wanted)
+
+    @parameterized.parameterized.expand(
+        [
+            ("no_build", "[roles.a]\n", "build"),
+            ("no_roles", 'build = "x"\n', "roles"),
+            (
+                "share_too_large",
+                'build = "x"\n[roles.a]\nrun = "p"\non = "front"\nshare = 2\n',
+                "share",
+            ),
+            (
+                "no_program",
+                'build = "x"\n[roles.a]\nrun = "python3 no.py"\n'
+                'on = "front"\nshare = 1\nserves = ["front"]\n',
+                "no.py",
+            ),
+            (
+                "nobody_for_disks",
+                'build = "x"\n[roles.a]\nrun = "p"\non = "front"\nshare = 1\n'
+                'serves = ["front"]\n',
+                "store",
+            ),
+            (
+                "unknown_field",
+                'build = "x"\n[roles.a]\nrum = "p"\n',
+                "rum",
+            ),
+        ]
+    )
+    def test_mistakes_are_named(self, _, text, word):
+        with tempfile.TemporaryDirectory() as folder:
+            problems = deployfile.check(write(folder, text))
+        self.assertIn(word, "\n".join(problems))
--- /dev/null
+++ b/tests/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the mirror of the store."""
--- /dev/null
+++ b/tests/storage/test_feed.py
@@ -0,0 +1,92 @@
+"""The mirror and its log against a store that loses, lags and forgets."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import parameterized
+
+from kingcupscale.storage import changelog
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+
+
+def entry(key, revision, value=b"v"):
+    return stores.Entry(key, value, revision, revision)
+
+
+async def follow_nobody(position):
+    return None
+
+
+def make_feed():
+    return feeds.Feed(None, None, "n1", lambda: 0.0, follow_nobody)
+
+
+class FeedTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("older_put", [entry("a", 5), entry("a", 3)], {"a": 5}),
+            ("repeated", [entry("a", 5), entry("a", 5)], {"a": 5}),
+            ("removed", [entry("a", 5), entry("a", 6, None)], {}),
+            ("removed_late", [entry("a", 5), entry("a", 4, None)], {"a": 5}),
+            ("unknown_removed", [entry("a", 4, None)], {}),
+        ]
+    )
+    def test_newest_state_of_a_key_holds(self, _, changes, expected):
+        feed = make_feed()
+        heard = []
+        feed.subscribe("", heard.append)
+        for change in changes:
+            feed.apply(change)
+        found = {key: e.revision for key, e in feed.entries.items()}
+        self.assertEqual(found, expected)
+        revisions = [e.revision for e in heard]
+        self.assertEqual(revisions, sorted(set(revisions)))
+
+    def test_prefix_takes_only_its_keys(self):
+        feed = make_feed()
+        for number, key in enumerate(("a/1", "a/2", "ab", "b/1"), 1):
+            feed.apply(entry(key, number))
+        self.assertEqual([e.key for e in feed.under("a/")], ["a/1", "a/2"])
+
+
+class ChangeLogTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+    @hypothesis.given(strategies.integers(0, 10_000), strategies.integers(1, 5))
+    def test_follower_misses_nothing(self, seed, most_kept):
+        rng = random.Random(seed)
+        log = changelog.ChangeLog()
+        leader, follower = {}, {}
+        position = changelog.Position("", 0, 0)
+        kept = changelog.CHANGES_KEPT
+        changelog.CHANGES_KEPT = most_kept
+        try:
+            for revision in range(1, 40):
+                key = rng.choice("abc")
+                value = rng.choice([b"x", b"y", None])
+                change = stores.Entry(key, value, revision)
+                leader[key] = change
+                log.add(change)
+                if rng.random() < 0.4:
+                    found = log.since(position)
+                    if found is None:
+                        follower = dict(leader)
+                    else:
+                        follower.update({e.key: e for e in found})
+                    position = changelog.Position(log.id, log.number, revision)
+                    self.assertEqual(follower, leader)
+                if rng.random() < 0.1:
+                    log.restart(revision)
+        finally:
+            changelog.CHANGES_KEPT = kept
+
+    def test_far_behind_is_told_so(self):
+        log = changelog.ChangeLog()
+        log.restart(100)
+        log.add(entry("a", 101))
+        behind = changelog.Position("other", 7, 50)
+        self.assertIsNone(log.since(behind))
+        near = changelog.Position("other", 7, 100)
+        self.assertEqual([e.revision for e in log.since(near)], [101])
