--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -29,6 +29,8 @@
 RETRY_MOST_S = 0.6
 # Time for a node that is followed to tell that nothing is missing.
 REFRESH_S = 2.5
+# A mirror that is older than this may lack results that other nodes show.
+STALE_S = 0.7
 # Most results in one answer, by the size of their texts in bytes.
 PAGE_BYTES = 900_000
 
@@ -346,6 +348,9 @@
             record: The batch.
             after: The position, counted from 0.
             wait_s: Seconds to wait for a result.
+
+        Raises:
+            ServiceError: ``STORE_UNAVAILABLE`` if results may be missing.
         """
         if after > len(record.results):
             await self.refresh(record.batch.id)
@@ -356,6 +361,9 @@
                 await self._wait_for_result(record, after, wait_s)
             finally:
                 self.readers -= 1
+            is_empty = after >= len(record.results) and record.is_open()
+            if is_empty and self.feed.age_s() > STALE_S:
+                await self.refresh(record.batch.id)
         return _page(record.results[after:])
 
     async def _wait_for_result(
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -1,5 +1,7 @@
 """The other nodes: which one to follow, and which ones do not answer."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import orjson
@@ -31,8 +33,10 @@
         commits_client: Has other nodes write to the store.
         clock: Tells the time.
         rng: Decides among equals.
+        watching_duties: Returns the duties whose holders watch the store.
 
     Attributes:
+        answered_at: Monotonic time of the last answer of any node.
         feed: The mirror that tells of the nodes; set once it exists.
         silent_since: Monotonic time of the first unanswered call, by node.
     """
@@ -44,7 +48,10 @@
         commits_client: commits.CommitClient,
         clock: clocks.Clock,
         rng: random.Random,
+        watching_duties: Callable[[], Iterable[str]],
     ) -> None:
+        self.watching_duties = watching_duties
+        self.answered_at = 0.0
         self.node = node
         self.client = client
         self.commits = commits_client
@@ -76,11 +83,12 @@
         return (entry.value or b"").decode().partition(" ")[0] if entry else ""
 
     def leaders(self) -> list[str]:
-        """Returns the other nodes that hold a duty, in a fixed order."""
-        if self.feed is None:
-            return []
-        entries = self.feed.under(tenures.DUTIES_PREFIX)
-        names = [(e.value or b"").decode().partition(" ")[0] for e in entries]
+        """Returns the other nodes that watch the store, in a fixed order.
+
+        Only these are followed: nodes that follow each other would pass on
+        what each of them has heard from the other.
+        """
+        names = [self.holder(duty) for duty in sorted(self.watching_duties())]
         return [n for n in dict.fromkeys(names) if n and n != self.node]
 
     def is_silent(self, node: str) -> bool:
@@ -161,6 +169,7 @@
             self.silent_since.setdefault(name, asked_at)
             self.not_before[name] = self.clock.monotonic() + AVOID_S
             return None
+        self.answered_at = self.clock.monotonic()
         if self.silent_since.pop(name, None) is not None:
             events.log(events.Event.PEER_BACK, peer=name)
         return changes
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -153,4 +153,7 @@
     position = changelog.Position(
         fields["log"], int(fields["number"]), int(fields["revision"])
     )
-    return changelog.Changes(entries, position, float(fields["age_s"]))
+    # An empty answer was kept back for the whole of the wait, so it tells of
+    # a later time than that of the question.
+    age_s = float(fields["age_s"]) - (0.0 if entries else WAIT_S)
+    return changelog.Changes(entries, position, age_s)
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -31,7 +31,7 @@
 from kingcupscale.web import server
 
 # Servers close idle connections; one that is idle this long is not reused.
-SERVER_IDLE_S = 4.0
+SERVER_IDLE_S = 8.0
 STORE_IDLE_S = 20.0
 # Time between two looks at what listeners are told by the configuration.
 LIMITS_PAUSE_S = 0.5
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -164,6 +164,7 @@
             around.commits,
             self.clock,
             around.rng,
+            lambda: self.services,
         )
         self.peers.feed = self.feed
         self.relay = relay.RelayHandler(self.feed)
@@ -349,8 +350,25 @@
             return errors.ServiceError(
                 errors.ResultCode.NOT_READY, retry_after_s=0.5
             )
+        if self.is_isolated():
+            return errors.ServiceError(
+                errors.ResultCode.ISOLATED, retry_after_s=0.5
+            )
         return None
 
+    def is_isolated(self) -> bool:
+        """Tells whether a withdrawn key might still be taken for good here.
+
+        While no node reaches the store, nothing changes there either; a node
+        that hears from no other one can't know that.
+        """
+        bounds = self.settings.bounds
+        if self.feed.age_s() <= bounds.apply_s + bounds.apply_stretch_s:
+            return False
+        now = self.clock.monotonic()
+        is_alone = now - self.peers.answered_at > bounds.contact_s
+        return is_alone and bool(self.peers.addresses())
+
     def is_ready(self) -> bool:
         """Tells whether callers should be sent here."""
         return not self.is_draining and self.find_refusal() is None
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -35,7 +35,8 @@
     Attributes:
         entries: The changes, in order.
         position: Where to go on.
-        age_s: Seconds since the mirror was known to be current.
+        age_s: Seconds from when the mirror was known to be current until the
+            follower asked; below 0 if it was current later than that.
     """
 
     entries: list[stores.Entry]
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -14,11 +14,11 @@
 
 # A watch that hears nothing is ended by the store after this long, so that a
 # silent connection is noticed within a second or so.
-WATCH_WAIT_S = 0.8
+WATCH_WAIT_S = 0.5
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 0.5
 # A followed mirror that is older than this is no better than none.
-FOLLOWED_AGE_S = 1.5
+FOLLOWED_AGE_S = 1.1
 
 Listener = Callable[[stores.Entry], None]
 # Returns another node's changes past a position; None if there is no node to
@@ -189,8 +189,7 @@
             self.apply(entry)
         self.position = changes.position
         self.revision = max(self.revision, changes.position.revision)
-        current_at = asked_at - changes.age_s
-        self._note_current(max(self.current_at, current_at))
+        self._note_current(max(self.current_at, asked_at - changes.age_s))
         return True
 
     async def _watch_store(self) -> None:
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -478,6 +478,47 @@
                 self.assertEqual(response.status, 200)
             nursery.cancel_scope.cancel()
 
+    @virtual.on_virtual_time
+    async def test_node_that_hears_nobody_stops_admitting(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery, nodes=3)
+            await site.start()
+            alone = site.nodes[2]
+            site.network.cut_off(alone.name)
+            for server in site.servers:
+                site.network.cuts.discard(frozenset((alone.name, server)))
+            await trio.sleep(10)
+            self.assertEqual((await self._quote(site, alone)).status, 503)
+            self.assertFalse(alone.runtime.is_ready())
+            site.network.heal()
+            await trio.sleep(2)
+            self.assertEqual((await self._quote(site, alone)).status, 200)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_outage_for_all_nodes_stops_nobody(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery, nodes=3)
+            await site.start()
+            site.store.is_down = True
+            await trio.sleep(30)
+            for node in site.nodes:
+                self.assertEqual((await self._quote(site, node)).status, 200)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_mirrors_stay_current_when_several_nodes_hold_duties(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery, nodes=10)
+            await site.start()
+            oldest = 0.0
+            for _ in range(200):
+                await trio.sleep(0.1)
+                ages = [n.runtime.feed.age_s() for n in site.nodes]
+                oldest = max(oldest, *ages)
+            self.assertLess(oldest, 2.0)
+            nursery.cancel_scope.cancel()
+
     @virtual.on_virtual_time
     async def test_older_or_unreadable_configuration_changes_nothing(self):
         async with trio.open_nursery() as nursery:
