--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -315,7 +315,7 @@
         free = [
             s
             for s in self.servers.of_service(self.service)
-            if s.is_usable(now) and s.in_flight < s.entry.slots
+            if s.is_usable(now) and s.load(now) < s.entry.slots
         ]
         taken = len(waiting)
         for sample in self.open_samples():
@@ -330,7 +330,7 @@
             room = sum(s.entry.slots - s.in_flight for s in others)
             if not others or here is None or room <= taken:
                 continue
-            best = min(placement.finish_cost(sample, s, False) for s in others)
+            best = min(placement.finish_cost(s, now, False) for s in others)
             pace = moving.Pace(
                 sample.run_events,
                 len(sample.events),
--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -54,13 +54,11 @@
     return is_open and version >= batch.minimum_version
 
 
-def finish_cost(
-    waiting: sample.Sample, server: roster.Server, has_prompt: bool
-) -> float:
+def finish_cost(server: roster.Server, now: float, has_prompt: bool) -> float:
     """Returns how late a sample ends on an engine, relative to others."""
-    others = server.in_flight
+    others = server.load(now)
     cost = server.pace * (1 + SLOWDOWN * others)
-    queue = max(0, others + 1 - server.entry.slots)
+    queue = max(0.0, others + 1 - server.entry.slots)
     cost += queue / max(1, server.entry.slots)
     if has_prompt:
         cost -= SHARED_PROMPT_BONUS * SLOWDOWN
@@ -85,7 +83,7 @@
         now_ms: Milliseconds since 1970.
         token_s: Seconds that a token takes.
     """
-    free = [s for s in servers if s.in_flight < s.entry.slots]
+    free = [s for s in servers if s.load(now) < s.entry.slots]
     if not free:
         return None
     ready = [w for w in waiting if w.not_before <= now]
@@ -97,7 +95,7 @@
             server = min(
                 able,
                 key=lambda s: (
-                    finish_cost(candidate, s, s.id in known),
+                    finish_cost(s, now, s.id in known),
                     s.id,
                 ),
             )
--- a/src/kingcupscale/fleet/roster.py
+++ b/src/kingcupscale/fleet/roster.py
@@ -16,8 +16,8 @@
 EJECT_MOST_S = 5.0
 # Weight of the newest answer in the mean of a server's pace.
 PACE_WEIGHT = 0.15
-# A load that was told longer ago than this says nothing any more.
-LOAD_VALID_S = 0.5
+# What an answer told of other nodes' requests fades within this time.
+LOAD_VALID_S = 1.0
 
 
 class ServerState(enum.Enum):
@@ -63,7 +63,7 @@
     Attributes:
         entry: What it says of itself.
         in_flight: Requests of this node that run there.
-        told_load: Requests running and waiting there when it last answered.
+        others: Requests of other nodes there when it last answered.
         told_at: Monotonic time of that answer.
         failures: Failures in a row.
         ejected_until: Monotonic time before which it gets nothing.
@@ -81,7 +81,7 @@
 
     entry: ServerEntry
     in_flight: int = 0
-    told_load: int = 0
+    others: int = 0
     told_at: float = -1e9
     failures: int = 0
     ejected_until: float = 0.0
@@ -106,15 +106,14 @@
             and now >= self.ejected_until
         )
 
-    def load(self, now: float) -> int:
+    def load(self, now: float) -> float:
         """Returns requests that it probably has, of all nodes."""
-        if now - self.told_at > LOAD_VALID_S:
-            return self.in_flight
-        return max(self.in_flight, self.told_load)
+        age_s = now - self.told_at
+        return self.in_flight + self.others * max(0.0, 1 - age_s / LOAD_VALID_S)
 
     def note_load(self, load: int, now: float) -> None:
-        """Takes over a load that an answer told."""
-        self.told_load = load
+        """Takes over how many requests an answer said to be there."""
+        self.others = max(0, load - self.in_flight)
         self.told_at = now
 
     def note_pace(self, ratio: float) -> None:
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -25,6 +25,8 @@
 MARGIN_S = 0.3
 CONNECT_S = 0.25
 STATUS_BEHIND = 410
+# Encoded changes kept; all followers ask for the latest ones.
+ENCODED_KEPT = 100
 
 
 class RelayError(Exception):
@@ -93,6 +95,7 @@
 
     def __init__(self, feed: feeds.Feed) -> None:
         self.feed = feed
+        self.encoded: dict[tuple[str, int], bytes] = {}
 
     async def __call__(self, request: message.Request) -> message.Response:
         """Returns changes past the position that the path names."""
@@ -117,20 +120,27 @@
                 "number": self.feed.log.number,
                 "revision": self.feed.revision,
                 "age_s": self.feed.age_s(),
-                "entries": [
-                    [
-                        entry.key,
-                        None
-                        if entry.value is None
-                        else base64.b64encode(entry.value).decode(),
-                        entry.revision,
-                        entry.created,
-                    ]
-                    for entry in entries
-                ],
+                "entries": [self._encode_once(entry) for entry in entries],
             }
         )
 
+    def _encode_once(self, entry: stores.Entry) -> orjson.Fragment:
+        """Returns an entry's encoding, kept for the other followers."""
+        place = (entry.key, entry.revision)
+        encoded = self.encoded.get(place)
+        if encoded is None:
+            encoded = orjson.dumps(_fields_of(entry))
+            self.encoded[place] = encoded
+            while len(self.encoded) > ENCODED_KEPT:
+                del self.encoded[next(iter(self.encoded))]
+        return orjson.Fragment(encoded)
+
+
+def _fields_of(entry: stores.Entry) -> list[str | int | None]:
+    value = entry.value
+    text = None if value is None else base64.b64encode(value).decode()
+    return [entry.key, text, entry.revision, entry.created]
+
 
 def _decode_position(path: str) -> changelog.Position:
     parts = path.removeprefix(PATH).strip("/").split("/")
