--- a/src/kingcupscale/batches/weights.py
+++ b/src/kingcupscale/batches/weights.py
@@ -44,6 +44,9 @@
 ) -> dict[str, set[str]]:
     """Returns the engines of each model, by id, with few moves.
 
+    A node that takes the duty over knows no present engines; those whose
+    weights are of use are taken first, so that little is loaded anew.
+
     Args:
         servers: Engines that take work.
         named: Newest version by model.
@@ -67,8 +70,8 @@
             best = min(
                 others,
                 key=lambda s: (
+                    s.versions.get(model, 0) < named[model] - 1,
                     models_of(s.id),
-                    -s.versions.get(model, 0),
                     s.id,
                 ),
             )
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -198,6 +198,13 @@
         )
         self.assertEqual([load.model for load in due], ["b"])
 
+    def test_new_leader_finds_the_engines_of_a_model_by_their_weights(self):
+        servers = [make_server(f"e{i}", versions={"m": 1}) for i in range(6)]
+        for server in servers[3:]:
+            server.versions["m"] = 7
+        found = weights.assign(servers, {"m": 7, "n": 1, "o": 1}, {})
+        self.assertEqual(found["m"], {"e3", "e4", "e5"})
+
     def test_lost_engine_moves_only_what_it_held(self):
         servers = [make_server(f"e{i}") for i in range(6)]
         named = {"m": 1, "n": 1}
