--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -1,59 +1,35 @@
 """Running the batches of some models on one service's engines."""
 
 from collections.abc import Callable
-import contextlib
 import traceback
 
 import attrs
 import trio
 
 from kingcupscale import clock as clocks
-from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale import metrics
 from kingcupscale.batches import batch as batches
 from kingcupscale.batches import book as books
+from kingcupscale.batches import generation
+from kingcupscale.batches import listing
 from kingcupscale.batches import moving
 from kingcupscale.batches import placement
 from kingcupscale.batches import sample as samples
+from kingcupscale.batches import scoring
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import roster
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import forwarder
 from kingcupscale.peering import handover
-from kingcupscale.storage import store as stores
 
 TICK_S = 0.05
-# Results that come within this time are listed by one write.
-GATHER_S = 0.2
-COMMIT_RETRY_S = 0.3
-# Time that an engine gets for the connection and for the whole run.
-CONNECT_S = 0.3
-RUN_LIMIT_S = 30.0
-# An engine that sends nothing for this long is given up for another one; one
-# that loads weights keeps its runs waiting meanwhile.
-SILENCE_S = 0.8
-LOADING_SILENCE_S = 3.0
-# Tokens of an event before any has been counted.
-EVENT_TOKENS = 30.0
-# Pause before an engine that turned a model's item away gets another one.
-TURNED_AWAY_S = 0.1
-FAILED_PAUSE_S = 0.1
-# A scoring call has this many times the route's wanted latency.
-SCORE_PATIENCE = 10
-SCORE_PAUSE_S = 0.1
-# Weight of the newest run in the mean time of a token.
-TOKEN_WEIGHT = 0.1
-# Longer times of a token come from hints that were far off.
-LONGEST_TOKEN_S = 0.01
+# Pause before a sample goes on after an unexpected error of our own.
+ERROR_PAUSE_S = 0.8
 # A copied text replaces one that is shorter by more events than this.
 ADOPTED_LEAD = 8
 # Texts of ended batches that are kept for items that come again.
 TEXTS_KEPT = 2000
-# Most results in one write, by the size of their texts in bytes.
-WRITE_BYTES = 400_000
-# Most batches in one write; a transaction takes 32 entries at the least.
-WRITE_BATCHES = 16
 
 
 @attrs.define
@@ -72,7 +48,7 @@
         book: The batches.
         servers: The backend servers.
         client: Calls them.
-        scoring: Passes scoring calls on.
+        forward: Passes scoring calls on.
         measures: Counters and histograms.
         clock: Tells the time.
         catalogue_now: Returns the configuration in force.
@@ -81,9 +57,6 @@
         active: Models whose batches this node runs.
         leftovers: Finished samples of batches that another node runs by now;
             whichever node lists a result first, it stands.
-        token_s: Mean time of a token, in seconds.
-        event_s: Mean time of an event, in seconds; 0 before the first.
-        event_tokens: Geometric mean of the expected tokens for an event.
     """
 
     def __init__(
@@ -92,7 +65,7 @@
         book: books.Book,
         servers: roster.Roster,
         client: serverclient.ServerClient,
-        scoring: forwarder.Forwarder,
+        forward: forwarder.Forwarder,
         measures: metrics.Metrics,
         clock: clocks.Clock,
         catalogue_now: Callable[[], catalogue.Catalogue | None],
@@ -100,21 +73,22 @@
         self.service = service
         self.book = book
         self.servers = servers
-        self.client = client
-        self.scoring = scoring
+        self.generator = generation.Generator(client, clock, self._fail)
+        self.scorer = scoring.Scorer(
+            forward, clock, catalogue_now, self._finish, self._fail
+        )
+        self.lister = listing.Lister(
+            service, book, clock, self._samples_to_list
+        )
         self.measures = measures
         self.clock = clock
         self.catalogue_now = catalogue_now
         self.active: set[str] = set()
-        self.token_s = placement.TOKEN_S
-        self.event_s = 0.0
-        self.event_tokens = EVENT_TOKENS
         self.progress: dict[str, Progress] = {}
         self.prompts: dict[str, set[str]] = {}
         self.texts: dict[str, list[serverclient.StreamEvent]] = {}
         self.results: dict[str, batches.Result] = {}
         self.leftovers: list[samples.Sample] = []
-        self.finished = trio.Event()
         self.woken = trio.Event()
 
     def open_samples(self) -> list[samples.Sample]:
@@ -135,6 +109,15 @@
             and not sample.record.is_listed(sample.id)
         ]
 
+    def _samples_to_list(self) -> list[samples.Sample]:
+        self.leftovers = [
+            sample
+            for sample in self.leftovers
+            if sample.record.is_open()
+            and not sample.record.is_listed(sample.id)
+        ]
+        return [*self.open_samples(), *self.leftovers]
+
     def take_copy(self, copy: handover.Copy) -> None:
         """Takes over texts that another node has made."""
         present = {sample.id: sample for sample in self.open_samples()}
@@ -162,7 +145,7 @@
             sample.result = self.results.pop(sample.id)
             sample.stage = samples.Stage.FINISHED
             sample.scope.cancel()
-            self.finished.set()
+            self.lister.finished.set()
         elif (
             sample.stage is not samples.Stage.SCORING
             and len(text) > len(sample.events) + ADOPTED_LEAD
@@ -193,7 +176,7 @@
     async def run(self) -> None:
         """Runs batches while active, until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._commit_forever)
+            nursery.start_soon(self.lister.run)
             while True:
                 self._follow_batches()
                 self._dispatch(nursery)
@@ -295,9 +278,10 @@
         usable = [
             s for s in self.servers.of_service(self.service) if s.is_usable(now)
         ]
+        token_s = self.generator.token_s
         while waiting:
             choice = placement.choose(
-                waiting, usable, self.prompts, now, now_ms, self.token_s
+                waiting, usable, self.prompts, now, now_ms, token_s
             )
             if choice is None:
                 return
@@ -337,11 +321,12 @@
                 sample.event_s(now),
                 sample.moves,
             )
-            expected = sample.expected_tokens() / self.event_tokens
-            if moving.is_worth_moving(pace, best * self.event_s, expected):
+            expected = sample.expected_tokens() / self.generator.event_tokens
+            other_s = best * self.generator.event_s
+            if moving.is_worth_moving(pace, other_s, expected):
                 sample.moves += 1
                 taken += 1
-                here.note_pace(pace.event_s / max(1e-6, self.event_s))
+                here.note_pace(pace.event_s / max(1e-6, self.generator.event_s))
                 sample.run_scope.cancel()
 
     def _note_prompt(self, choice: placement.Choice) -> None:
@@ -355,7 +340,7 @@
             age_s = (now_ms - sample.record.submitted_ms) / 1000
             is_waiting = sample.stage is samples.Stage.WAITING
             if is_waiting and age_s > sample.route.max_age_s:
-                self._finish(sample, None, "too old")
+                self._fail(sample, "too old")
 
     async def _run_guarded(self, choice: placement.Choice) -> None:
         """Runs a sample; an unexpected error ends only this run."""
@@ -369,309 +354,37 @@
                 trace=traceback.format_tb(e.__traceback__),
             )
             choice.sample.stage = samples.Stage.WAITING
-            self._postpone(choice.sample, SILENCE_S)
+            choice.sample.not_before = self.clock.monotonic() + ERROR_PAUSE_S
 
     async def _run_sample(self, choice: placement.Choice) -> None:
         sample, server = choice.sample, choice.server
         is_whole = False
         with trio.CancelScope() as sample.scope:
             try:
-                is_whole = await self._generate(sample, server)
+                is_whole = await self.generator.run(sample, server)
             finally:
                 server.in_flight -= 1
                 self.wake()
             if is_whole:
                 sample.stage = samples.Stage.SCORING
-                await self._score(sample)
+                await self.scorer.score(sample)
         if sample.stage is samples.Stage.GENERATING:
             sample.stage = samples.Stage.WAITING
             sample.waiting_since = self.clock.monotonic()
 
-    async def _generate(
-        self, sample: samples.Sample, server: roster.Server
-    ) -> bool:
-        """Runs a sample once; whether its text is whole."""
-        model = sample.record.batch.model
-        version = server.versions.get(model, 0)
-        sample.keep_usable_text(version)
-        sample.begin_run()
-        began_at = self.clock.monotonic()
-        before = len(sample.events)
-        call = self._make_call(sample, version)
-        outcome = "whole"
-        try:
-            with sample.run_scope:
-                async with self.client.run(server, call, CONNECT_S) as answer:
-                    outcome = await self._take_answer(sample, server, answer)
-            if sample.run_scope.cancelled_caught:
-                outcome = "moved"
-        except serverclient.ServerError as e:
-            outcome = f"broken: {e.reason}"
-            server.note_failure(self.clock.monotonic())
-            self._postpone(sample, FAILED_PAUSE_S)
-        finally:
-            self._log_run(sample, server, outcome, began_at, before)
-        if outcome != "whole":
-            return False
-        server.note_success()
-        self._learn(sample, server, began_at, before)
-        return True
-
-    def _make_call(
-        self, sample: samples.Sample, version: int
-    ) -> serverclient.Call:
-        return serverclient.Call(
-            request_id=sample.id,
-            method="POST",
-            path=sample.item.path,
-            query="",
-            host=sample.record.batch.host,
-            headers=sample.item.headers,
-            body=sample.item.body,
-            time_left_s=RUN_LIMIT_S,
-            organisation=sample.record.batch.organisation or None,
-            expected_version=version or None,
-            resume_after=sample.resume_after(),
-            priority=min(9, sample.route.priority),
-        )
-
-    async def _take_answer(
-        self,
-        sample: samples.Sample,
-        server: roster.Server,
-        answer: serverclient.Answer,
-    ) -> str:
-        """Reads an answer; returns "whole" or why the text is not."""
-        now = self.clock.monotonic()
-        if answer.load is not None:
-            server.note_load(answer.load, now)
-        if answer.not_run:
-            model = sample.record.batch.model
-            if not answer.wrong_server:
-                server.closed[model] = now + TURNED_AWAY_S
-            elif answer.version:
-                server.versions[model] = answer.version
-            else:
-                server.note_failure(now)
-            return f"turned away with {answer.status}"
-        if answer.status == 422:
-            self._finish(sample, None, "the server can never do it")
-            return "refused for good"
-        if not answer.is_success:
-            self._note_own_failure(sample, answer)
-            return f"failed with {answer.status}"
-        return await self._read_events(sample, server, answer)
-
-    def _note_own_failure(
-        self, sample: samples.Sample, answer: serverclient.Answer
-    ) -> None:
-        self._postpone(sample, FAILED_PAUSE_S)
-        if answer.status == 500 and answer.signature:
-            sample.failures += 1
-            if sample.failures >= sample.route.max_attempts:
-                self._finish(sample, None, "failed at every run")
-
-    async def _read_events(
-        self,
-        sample: samples.Sample,
-        server: roster.Server,
-        answer: serverclient.Answer,
-    ) -> str:
-        stream = self.client.events(answer)
-        async with contextlib.aclosing(stream):
-            while True:
-                event = None
-                with trio.move_on_after(self._silence_s(server)) as scope:
-                    event = await anext(stream, None)
-                if scope.cancelled_caught:
-                    raise serverclient.ServerError("silent in a stream", True)
-                if event is None:
-                    return "whole"
-                if not sample.add(event, self.clock.monotonic()):
-                    raise serverclient.ServerError(
-                        f"event {event.number} after {len(sample.events)}",
-                        True,
-                    )
-
-    def _silence_s(self, server: roster.Server) -> float:
-        is_loading = server.loading_until > self.clock.monotonic()
-        return LOADING_SILENCE_S if is_loading else SILENCE_S
-
-    def _postpone(self, sample: samples.Sample, seconds: float) -> None:
-        sample.not_before = self.clock.monotonic() + seconds
-
-    def _learn(
-        self,
-        sample: samples.Sample,
-        server: roster.Server,
-        began_at: float,
-        before: int,
-    ) -> None:
-        made = len(sample.events) - before
-        if not made:
-            return
-        elapsed_s = self.clock.monotonic() - began_at
-        if before == 0 and sample.item.length_hint:
-            ratio = sample.item.length_hint / len(sample.events)
-            self.event_tokens *= (ratio / self.event_tokens) ** TOKEN_WEIGHT
-            token_s = min(LONGEST_TOKEN_S, elapsed_s / sample.item.length_hint)
-            self.token_s += TOKEN_WEIGHT * (token_s - self.token_s)
-        self.event_s = self.event_s or elapsed_s / made
-        self.event_s += TOKEN_WEIGHT * (elapsed_s / made - self.event_s)
-        server.note_pace(elapsed_s / made / max(1e-6, self.event_s))
-
-    def _log_run(
-        self,
-        sample: samples.Sample,
-        server: roster.Server,
-        outcome: str,
-        began_at: float,
-        before: int,
-    ) -> None:
-        now = self.clock.monotonic()
-        events.log(
-            events.Event.SAMPLE_RUN,
-            item=sample.id,
-            batch=sample.record.batch.id,
-            server=server.id,
-            version=server.versions.get(sample.record.batch.model, 0),
-            outcome=outcome,
-            waited_s=round(began_at - sample.waiting_since, 3),
-            took_s=round(now - began_at, 3),
-            events=[before, len(sample.events)],
-            expected_tokens=sample.expected_tokens(),
-            in_flight=server.in_flight,
-        )
-
-    async def _score(self, sample: samples.Sample) -> None:
-        scorer = sample.item.scorer
-        if scorer is None:
-            self._finish(sample, "", "")
-            return
-        while sample.result is None:
-            try:
-                answer = await self.scoring.forward(self._score_call(scorer))
-                score = answer.signature if answer.status < 300 else ""
-            except errors.ServiceError as e:
-                events.log(
-                    events.Event.SCORING_FAILED,
-                    item=sample.id,
-                    request=scorer.id,
-                    reason=str(e),
-                )
-                await self.clock.sleep(SCORE_PAUSE_S)
-                continue
-            if score:
-                self._finish(sample, score, "")
-            else:
-                self._note_score_failure(sample, answer.status)
-                await self.clock.sleep(SCORE_PAUSE_S)
-
-    def _note_score_failure(self, sample: samples.Sample, status: int) -> None:
-        sample.score_failures += 1
-        events.log(
-            events.Event.SCORING_FAILED,
-            item=sample.id,
-            request=sample.item.scorer.id if sample.item.scorer else "",
-            reason=f"status {status}",
-            failures=sample.score_failures,
+    def _finish(self, sample: samples.Sample, score: str) -> None:
+        """Makes the result of a scored sample."""
+        sample.finish(score)
+        self.measures.record(
+            sample.record.batch.organisation,
+            sample.route.name,
+            metrics.Measure.SAMPLE_MS,
+            1000 * self._age_s(sample.record),
         )
-        scorer = sample.item.scorer
-        configured = self.catalogue_now()
-        if scorer is None or configured is None:
-            return
-        route = configured.find_route(scorer.host, scorer.path)
-        if route and sample.score_failures >= route.max_attempts:
-            self._finish(sample, None, "its scoring call failed at every run")
-
-    def _score_call(self, scorer: batches.Scorer) -> forwarder.Inbound:
-        return forwarder.Inbound(
-            request_id=scorer.id,
-            method="POST",
-            host=scorer.host,
-            path=scorer.path,
-            query="",
-            headers={},
-            body=scorer.body,
-            key="",
-            patience_s=RUN_LIMIT_S,
-            received_at=self.clock.monotonic(),
-            is_background=True,
-        )
-
-    def _finish(
-        self, sample: samples.Sample, score: str | None, reason: str
-    ) -> None:
-        """Makes a result; without a score, that of a failed item."""
-        if score is None:
-            sample.fail()
-            events.log(
-                events.Event.SAMPLE_FAILED, item=sample.id, reason=reason
-            )
-        else:
-            sample.finish(score)
-            self.measures.record(
-                sample.record.batch.organisation,
-                sample.route.name,
-                metrics.Measure.SAMPLE_MS,
-                1000 * self._age_s(sample.record),
-            )
-        self.finished.set()
-
-    async def _commit_forever(self) -> None:
-        """Lists finished samples, several by one write."""
-        while True:
-            await self.finished.wait()
-            await self.clock.sleep(GATHER_S)
-            self.finished = trio.Event()
-            try:
-                await self._commit()
-            except (stores.StoreError, errors.ServiceError) as e:
-                events.log(
-                    events.Event.RESULTS_UNLISTED,
-                    service=self.service,
-                    reason=str(e),
-                )
-                await self.clock.sleep(COMMIT_RETRY_S)
-                self.finished.set()
-
-    async def _commit(self) -> None:
-        additions = self._gather()
-        if not additions:
-            return
-        is_listed = await self.book.append(additions)
-        for record, chunk in additions:
-            events.log(
-                events.Event.RESULTS_LISTED,
-                batch=record.batch.id,
-                items=[result.item for result in chunk.results],
-                listed=is_listed,
-                position=len(record.results),
-            )
-        # What did not fit, or met another writer, is looked at again.
-        self.finished.set()
-        self.wake()
+        self.lister.finished.set()
 
-    def _gather(self) -> list[tuple[books.Record, books.Chunk]]:
-        """Returns the results that are not listed yet, as far as fits."""
-        self.leftovers = [
-            sample
-            for sample in self.leftovers
-            if sample.record.is_open()
-            and not sample.record.is_listed(sample.id)
-        ]
-        found: dict[str, tuple[books.Record, dict[str, batches.Result]]] = {}
-        size = 0
-        for sample in [*self.open_samples(), *self.leftovers]:
-            record = sample.record
-            if sample.result is None or record.is_listed(sample.id):
-                continue
-            if size > WRITE_BYTES:
-                break
-            size += len(sample.result.text) + 200
-            _, results = found.setdefault(record.batch.id, (record, {}))
-            results.setdefault(sample.id, sample.result)
-        return [
-            (record, books.Chunk(list(results.values())))
-            for record, results in list(found.values())[:WRITE_BATCHES]
-        ]
+    def _fail(self, sample: samples.Sample, reason: str) -> None:
+        """Makes the result of a sample that can't be done."""
+        sample.fail()
+        events.log(events.Event.SAMPLE_FAILED, item=sample.id, reason=reason)
+        self.lister.finished.set()
--- /dev/null
+++ b/src/kingcupscale/batches/generation.py
@@ -0,0 +1,212 @@
+"""One run of a sample on an engine, and what it teaches."""
+
+from collections.abc import Callable
+import contextlib
+
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import events
+from kingcupscale.batches import placement
+from kingcupscale.batches import sample as samples
+from kingcupscale.fleet import roster
+from kingcupscale.fleet import serverclient
+
+# Time that an engine gets for the connection and for the whole run.
+CONNECT_S = 0.3
+RUN_LIMIT_S = 30.0
+# An engine that sends nothing for this long is given up for another one; one
+# that loads weights keeps its runs waiting meanwhile.
+SILENCE_S = 0.8
+LOADING_SILENCE_S = 3.0
+# Tokens of an event before any has been counted.
+EVENT_TOKENS = 30.0
+# Pause before an engine that turned a model's item away gets another one.
+TURNED_AWAY_S = 0.1
+FAILED_PAUSE_S = 0.1
+# Weight of the newest run in the mean time of a token.
+TOKEN_WEIGHT = 0.1
+# Longer times of a token come from hints that were far off.
+LONGEST_TOKEN_S = 0.01
+
+
+class Generator:
+    """Runs samples on engines.
+
+    Args:
+        client: Calls the engines.
+        clock: Tells the time.
+        fail: Ends a sample that can't be done, for a reason.
+
+    Attributes:
+        token_s: Mean time of a token, in seconds.
+        event_s: Mean time of an event, in seconds; 0 before the first.
+        event_tokens: Geometric mean of the expected tokens for an event.
+    """
+
+    def __init__(
+        self,
+        client: serverclient.ServerClient,
+        clock: clocks.Clock,
+        fail: Callable[[samples.Sample, str], None],
+    ) -> None:
+        self.client = client
+        self.clock = clock
+        self.fail = fail
+        self.token_s = placement.TOKEN_S
+        self.event_s = 0.0
+        self.event_tokens = EVENT_TOKENS
+
+    async def run(self, sample: samples.Sample, server: roster.Server) -> bool:
+        """Runs a sample once; whether its text is whole."""
+        model = sample.record.batch.model
+        version = server.versions.get(model, 0)
+        sample.keep_usable_text(version)
+        sample.begin_run()
+        began_at = self.clock.monotonic()
+        before = len(sample.events)
+        call = self._make_call(sample, version)
+        outcome = "whole"
+        try:
+            with sample.run_scope:
+                async with self.client.run(server, call, CONNECT_S) as answer:
+                    outcome = await self._take_answer(sample, server, answer)
+            if sample.run_scope.cancelled_caught:
+                outcome = "moved"
+        except serverclient.ServerError as e:
+            outcome = f"broken: {e.reason}"
+            server.note_failure(self.clock.monotonic())
+            self._postpone(sample, FAILED_PAUSE_S)
+        finally:
+            self._log_run(sample, server, outcome, began_at, before)
+        if outcome != "whole":
+            return False
+        server.note_success()
+        self._learn(sample, server, began_at, before)
+        return True
+
+    def _make_call(
+        self, sample: samples.Sample, version: int
+    ) -> serverclient.Call:
+        return serverclient.Call(
+            request_id=sample.id,
+            method="POST",
+            path=sample.item.path,
+            query="",
+            host=sample.record.batch.host,
+            headers=sample.item.headers,
+            body=sample.item.body,
+            time_left_s=RUN_LIMIT_S,
+            organisation=sample.record.batch.organisation or None,
+            expected_version=version or None,
+            resume_after=sample.resume_after(),
+            priority=min(9, sample.route.priority),
+        )
+
+    async def _take_answer(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        answer: serverclient.Answer,
+    ) -> str:
+        """Reads an answer; returns "whole" or why the text is not."""
+        now = self.clock.monotonic()
+        if answer.load is not None:
+            server.note_load(answer.load, now)
+        if answer.not_run:
+            model = sample.record.batch.model
+            if not answer.wrong_server:
+                server.closed[model] = now + TURNED_AWAY_S
+            elif answer.version:
+                server.versions[model] = answer.version
+            else:
+                server.note_failure(now)
+            return f"turned away with {answer.status}"
+        if answer.status == 422:
+            self.fail(sample, "the server can never do it")
+            return "refused for good"
+        if not answer.is_success:
+            self._note_own_failure(sample, answer)
+            return f"failed with {answer.status}"
+        return await self._read_events(sample, server, answer)
+
+    def _note_own_failure(
+        self, sample: samples.Sample, answer: serverclient.Answer
+    ) -> None:
+        self._postpone(sample, FAILED_PAUSE_S)
+        if answer.status == 500 and answer.signature:
+            sample.failures += 1
+            if sample.failures >= sample.route.max_attempts:
+                self.fail(sample, "failed at every run")
+
+    async def _read_events(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        answer: serverclient.Answer,
+    ) -> str:
+        stream = self.client.events(answer)
+        async with contextlib.aclosing(stream):
+            while True:
+                event = None
+                with trio.move_on_after(self._silence_s(server)) as scope:
+                    event = await anext(stream, None)
+                if scope.cancelled_caught:
+                    raise serverclient.ServerError("silent in a stream", True)
+                if event is None:
+                    return "whole"
+                if not sample.add(event, self.clock.monotonic()):
+                    raise serverclient.ServerError(
+                        f"event {event.number} after {len(sample.events)}",
+                        True,
+                    )
+
+    def _silence_s(self, server: roster.Server) -> float:
+        is_loading = server.loading_until > self.clock.monotonic()
+        return LOADING_SILENCE_S if is_loading else SILENCE_S
+
+    def _postpone(self, sample: samples.Sample, seconds: float) -> None:
+        sample.not_before = self.clock.monotonic() + seconds
+
+    def _learn(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        began_at: float,
+        before: int,
+    ) -> None:
+        made = len(sample.events) - before
+        if not made:
+            return
+        elapsed_s = self.clock.monotonic() - began_at
+        if before == 0 and sample.item.length_hint:
+            ratio = sample.item.length_hint / len(sample.events)
+            self.event_tokens *= (ratio / self.event_tokens) ** TOKEN_WEIGHT
+            token_s = min(LONGEST_TOKEN_S, elapsed_s / sample.item.length_hint)
+            self.token_s += TOKEN_WEIGHT * (token_s - self.token_s)
+        self.event_s = self.event_s or elapsed_s / made
+        self.event_s += TOKEN_WEIGHT * (elapsed_s / made - self.event_s)
+        server.note_pace(elapsed_s / made / max(1e-6, self.event_s))
+
+    def _log_run(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        outcome: str,
+        began_at: float,
+        before: int,
+    ) -> None:
+        now = self.clock.monotonic()
+        events.log(
+            events.Event.SAMPLE_RUN,
+            item=sample.id,
+            batch=sample.record.batch.id,
+            server=server.id,
+            version=server.versions.get(sample.record.batch.model, 0),
+            outcome=outcome,
+            waited_s=round(began_at - sample.waiting_since, 3),
+            took_s=round(now - began_at, 3),
+            events=[before, len(sample.events)],
+            expected_tokens=sample.expected_tokens(),
+            in_flight=server.in_flight,
+        )
