--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -103,16 +103,22 @@
         found = self.feed.log.since(position)
         if found is None or self.feed.current_at < 0:
             return message.Response(STATUS_BEHIND)
-        with trio.move_on_after(WAIT_S):
-            while not found:
-                await self.feed.changed.wait()
-                found = self.feed.log.since(position)
-                if found is None:
-                    return message.Response(STATUS_BEHIND)
+        if not found:
+            await self._wait_for_change(position)
+            # Read once more: a change may have come as the wait ended, and the
+            # position that is told must not pass it.
+            found = self.feed.log.since(position)
+            if found is None:
+                return message.Response(STATUS_BEHIND)
         return message.Response(
             200, {"content-type": "application/json"}, self._encode(found)
         )
 
+    async def _wait_for_change(self, position: changelog.Position) -> None:
+        with trio.move_on_after(WAIT_S):
+            while self.feed.log.since(position) == []:
+                await self.feed.changed.wait()
+
     def _encode(self, entries: list[stores.Entry]) -> bytes:
         return orjson.dumps(
             {
--- /dev/null
+++ b/tests/storage/test_relay.py
@@ -0,0 +1,66 @@
+"""Following another node's mirror: nothing is skipped."""
+
+import random
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.fakes import virtualtime
+from kingcupscale.peering import relay
+from kingcupscale.storage import changelog
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+from kingcupscale.web import exchange
+from tests import virtual
+
+
+async def follow_nobody(position):
+    return None
+
+
+class HandlerExchanger:
+    """Carries calls to one handler."""
+
+    def __init__(self, handler):
+        self.handler = handler
+
+    def open(self, address, request, timeout_s):
+        return self._open(request)
+
+    @exchange.contextlib.asynccontextmanager
+    async def _open(self, request):
+        yield await self.handler(request)
+
+
+class RelayTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [(seed,) for seed in (1, 2, 3, 4, 5, 6, 7, 8)]
+    )
+    @virtual.on_virtual_time
+    async def test_change_at_the_end_of_a_wait_is_not_skipped(self, seed):
+        rng = random.Random(seed)
+        clock = virtualtime.VirtualClock()
+        feed = feeds.Feed(None, clock, "n1", lambda: 0.0, follow_nobody)
+        feed.current_at = 0.0
+        client = relay.HttpRelayClient(
+            HandlerExchanger(relay.RelayHandler(feed))
+        )
+
+        async def change():
+            for revision in range(1, 41):
+                # Most changes come just as a wait ends.
+                await trio.sleep(relay.WAIT_S * rng.choice([0.5, 1, 1, 1]))
+                feed.apply(stores.Entry("key", b"v", revision, 1))
+                feed.revision = revision
+                feed.announce()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change)
+            position = changelog.Position("", 0, 0)
+            known = 0
+            while known < 40:
+                changes = await client.follow("n1", position)
+                known = max([known, *(e.revision for e in changes.entries)])
+                position = changes.position
+                self.assertGreaterEqual(known, position.revision)
