--- a/src/kingcupscale/batches/moving.py
+++ b/src/kingcupscale/batches/moving.py
@@ -54,11 +54,14 @@
 
     Args:
         pace: How it goes where it is.
-        other_event_s: Seconds that an event would take on the other engine.
+        other_event_s: Seconds that an event would take on the other engine; 0
+            before any run has told.
         expected_events: Events that the whole text is expected to have.
     """
     if pace.events < EVENTS_LEAST or pace.moves >= MOVES_MOST:
         return False
+    if other_event_s <= 0:
+        return False
     if pace.event_s < SLOWER * other_event_s:
         return False
     rest = rest_events(pace.text_events, expected_events)
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -142,6 +142,7 @@
             ("as_fast", moving.Pace(6, 30, 0.03, 0), 0.025, 100, False),
             ("too_early", moving.Pace(2, 2, 0.5, 0), 0.025, 100, False),
             ("moved_often", moving.Pace(6, 30, 0.2, 4), 0.025, 100, False),
+            ("other_unknown", moving.Pace(4, 4, 0.025, 0), 0.0, 300, False),
             ("past_its_hint", moving.Pace(6, 90, 0.1, 0), 0.025, 20, True),
         ]
     )
