--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -1,121 +1,60 @@
-"""The batches that the store holds, and the positions of their results."""
+"""The batches that the store holds, as far as this node needs to know them."""
 
-from typing import TypeVar
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import attrs
-import cattrs.preconf.orjson
+import cattrs
 import trio
 
 from kingcupscale import clock as clocks
 from kingcupscale import errors
 from kingcupscale import events
+from kingcupscale.batches import acceptance
 from kingcupscale.batches import batch
+from kingcupscale.batches import interest as interests
+from kingcupscale.batches import record as records
 from kingcupscale.storage import detour
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 
-T = TypeVar("T")
-
-PREFIX = "kingcupscale/batches/"
-SPECIFICATION = "specification"
-RESULTS = "results"
-END = "end"
-
 # A value travels as base64, so three quarters of the largest value, less some
 # room for names.
 VALUE_SHARE = 0.7
-# Pause between two tries of a write that the store did not take.
-RETRY_S = 0.15
-RETRY_MOST_S = 0.6
 # Time for a node that is followed to tell that nothing is missing.
 REFRESH_S = 2.5
 # A mirror that is older than this may lack results that other nodes show.
 STALE_S = 0.7
-# Most results in one answer, by the size of their texts in bytes.
-PAGE_BYTES = 900_000
+# A batch that is read here is kept up to date for this long after a read;
+# readers ask about twice a second.
+READ_KEPT_S = 10.0
+# Texts of batches that nothing is added to any more, in bytes.
+CLOSED_BYTES = 8_000_000
+KEEP_PAUSE_S = 0.1
+SWEEP_S = 1.0
 
-_converter = cattrs.preconf.orjson.make_converter()
+# Returns another node's copy of a batch, if one has it.
+FetchCopy = Callable[[str], Awaitable[records.RecordCopy | None]]
 
 
 @attrs.frozen
-class Specification:
-    """What the store holds of a batch from its acceptance on.
-
-    Attributes:
-        submitted_ms: When it came, in milliseconds since 1970.
-        parts: Values that its items are spread over.
-        batch: The batch, with the items of the first part.
-    """
+class Known:
+    """What a node remembers of each batch whose specification it has seen."""
 
     submitted_ms: int
-    parts: int
-    batch: batch.Batch
-
-
-@attrs.frozen
-class Items:
-    """Further items of a batch."""
-
-    items: list[batch.Item]
-
-
-@attrs.frozen
-class Chunk:
-    """Results that were listed together, at consecutive positions."""
-
-    results: list[batch.Result]
+    model: str
 
 
 @attrs.define(eq=False)
-class Record:
-    """A batch as one node knows it.
+class Loading:
+    """A batch that is being loaded, and the changes of it meanwhile."""
 
-    Attributes:
-        batch: The batch with all of its items.
-        submitted_ms: When it came, in milliseconds since 1970.
-        results: The listed results, in order of position.
-        chunks: Listed chunks by first position, until they follow in order.
-        listed: Items that have their result.
-        is_ended: Whether its sender has ended it.
-        is_forgotten: Whether it has been removed.
-    """
-
-    batch: batch.Batch
-    submitted_ms: int
-    results: list[batch.Result] = attrs.field(factory=list)
-    chunks: dict[int, list[batch.Result]] = attrs.field(factory=dict)
-    listed: set[str] = attrs.field(factory=set)
-    is_ended: bool = False
-    is_forgotten: bool = False
-
-    def is_listed(self, item: str) -> bool:
-        """Tells whether an item has its result."""
-        return item in self.listed
-
-    def take_chunk(self, first: int, results: list[batch.Result]) -> None:
-        """Takes over listed results, and those that follow them."""
-        self.chunks[first] = results
-        while len(self.results) in self.chunks:
-            following = self.chunks.pop(len(self.results))
-            self.results += following
-            self.listed.update(result.item for result in following)
-
-    def is_open(self) -> bool:
-        """Tells whether items are still to be run."""
-        return not (
-            self.is_ended
-            or self.is_forgotten
-            or len(self.results) >= len(self.batch.items)
-        )
-
-
-def key_of(batch_id: str, *parts: str) -> str:
-    """Returns a key of a batch."""
-    return "/".join([PREFIX + batch_id, *parts])
+    done: trio.Event = attrs.field(factory=trio.Event)
+    entries: list[stores.Entry] = attrs.field(factory=list)
 
 
 class Book:
-    """All batches, mirrored from the store.
+    """Batches, mirrored from the store as far as they are wanted here.
 
     A chunk of results is written on condition that no chunk starts at its
     position yet. A writer knows all results before its position, so a result
@@ -126,9 +65,14 @@
         store: Where batches are written.
         clock: Tells the time.
         value_bytes: Largest value that the store holds.
+        fetch_copy: Asks other nodes for a batch.
 
     Attributes:
-        records: The batches by id.
+        records: The batches that are known in full, by id.
+        interest: What other nodes are asked to tell in full.
+        known: Every batch whose specification has been seen.
+        unexamined: Batches that may have to be loaded.
+        reads: Monotonic time of the last read here, by batch.
         readers: How many readers wait for a result.
     """
 
@@ -138,82 +82,154 @@
         store: detour.DetourStore,
         clock: clocks.Clock,
         value_bytes: int,
+        fetch_copy: FetchCopy,
     ) -> None:
         self.feed = feed
         self.store = store
         self.clock = clock
         self.part_bytes = int(value_bytes * VALUE_SHARE)
-        self.records: dict[str, Record] = {}
+        self.fetch_copy = fetch_copy
+        self.records: dict[str, records.Record] = {}
+        self.interest = interests.Interest()
+        self.known: dict[str, Known] = {}
+        self.unexamined: set[str] = set()
+        self.reads: dict[str, float] = {}
+        self.loading: dict[str, Loading] = {}
         self.readers = 0
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
-        feed.subscribe(PREFIX, self._take)
+        self.swept_at = 0.0
+        feed.leave_out(records.RESULTS_PREFIX)
+        feed.subscribe(records.PREFIX, self._take_head)
+        feed.subscribe(records.RESULTS_PREFIX, self._take_results)
+        feed.on_reloaded = self._note_reloaded
+
+    def want(self, everything: bool, models: frozenset[str]) -> None:
+        """Sets what has to be known here beside the batches that are read."""
+        before = self.interest
+        self._set_interest(everything, models)
+        if (everything and not before.everything) or models - before.models:
+            self.unexamined |= {
+                batch_id
+                for batch_id in self._batch_ids()
+                if batch_id not in self.records and not self._has_end(batch_id)
+            }
+
+    def model_of(self, batch_id: str) -> str | None:
+        """Returns the model that a batch trains, if that is known."""
+        known = self.known.get(batch_id)
+        return known.model if known else None
+
+    def _set_interest(self, everything: bool, models: frozenset[str]) -> None:
+        single = frozenset()
+        if not everything:
+            single = frozenset(self.reads) | frozenset(self.loading)
+        new = interests.Interest(everything, models, single)
+        is_wider = new.is_wider_than(self.interest)
+        self.interest = new
+        if is_wider:
+            # An answer to the narrower question may leave out what is wanted.
+            self.feed.ask_anew()
+
+    def _update_interest(self) -> None:
+        self._set_interest(self.interest.everything, self.interest.models)
+
+    def _batch_ids(self) -> list[str]:
+        """Returns all batches that the store is known to hold."""
+        suffix = f"/{records.SPECIFICATION}/0"
+        return [
+            entry.key.removeprefix(records.PREFIX).removesuffix(suffix)
+            for entry in self.feed.under(records.PREFIX)
+            if entry.key.endswith(suffix)
+        ]
 
-    def _take(self, entry: stores.Entry) -> None:
-        """Takes over one changed key."""
-        batch_id, _, rest = entry.key.removeprefix(PREFIX).partition("/")
+    def _has_end(self, batch_id: str) -> bool:
+        key = records.key_of(batch_id, records.END)
+        return key in self.feed.entries
+
+    def _take_head(self, entry: stores.Entry) -> None:
+        """Takes over a changed key that is not one of results."""
+        rest = entry.key.removeprefix(records.PREFIX)
+        batch_id, _, rest = rest.partition("/")
         kind, _, number = rest.partition("/")
-        if entry.value is None:
-            if kind == SPECIFICATION and batch_id in self.records:
-                self.records.pop(batch_id).is_forgotten = True
-            return
-        try:
-            if kind == SPECIFICATION:
-                self._take_specification(batch_id, number, entry.value)
-            elif kind == RESULTS and batch_id in self.records:
-                self._take_chunk(batch_id, int(number), entry.value)
+        if batch_id in self.loading:
+            self.loading[batch_id].entries.append(entry)
+            if kind == records.SPECIFICATION:
                 self.feed.drop_value(entry.key)
-            elif kind == END and batch_id in self.records:
-                self._note_ended(self.records[batch_id])
-        except (ValueError, cattrs.BaseValidationError) as e:
-            events.log(
-                events.Event.STORE_ENTRY_UNREADABLE,
-                key=entry.key,
-                reason=repr(e)[:200],
-            )
+        elif kind == records.SPECIFICATION and entry.value is None:
+            self._note_forgotten(batch_id)
+        elif kind == records.SPECIFICATION:
+            self._take_specification(batch_id, number, entry)
+        elif kind == records.END and batch_id in self.records:
+            self.records[batch_id].note_ended()
+
+    def _note_forgotten(self, batch_id: str) -> None:
+        self.known.pop(batch_id, None)
+        self.reads.pop(batch_id, None)
+        self.unexamined.discard(batch_id)
+        record = self.records.pop(batch_id, None)
+        if record is not None:
+            record.is_forgotten = True
 
     def _take_specification(
-        self, batch_id: str, number: str, value: bytes
+        self, batch_id: str, number: str, entry: stores.Entry
     ) -> None:
-        if batch_id in self.records:
+        self.feed.drop_value(entry.key)
+        if not entry.value or batch_id in self.records:
             return
         parts = self.waiting_parts.setdefault(batch_id, {})
-        parts[number] = value
-        head = parts.get("0")
-        if head is None:
+        parts[number] = entry.value
+        try:
+            record = _assemble(parts)
+        except (ValueError, cattrs.BaseValidationError) as e:
+            _log_unreadable(entry, e)
             return
-        specification = _decode(Specification, head)
-        if len(parts) < specification.parts:
+        if record is None:
             return
-        items = list(specification.batch.items)
-        for part in range(1, specification.parts):
-            items += _decode(Items, parts[str(part)]).items
-        self.records[batch_id] = Record(
-            attrs.evolve(specification.batch, items=items),
-            specification.submitted_ms,
-        )
         del self.waiting_parts[batch_id]
-        for number in parts:
-            self.feed.drop_value(key_of(batch_id, SPECIFICATION, number))
-        self._take_waiting(batch_id)
-
-    def _note_ended(self, record: Record) -> None:
-        """Notes the end; bodies need not be shown any more after it."""
-        if not record.is_ended:
-            record.is_ended = True
-            items = [
-                attrs.evolve(item, body=b"", headers={}, scorer=None)
-                for item in record.batch.items
-            ]
-            record.batch = attrs.evolve(record.batch, items=items)
-
-    def _take_waiting(self, batch_id: str) -> None:
-        """Takes over keys of a batch that came before its specification."""
-        for kind in (RESULTS, END):
-            for entry in self.feed.under(key_of(batch_id, kind)):
-                self._take(entry)
-
-    def _take_chunk(self, batch_id: str, first: int, value: bytes) -> None:
-        self.records[batch_id].take_chunk(first, _decode(Chunk, value).results)
+        model = record.batch.model
+        self.known[batch_id] = Known(record.submitted_ms, model)
+        if self._may_have_results(batch_id):
+            self.unexamined.add(batch_id)
+        elif self.interest.includes(batch_id, model):
+            self.records[batch_id] = record
+
+    def _may_have_results(self, batch_id: str) -> bool:
+        """Tells whether results may have come before their batch."""
+        prefix = f"{records.RESULTS_PREFIX}{batch_id}/"
+        return self.feed.is_loading or bool(self.feed.under(prefix))
+
+    def _take_results(self, entry: stores.Entry) -> None:
+        """Takes over a changed key of results."""
+        rest = entry.key.removeprefix(records.RESULTS_PREFIX)
+        batch_id, _, number = rest.partition("/")
+        if entry.value is None:
+            return
+        self.feed.drop_value(entry.key)
+        if batch_id in self.loading:
+            self.loading[batch_id].entries.append(entry)
+            return
+        record = self.records.get(batch_id)
+        if record is None:
+            return
+        try:
+            self._take_chunk(record, int(number), entry.value)
+        except (ValueError, cattrs.BaseValidationError) as e:
+            _log_unreadable(entry, e)
+
+    def _take_chunk(
+        self, record: records.Record, first: int, value: bytes
+    ) -> None:
+        if value:
+            chunk = records.decode(records.Chunk, value)
+            record.take_chunk(first, chunk.results)
+        elif first >= len(record.results):
+            # Left out by a node that was asked before this was wanted.
+            record.is_current = False
+
+    def _note_reloaded(self) -> None:
+        """Has all batches looked at again: results may have been missed."""
+        for record in self.records.values():
+            record.is_current = False
 
     async def accept(self, new: batch.Batch, patience_s: float) -> bool:
         """Keeps a batch; once it returns, the store has it.
@@ -231,68 +247,23 @@
         """
         if new.id in self.records:
             return False
+        self._note_read(new.id)
         now_ms = int(self.clock.now().timestamp() * 1000)
-        transaction = self._make_acceptance(new, now_ms)
-        is_new = await self._commit_for_sure(transaction, patience_s, new.id)
+        transaction = acceptance.make(new, now_ms, self.part_bytes)
+        is_new = await acceptance.commit_for_sure(
+            self.store, self.clock, transaction, patience_s, new.id
+        )
         if is_new:
+            self.feed.hurry()
             for put in transaction.puts:
-                self.feed.hurry()
-                self._take(stores.Entry(put.key, put.value, 0))
+                self._take_head(stores.Entry(put.key, put.value, 0))
         return is_new
 
-    def _make_acceptance(
-        self, new: batch.Batch, now_ms: int
-    ) -> stores.Transaction:
-        groups = _split(new.items, self.part_bytes)
-        head = Specification(
-            now_ms, len(groups), attrs.evolve(new, items=groups[0])
-        )
-        values = [_encode(head)]
-        values += [_encode(Items(items)) for items in groups[1:]]
-        keys = [
-            key_of(new.id, SPECIFICATION, str(number))
-            for number in range(len(values))
-        ]
-        return stores.Transaction(
-            [stores.Condition(keys[0], stores.ABSENT)],
-            [stores.Put(k, v) for k, v in zip(keys, values, strict=True)],
-        )
+    def _note_read(self, batch_id: str) -> None:
+        self.reads[batch_id] = self.clock.monotonic()
+        self._update_interest()
 
-    async def _commit_for_sure(
-        self,
-        transaction: stores.Transaction,
-        patience_s: float,
-        batch_id: str,
-    ) -> bool:
-        """Commits; whether a lost answer took effect shows in a repetition."""
-        until = self.clock.monotonic() + patience_s
-        may_have_run = False
-        pause_s = RETRY_S
-        while True:
-            try:
-                revision = await self.store.commit(transaction)
-                return revision is not None
-            except stores.StoreError as e:
-                may_have_run = may_have_run or e.may_have_run
-                events.log(
-                    events.Event.BATCH_WRITE_FAILED,
-                    batch=batch_id,
-                    reason=e.reason,
-                    may_have_run=e.may_have_run,
-                )
-            if self.clock.monotonic() + pause_s >= until:
-                break
-            await self.clock.sleep(pause_s)
-            pause_s = min(RETRY_MOST_S, 2 * pause_s)
-        if may_have_run:
-            raise errors.ServiceError(
-                errors.ResultCode.BATCH_UNDECIDED, run=errors.Run.UNKNOWN
-            )
-        raise errors.ServiceError(
-            errors.ResultCode.STORE_UNAVAILABLE, retry_after_s=pause_s
-        )
-
-    async def find(self, batch_id: str, organisation: str) -> Record:
+    async def find(self, batch_id: str, organisation: str) -> records.Record:
         """Returns a batch of an organisation.
 
         Raises:
@@ -301,34 +272,163 @@
         """
         record = self.records.get(batch_id)
         if record is None:
-            await self.refresh(batch_id)
-            record = self.records.get(batch_id)
+            record = await self.load(batch_id, is_read=True)
         if record is None or record.batch.organisation != organisation:
             raise errors.ServiceError(errors.ResultCode.BATCH_UNKNOWN)
+        self._note_read(batch_id)
         return record
 
-    async def refresh(self, batch_id: str) -> None:
-        """Reads a batch's keys from the store itself.
+    async def load(self, batch_id: str, is_read: bool) -> records.Record | None:
+        """Has a batch known in full; None if it does not exist.
+
+        Args:
+            batch_id: The batch.
+            is_read: Whether it is wanted whatever its model is.
 
         Raises:
             ServiceError: ``STORE_UNAVAILABLE``.
         """
-        prefix = key_of(batch_id, "")
-        after, has_more = "", True
+        while batch_id in self.loading:
+            await self.loading[batch_id].done.wait()
+        if batch_id in self.records:
+            return self.records[batch_id]
+        loading = self.loading[batch_id] = Loading()
+        self._update_interest()
+        try:
+            record = await self._fetch(batch_id)
+        finally:
+            del self.loading[batch_id]
+            loading.done.set()
+            self.unexamined.discard(batch_id)
+        if record is not None:
+            self._keep(record, is_read)
+            for entry in loading.entries:
+                self._take_again(entry)
+        self._update_interest()
+        return record
+
+    def _keep(self, record: records.Record, is_read: bool) -> None:
+        batch_id, model = record.batch.id, record.batch.model
+        self.known[batch_id] = Known(record.submitted_ms, model)
+        if is_read:
+            self.reads[batch_id] = self.clock.monotonic()
+        if is_read or self.interest.includes(batch_id, model):
+            self.records[batch_id] = record
+
+    def _take_again(self, entry: stores.Entry) -> None:
+        """Takes over a change that came while its batch was loaded."""
+        if entry.key.startswith(records.PREFIX):
+            self._take_head(entry)
+        else:
+            self._take_results(entry)
+
+    async def _fetch(self, batch_id: str) -> records.Record | None:
+        copy = await self._fetch_current_copy(batch_id)
+        if copy is not None:
+            return copy
         try:
-            while has_more:
-                page = await self.store.scan(prefix, after)
-                for entry in page.entries:
-                    self.feed.apply(entry)
-                has_more = page.has_more
-                after = page.entries[-1].key if page.entries else after
+            return await self._scan(batch_id)
         except stores.StoreError as e:
-            if not await self._is_refreshed_by_followed_node():
-                raise errors.ServiceError(
-                    errors.ResultCode.STORE_UNAVAILABLE,
-                    e.reason,
-                    retry_after_s=0.5,
-                ) from e
+            reason = e.reason
+        if await self._is_refreshed_by_followed_node():
+            key = records.key_of(batch_id, records.SPECIFICATION, "0")
+            if key not in self.feed.entries:
+                return None
+            copy = await self._fetch_current_copy(batch_id)
+            if copy is not None:
+                return copy
+        raise errors.ServiceError(
+            errors.ResultCode.STORE_UNAVAILABLE, reason, retry_after_s=0.5
+        )
+
+    async def _fetch_current_copy(self, batch_id: str) -> records.Record | None:
+        """Returns another node's state, if it is as new as the mirror."""
+        key = records.key_of(batch_id, records.SPECIFICATION, "0")
+        if key not in self.feed.entries:
+            return None
+        revision = self.feed.revision
+        copy = await self.fetch_copy(batch_id)
+        if copy is None or copy.revision < revision:
+            return None
+        return records.from_copy(copy)
+
+    async def _scan(self, batch_id: str) -> records.Record | None:
+        """Reads a batch from the store; None if there is none."""
+        parts: dict[str, bytes] = {}
+        is_ended = False
+        for entry in await self._entries(records.key_of(batch_id, "")):
+            kind, _, number = entry.key.rpartition("/")
+            if kind.endswith("/" + records.SPECIFICATION):
+                parts[number] = entry.value or b""
+            is_ended = is_ended or number == records.END
+            self.feed.apply(entry)
+        record = _assemble(parts)
+        if record is None:
+            return None
+        await self._read_results(record)
+        if is_ended:
+            record.note_ended()
+        return record
+
+    async def _entries(
+        self, prefix: str, after: str = ""
+    ) -> list[stores.Entry]:
+        found: list[stores.Entry] = []
+        has_more = True
+        while has_more:
+            page = await self.store.scan(prefix, after)
+            found += page.entries
+            has_more = page.has_more
+            after = page.entries[-1].key if page.entries else after
+        return found
+
+    async def _read_results(self, record: records.Record) -> None:
+        """Reads the results that a record lacks from the store."""
+        prefix = f"{records.RESULTS_PREFIX}{record.batch.id}/"
+        after = ""
+        if record.results:
+            last = len(record.results) - 1
+            after = records.result_key(record.batch.id, last)
+        for entry in await self._entries(prefix, after):
+            first = int(entry.key.removeprefix(prefix))
+            self._take_chunk(record, first, entry.value or b"")
+
+    async def refresh(self, record: records.Record) -> None:
+        """Brings a batch up to date with the store itself.
+
+        Raises:
+            ServiceError: ``STORE_UNAVAILABLE``.
+        """
+        was_current = record.is_current
+        # What changes from here on is heard of.
+        record.is_current = True
+        try:
+            await self._read_results(record)
+            return
+        except stores.StoreError as e:
+            reason = e.reason
+            record.is_current = was_current and record.is_current
+        if not await self._is_refreshed_by_followed_node():
+            raise errors.ServiceError(
+                errors.ResultCode.STORE_UNAVAILABLE, reason, retry_after_s=0.5
+            )
+        if not record.is_current:
+            await self._take_copy(record)
+
+    async def _take_copy(self, record: records.Record) -> None:
+        """Adds what another node has listed.
+
+        Raises:
+            ServiceError: ``STORE_UNAVAILABLE`` if none can tell.
+        """
+        copy = await self._fetch_current_copy(record.batch.id)
+        if copy is None:
+            raise errors.ServiceError(
+                errors.ResultCode.STORE_UNAVAILABLE, retry_after_s=0.5
+            )
+        known = len(record.results)
+        record.take_chunk(known, copy.results[known:])
+        record.is_current = True
 
     async def _is_refreshed_by_followed_node(self) -> bool:
         """Waits a little for the mirror to become current by another node."""
@@ -340,7 +440,7 @@
         return False
 
     async def read(
-        self, record: Record, after: int, wait_s: float
+        self, record: records.Record, after: int, wait_s: float
     ) -> list[batch.Result]:
         """Returns results from a position on, waiting for the first.
 
@@ -352,8 +452,8 @@
         Raises:
             ServiceError: ``STORE_UNAVAILABLE`` if results may be missing.
         """
-        if after > len(record.results):
-            await self.refresh(record.batch.id)
+        if after > len(record.results) or not record.is_current:
+            await self.refresh(record)
         if after >= len(record.results) and record.is_open():
             self.readers += 1
             self.feed.hurry()
@@ -362,18 +462,19 @@
             finally:
                 self.readers -= 1
             is_empty = after >= len(record.results) and record.is_open()
-            if is_empty and self.feed.age_s() > STALE_S:
-                await self.refresh(record.batch.id)
-        return _page(record.results[after:])
+            is_stale = self.feed.age_s() > STALE_S or not record.is_current
+            if is_empty and is_stale:
+                await self.refresh(record)
+        return record.page(after)
 
     async def _wait_for_result(
-        self, record: Record, after: int, wait_s: float
+        self, record: records.Record, after: int, wait_s: float
     ) -> None:
         with trio.move_on_after(wait_s):
             while after >= len(record.results) and record.is_open():
                 await self.feed.changed.wait()
 
-    async def end(self, record: Record, patience_s: float) -> None:
+    async def end(self, record: records.Record, patience_s: float) -> None:
         """Ends a batch; once it returns, the store knows it.
 
         Raises:
@@ -381,15 +482,19 @@
         """
         if record.is_ended:
             return
-        key = key_of(record.batch.id, END)
+        key = records.key_of(record.batch.id, records.END)
         transaction = stores.Transaction(
             [stores.Condition(key, stores.ABSENT)], [stores.Put(key, b"1")]
         )
-        await self._commit_for_sure(transaction, patience_s, record.batch.id)
-        self._note_ended(record)
+        await acceptance.commit_for_sure(
+            self.store, self.clock, transaction, patience_s, record.batch.id
+        )
+        record.note_ended()
         self.feed.hurry()
 
-    async def append(self, additions: list[tuple[Record, Chunk]]) -> bool:
+    async def append(
+        self, additions: list[tuple[records.Record, records.Chunk]]
+    ) -> bool:
         """Lists results of several batches at the next positions, or none.
 
         Returns:
@@ -401,14 +506,13 @@
         """
         puts = []
         for record, chunk in additions:
-            position = f"{len(record.results):06d}"
-            key = key_of(record.batch.id, RESULTS, position)
-            puts.append(stores.Put(key, _encode(chunk)))
+            key = records.result_key(record.batch.id, len(record.results))
+            puts.append(stores.Put(key, records.encode(chunk)))
         conditions = [stores.Condition(p.key, stores.ABSENT) for p in puts]
         revision = await self.store.commit(stores.Transaction(conditions, puts))
         if revision is None:
             for record, _ in additions:
-                await self.refresh(record.batch.id)
+                await self.refresh(record)
             return False
         for put in puts:
             self.feed.apply(
@@ -417,50 +521,146 @@
         self.feed.announce()
         return True
 
-    async def forget(self, record: Record) -> None:
-        """Removes a batch that need not be read any more.
+    async def run(self) -> None:
+        """Loads what is wanted and lets go of the rest, until cancelled."""
+        while True:
+            await self._load_wanted()
+            now = self.clock.monotonic()
+            if now - self.swept_at >= SWEEP_S:
+                self.swept_at = now
+                self._let_go()
+            await self.clock.sleep(KEEP_PAUSE_S)
+
+    async def _load_wanted(self) -> None:
+        for batch_id in sorted(self.unexamined):
+            known = self.known.get(batch_id)
+            is_wanted = known is None or self.interest.includes(
+                batch_id, known.model
+            )
+            if not is_wanted or self._has_end(batch_id):
+                self.unexamined.discard(batch_id)
+                continue
+            try:
+                await self.load(batch_id, is_read=False)
+            except errors.ServiceError as e:
+                self.unexamined.add(batch_id)
+                _log_unloaded(batch_id, e)
+                return
+        await self._refresh_open()
+
+    async def _refresh_open(self) -> None:
+        """Brings up to date what may have been missed of open batches."""
+        for record in list(self.records.values()):
+            if record.is_current or not record.is_open():
+                continue
+            try:
+                await self.refresh(record)
+            except errors.ServiceError as e:
+                _log_unloaded(record.batch.id, e)
+                return
+
+    def _let_go(self) -> None:
+        """Lets go of batches that nobody here asks for any more."""
+        now = self.clock.monotonic()
+        self.reads = {
+            batch_id: at
+            for batch_id, at in self.reads.items()
+            if now - at < READ_KEPT_S
+        }
+        self._update_interest()
+        closed_bytes = 0
+        newest_first = sorted(
+            self.records.values(), key=self._last_wanted_at, reverse=True
+        )
+        for record in newest_first:
+            batch_id = record.batch.id
+            is_wanted = self.interest.includes(batch_id, record.batch.model)
+            if is_wanted and record.is_open():
+                continue
+            closed_bytes += record.size()
+            if not is_wanted or closed_bytes > CLOSED_BYTES:
+                del self.records[batch_id]
+
+    def _last_wanted_at(self, record: records.Record) -> tuple[float, int]:
+        read_at = self.reads.get(record.batch.id, 0.0)
+        return read_at, record.submitted_ms
+
+    async def forget_older_than(self, seconds: float) -> None:
+        """Removes batches that need not be read any more.
+
+        Only for nodes that want everything: to them a batch that is not known
+        in full is a closed one.
 
         Raises:
             StoreError: If the store cannot be reached.
         """
-        prefix = key_of(record.batch.id, "")
-        keys = [entry.key for entry in self.feed.under(prefix)]
+        now_ms = self.clock.now().timestamp() * 1000
+        for batch_id in self._batch_ids():
+            if batch_id in self.unexamined or batch_id in self.loading:
+                continue
+            known = self.known.get(batch_id)
+            if known is None:
+                await self._learn(batch_id)
+                continue
+            record = self.records.get(batch_id)
+            is_old = now_ms - known.submitted_ms > seconds * 1000
+            if is_old and not (record and record.is_open()):
+                await self._forget(batch_id)
+
+    async def _learn(self, batch_id: str) -> None:
+        """Reads when a batch came, of one that was seen by its name only."""
+        key = records.key_of(batch_id, records.SPECIFICATION, "0")
+        entry = await self.store.store.get(key)
+        if entry is None or entry.value is None:
+            return
+        try:
+            head = records.decode(records.Specification, entry.value)
+        except (ValueError, cattrs.BaseValidationError) as e:
+            _log_unreadable(entry, e)
+            return
+        self.known[batch_id] = Known(head.submitted_ms, head.batch.model)
+
+    async def _forget(self, batch_id: str) -> None:
+        prefix = f"{records.RESULTS_PREFIX}{batch_id}/"
+        keys = [entry.key for entry in await self._entries(prefix)]
+        heads = self.feed.under(records.key_of(batch_id, ""))
         # The specification goes last, so that a half-removed batch is found
         # again by the next round.
-        keys.sort(key=lambda key: SPECIFICATION in key)
+        keys += sorted(
+            (entry.key for entry in heads),
+            key=lambda key: records.SPECIFICATION in key,
+        )
         for start in range(0, len(keys), 32):
             removals = keys[start : start + 32]
             await self.store.commit(stores.Transaction(removals=removals))
 
 
-def _page(results: list[batch.Result]) -> list[batch.Result]:
-    page: list[batch.Result] = []
-    size = 0
-    for result in results:
-        size += len(result.text) + 200
-        if page and size > PAGE_BYTES:
-            break
-        page.append(result)
-    return page
+def _assemble(parts: dict[str, bytes]) -> records.Record | None:
+    """Returns the batch that a specification's parts make, once all are there.
 
-
-def _split(items: list[batch.Item], limit: int) -> list[list[batch.Item]]:
-    """Divides items so that each part fits into one value."""
-    parts: list[list[batch.Item]] = [[]]
-    size = 0
-    for item in items:
-        item_bytes = len(_encode(item))
-        if parts[-1] and size + item_bytes > limit:
-            parts.append([])
-            size = 0
-        parts[-1].append(item)
-        size += item_bytes
-    return parts
-
-
-def _encode(value: object) -> bytes:
-    return _converter.dumps(value)
-
-
-def _decode(kind: type[T], value: bytes) -> T:
-    return _converter.loads(value, kind)
+    Raises:
+        ValueError: If a part makes no sense, or a
+            ``cattrs.BaseValidationError``.
+    """
+    if "0" not in parts:
+        return None
+    head = records.decode(records.Specification, parts["0"])
+    if len(parts) < head.parts:
+        return None
+    items = list(head.batch.items)
+    for part in range(1, head.parts):
+        items += records.decode(records.Items, parts[str(part)]).items
+    whole = attrs.evolve(head.batch, items=items)
+    return records.Record(whole, head.submitted_ms)
+
+
+def _log_unreadable(entry: stores.Entry, error: Exception) -> None:
+    events.log(
+        events.Event.STORE_ENTRY_UNREADABLE,
+        key=entry.key,
+        reason=repr(error)[:200],
+    )
+
+
+def _log_unloaded(batch_id: str, error: errors.ServiceError) -> None:
+    events.log(events.Event.BATCH_UNREADABLE, batch=batch_id, reason=str(error))
--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -15,6 +15,7 @@
 from kingcupscale.batches import listing
 from kingcupscale.batches import moving
 from kingcupscale.batches import placement
+from kingcupscale.batches import record as records
 from kingcupscale.batches import sample as samples
 from kingcupscale.batches import scoring
 from kingcupscale.fleet import catalogue
@@ -36,7 +37,7 @@
 class Progress:
     """Samples of one batch, by item."""
 
-    record: books.Record
+    record: records.Record
     samples: dict[str, samples.Sample]
 
 
@@ -222,10 +223,10 @@
             ][:20],
         )
 
-    def _age_s(self, record: books.Record) -> float:
+    def _age_s(self, record: records.Record) -> float:
         return self.clock.now().timestamp() - record.submitted_ms / 1000
 
-    def _take_up(self, record: books.Record) -> None:
+    def _take_up(self, record: records.Record) -> None:
         configured = self.catalogue_now()
         if configured is None:
             return
@@ -256,7 +257,7 @@
         )
 
     def _find_route(
-        self, configured: catalogue.Catalogue, record: books.Record
+        self, configured: catalogue.Catalogue, record: records.Record
     ) -> catalogue.Route | None:
         """Returns a batch's route if its service is this one."""
         for item in record.batch.items[:1]:
--- a/src/kingcupscale/batches/copying.py
+++ b/src/kingcupscale/batches/copying.py
@@ -5,6 +5,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale.batches import coordinator as coordinators
+from kingcupscale.peering import calls
 from kingcupscale.peering import handover
 
 # What a takeover loses is at most what was made within this time.
@@ -63,7 +64,7 @@
         copy = handover.Copy(self.coordinator.service, texts)
         try:
             await self.client.send(address, copy)
-        except handover.CopyError as e:
+        except calls.PeerError as e:
             self._forget()
             events.log(
                 events.Event.COPY_FAILED,
--- a/src/kingcupscale/batches/listing.py
+++ b/src/kingcupscale/batches/listing.py
@@ -10,6 +10,7 @@
 from kingcupscale import events
 from kingcupscale.batches import batch as batches
 from kingcupscale.batches import book as books
+from kingcupscale.batches import record as records
 from kingcupscale.batches import sample as samples
 from kingcupscale.storage import store as stores
 
@@ -81,9 +82,9 @@
         # What did not fit, or met another writer, is looked at again.
         self.finished.set()
 
-    def _gather(self) -> list[tuple[books.Record, books.Chunk]]:
+    def _gather(self) -> list[tuple[records.Record, records.Chunk]]:
         """Returns the results that are not listed yet, as far as fits."""
-        found: dict[str, tuple[books.Record, dict[str, batches.Result]]] = {}
+        found: dict[str, tuple[records.Record, dict[str, batches.Result]]] = {}
         size = 0
         for sample in self.find_samples():
             record = sample.record
@@ -95,6 +96,6 @@
             _, results = found.setdefault(record.batch.id, (record, {}))
             results.setdefault(sample.id, sample.result)
         return [
-            (record, books.Chunk(list(results.values())))
+            (record, records.Chunk(list(results.values())))
             for record, results in list(found.values())[:WRITE_BATCHES]
         ]
--- a/src/kingcupscale/batches/sample.py
+++ b/src/kingcupscale/batches/sample.py
@@ -7,7 +7,7 @@
 import trio
 
 from kingcupscale.batches import batch
-from kingcupscale.batches import book as books
+from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import serverclient
 
@@ -50,7 +50,7 @@
     """
 
     item: batch.Item
-    record: books.Record
+    record: records.Record
     route: catalogue.Route
     stage: Stage = Stage.WAITING
     events: list[serverclient.StreamEvent] = attrs.field(factory=list)
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -42,7 +42,7 @@
     DUTY_LOST = (2310, "The node no longer holds a duty.")
     SERVERS_ORDERED = (2311, "A number of servers was ordered.")
     LOAD_ENDED = (2312, "An order to load weights has ended.")
-    COPY_FAILED = (2315, "Texts could not be copied to the next candidate.")
+    COPY_FAILED = (2315, "A copy could not be sent to or had from a node.")
     REPORT_FAILED = (2313, "An engine did not tell how it stands.")
     VM_EMPTIED = (2314, "A VM that is to go was answered to be empty.")
     USAGE_REPORTED = (2401, "A usage window was taken by the intake.")
@@ -71,6 +71,7 @@
     SCORING_FAILED = (2614, "A scoring call brought no score.")
     RESULTS_LISTED = (2615, "Results were written at their positions.")
     RESULTS_UNLISTED = (2616, "A write of results failed; they are kept.")
+    BATCH_UNREADABLE = (2617, "A batch could not be had; tried again.")
 
     def __init__(self, number: int, summary: str) -> None:
         self.number = number
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -8,6 +8,9 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.batches import interest as interests
+from kingcupscale.batches import record as records
+from kingcupscale.peering import calls
 from kingcupscale.peering import commits
 from kingcupscale.peering import relay
 from kingcupscale.storage import changelog
@@ -97,12 +100,16 @@
         return since is not None and self.clock.monotonic() - since > SILENT_S
 
     async def follow(
-        self, position: changelog.Position, any_node: bool
+        self,
+        position: changelog.Position,
+        interest: interests.Interest,
+        any_node: bool,
     ) -> changelog.Changes | None:
         """Returns another node's changes, a leader's if possible.
 
         Args:
             position: How far this node has read.
+            interest: The batches that it wants to be told in full.
             any_node: Whether nodes that lead nothing will do as well.
         """
         addresses = self.addresses()
@@ -114,11 +121,33 @@
         for name in names:
             if self.not_before.get(name, 0.0) > self.clock.monotonic():
                 continue
-            changes = await self._ask(name, addresses[name], position)
+            changes = await self._ask(name, addresses[name], position, interest)
             if changes is not None:
                 return changes
         return None
 
+    async def copy_of(
+        self, batch_id: str, nodes: list[str]
+    ) -> records.RecordCopy | None:
+        """Returns a batch as the first of some nodes that has it knows it."""
+        addresses = self.addresses()
+        for name in nodes:
+            if name not in addresses or self.is_silent(name):
+                continue
+            try:
+                copy = await self.client.copy(addresses[name], batch_id)
+            except calls.PeerError as e:
+                events.log(
+                    events.Event.COPY_FAILED,
+                    peer=name,
+                    batch=batch_id,
+                    reason=e.reason,
+                )
+                continue
+            if copy is not None:
+                return copy
+        return None
+
     async def commit(
         self, transaction: stores.Transaction
     ) -> tuple[int | None] | None:
@@ -154,11 +183,15 @@
         return None
 
     async def _ask(
-        self, name: str, address: str, position: changelog.Position
+        self,
+        name: str,
+        address: str,
+        position: changelog.Position,
+        interest: interests.Interest,
     ) -> changelog.Changes | None:
         asked_at = self.clock.monotonic()
         try:
-            changes = await self.client.follow(address, position)
+            changes = await self.client.follow(address, position, interest)
         except relay.FollowedTooLateError:
             self.silent_since.pop(name, None)
             self.not_before[name] = self.clock.monotonic() + AVOID_S
--- a/src/kingcupscale/gateway/callers.py
+++ b/src/kingcupscale/gateway/callers.py
@@ -7,6 +7,7 @@
 from kingcupscale import events
 from kingcupscale.batches import batch as batches
 from kingcupscale.batches import book as books
+from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
 from kingcupscale.gateway import forwarder
 from kingcupscale.web import message
@@ -95,7 +96,7 @@
             took_s=round(self.clock.monotonic() - inbound.received_at, 3),
         )
 
-    async def find(self, batch_id: str, key: str) -> books.Record:
+    async def find(self, batch_id: str, key: str) -> records.Record:
         """Returns a batch that a key gives access to.
 
         Raises:
@@ -107,12 +108,12 @@
         return await self.book.find(batch_id, name)
 
     async def read(
-        self, record: books.Record, after: int, wait_s: float
+        self, record: records.Record, after: int, wait_s: float
     ) -> list[batches.Result]:
         """Returns results from a position on, waiting for the first."""
         return await self.book.read(record, after, wait_s)
 
-    def item_body(self, record: books.Record, item_id: str) -> bytes:
+    def item_body(self, record: records.Record, item_id: str) -> bytes:
         """Returns the body of an item, until its batch is ended.
 
         Raises:
@@ -123,7 +124,7 @@
                 return item.body
         raise errors.ServiceError(errors.ResultCode.ITEM_UNKNOWN)
 
-    async def end(self, record: books.Record, patience_s: float) -> None:
+    async def end(self, record: records.Record, patience_s: float) -> None:
         """Ends a batch.
 
         Raises:
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -9,6 +9,7 @@
 from kingcupscale.batches import copying
 from kingcupscale.batches import loader as loaders
 from kingcupscale.capacity import fleetsize
+from kingcupscale.peering import calls
 from kingcupscale.peering import loads
 from kingcupscale.storage import tenure as tenures
 
@@ -17,6 +18,9 @@
 
 DUTY_PAUSE_S = 0.2
 HOLDER_PAUSE_S = 0.05
+# A batch is kept this much longer than it has to be readable.
+RETENTION_SLACK_S = 60.0
+FORGET_PAUSE_S = 5.0
 # A node that holds a duty already leaves further ones to others, by as many
 # places as this.
 HELD_PLACES = 2
@@ -68,6 +72,7 @@
             lambda: runtime.open_items(service),
         )
         self.nursery: trio.Nursery | None = None
+        self.forgot_at = 0.0
 
     async def run(self) -> None:
         """Contends for the service and leads it while held."""
@@ -79,6 +84,7 @@
                 await self.loader.step(nursery)
                 if self.runtime.settings.orders_servers:
                     await self.sizer.step()
+                await self._forget_old_batches()
 
             await tenures.hold(
                 self.tenure,
@@ -87,6 +93,16 @@
                 DUTY_PAUSE_S,
             )
 
+    async def _forget_old_batches(self) -> None:
+        now = self.runtime.clock.monotonic()
+        if now - self.forgot_at < FORGET_PAUSE_S:
+            return
+        self.forgot_at = now
+        retention_s = self.runtime.settings.bounds.retention_s
+        await self.runtime.book.forget_older_than(
+            retention_s + RETENTION_SLACK_S
+        )
+
     def _tell(self, state: loads.LoadState) -> None:
         """Takes over a load's state and passes it on to the model's node."""
         self.runtime.take_load(state)
@@ -99,11 +115,16 @@
     async def _send(self, address: str, state: loads.LoadState) -> None:
         try:
             await self.runtime.surroundings.loads.send(address, state)
-        except loads.LoadError as e:
+        except calls.PeerError as e:
             # The engine's own entry and its refusals tell the same, later.
             events.log(events.Event.PEER_SILENT, address=address, reason=str(e))
 
 
+def is_small_fleet(runtime: "runtimes.Runtime") -> bool:
+    """Tells whether one node can run all models of a service."""
+    return len(runtime.node_names()) < SPREAD_FROM_NODES
+
+
 def model_duty(service: str, model: str) -> str:
     """Returns the name of the duty of running a model's samples."""
     return f"{service}/{model}"
@@ -141,6 +162,18 @@
             self._find_successor,
         )
 
+    def wants_batches(self) -> bool:
+        """Tells whether this node runs the model's batches, or would next."""
+        node = self.runtime.settings.node
+        holder = self.runtime.peers.holder(self.tenure.name)
+        others = [name for name in self._ranking() if name != holder]
+        return (
+            holder == node
+            or others[:1] == [node]
+            or self.coordinator.is_active(self.model)
+            or bool(self.coordinator.unlisted_samples(self.model))
+        )
+
     async def hand_over(self) -> None:
         """Stops running samples and sends their texts to the next node."""
         self.coordinator.set_active(self.model, False)
@@ -176,18 +209,13 @@
         ranking = self._ranking()
         node = self.runtime.settings.node
         place = ranking.index(node) if node in ranking else len(ranking)
-        if self._is_small_fleet():
+        if is_small_fleet(self.runtime):
             return 0 if self.leader.tenure.is_held() else 1 + place
         return 1 + place + HELD_PLACES * self.runtime.duties_held()
 
-    def _is_small_fleet(self) -> bool:
-        """Tells whether one node can run all models of a service."""
-        ranking = self.runtime.ranking(self.service)
-        return len(ranking) < SPREAD_FROM_NODES
-
     def _ranking(self) -> list[str]:
         """Returns the candidates, the preferred one first."""
-        is_small = self._is_small_fleet()
+        is_small = is_small_fleet(self.runtime)
         duty = self.service if is_small else self.tenure.name
         return self.runtime.ranking(duty)
 
--- a/src/kingcupscale/peering/commits.py
+++ b/src/kingcupscale/peering/commits.py
@@ -2,23 +2,29 @@
 
 from typing import Protocol
 
-import cattrs
-import cattrs.preconf.orjson
-import orjson
+import attrs
 
-from kingcupscale import errors
 from kingcupscale import events
+from kingcupscale.peering import calls
 from kingcupscale.storage import store as stores
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 
 PATH = "/commit"
 TIMEOUT_S = 1.5
-CONNECT_S = 0.25
 STATUS_NOT_DONE = 503
 STATUS_UNKNOWN = 504
 
-_converter = cattrs.preconf.orjson.make_converter()
+
+@attrs.frozen
+class Committed:
+    """Answer to a transaction.
+
+    Attributes:
+        revision: The store's new revision; None if a condition did not hold.
+    """
+
+    revision: int | None
 
 
 class CommitClient(Protocol):
@@ -49,23 +55,14 @@
         self, address: str, transaction: stores.Transaction
     ) -> int | None:
         """Returns the new revision, or None if a condition did not hold."""
-        body = _converter.dumps(transaction)
-        request = message.Request("POST", PATH, "", {"host": address}, body)
-        request.connect_timeout_s = CONNECT_S
         try:
-            response = await exchange.fetch(
-                self.exchanger, address, request, TIMEOUT_S
+            body = await calls.post(
+                self.exchanger, address, PATH, transaction, TIMEOUT_S
             )
-            if response.status == 200:
-                return orjson.loads(response.body)["revision"]
-        except exchange.ExchangeError as e:
-            raise stores.StoreError(e.reason, e.request_left) from e
-        except (ValueError, KeyError, TypeError) as e:
-            raise stores.StoreError(f"unreadable answer: {e!r}", True) from e
-        raise stores.StoreError(
-            f"status {response.status} of {address}",
-            response.status != STATUS_NOT_DONE,
-        )
+            return calls.decode_answer(body, Committed).revision
+        except calls.PeerError as e:
+            may_have_run = e.request_left and e.status != STATUS_NOT_DONE
+            raise stores.StoreError(e.reason, may_have_run) from e
 
 
 async def answer(
@@ -77,12 +74,7 @@
         store: The store as this node reaches it.
         request: The other node's request.
     """
-    try:
-        transaction = _converter.loads(request.body, stores.Transaction)
-    except (ValueError, cattrs.BaseValidationError) as e:
-        raise errors.ServiceError(
-            errors.ResultCode.BODY_INVALID, repr(e)[:200]
-        ) from None
+    transaction = calls.decode(request.body, stores.Transaction)
     try:
         revision = await store.commit(transaction)
     except stores.LeaseEndedError:
@@ -91,4 +83,8 @@
         events.log(events.Event.STORE_FAILED, reason=e.reason, for_peer=True)
         status = STATUS_UNKNOWN if e.may_have_run else STATUS_NOT_DONE
         return message.Response(status)
-    return message.json_response({"revision": revision})
+    return message.Response(
+        200,
+        {"content-type": "application/json"},
+        calls.encode(Committed(revision)),
+    )
--- a/src/kingcupscale/peering/handover.py
+++ b/src/kingcupscale/peering/handover.py
@@ -8,20 +8,14 @@
 from typing import Protocol
 
 import attrs
-import cattrs
-import cattrs.preconf.orjson
 
-from kingcupscale import errors
 from kingcupscale.batches import batch
 from kingcupscale.fleet import serverclient
+from kingcupscale.peering import calls
 from kingcupscale.web import exchange
-from kingcupscale.web import message
 
 PATH = "/texts"
 SEND_TIMEOUT_S = 0.5
-CONNECT_S = 0.25
-
-_converter = cattrs.preconf.orjson.make_converter()
 
 
 @attrs.frozen
@@ -47,10 +41,6 @@
     texts: list[Text]
 
 
-class CopyError(Exception):
-    """A copy that the other node did not take."""
-
-
 class CopyClient(Protocol):
     """Sends copies to other nodes."""
 
@@ -58,7 +48,7 @@
         """Sends one copy.
 
         Raises:
-            CopyError: If it was not taken.
+            PeerError: If it was not taken.
         """
         ...
 
@@ -75,18 +65,7 @@
 
     async def send(self, address: str, copy: Copy) -> None:
         """Sends one copy."""
-        request = message.Request(
-            "POST", PATH, "", {"host": address}, _converter.dumps(copy)
-        )
-        request.connect_timeout_s = CONNECT_S
-        try:
-            response = await exchange.fetch(
-                self.exchanger, address, request, SEND_TIMEOUT_S
-            )
-        except exchange.ExchangeError as e:
-            raise CopyError(e.reason) from e
-        if response.status != 200:
-            raise CopyError(f"status {response.status}")
+        await calls.post(self.exchanger, address, PATH, copy, SEND_TIMEOUT_S)
 
 
 def decode(body: bytes) -> Copy:
@@ -95,9 +74,4 @@
     Raises:
         ServiceError: ``BODY_INVALID``.
     """
-    try:
-        return _converter.loads(body, Copy)
-    except (ValueError, cattrs.BaseValidationError) as e:
-        raise errors.ServiceError(
-            errors.ResultCode.BODY_INVALID, repr(e)[:200]
-        ) from None
+    return calls.decode(body, Copy)
--- a/src/kingcupscale/peering/loads.py
+++ b/src/kingcupscale/peering/loads.py
@@ -3,18 +3,12 @@
 from typing import Protocol
 
 import attrs
-import cattrs
-import cattrs.preconf.orjson
 
-from kingcupscale import errors
+from kingcupscale.peering import calls
 from kingcupscale.web import exchange
-from kingcupscale.web import message
 
 PATH = "/loads"
 SEND_TIMEOUT_S = 0.5
-CONNECT_S = 0.25
-
-_converter = cattrs.preconf.orjson.make_converter()
 
 
 @attrs.frozen
@@ -37,10 +31,6 @@
     loading_s: float = 0.0
 
 
-class LoadError(Exception):
-    """A state that the other node did not take."""
-
-
 class LoadClient(Protocol):
     """Sends states to other nodes."""
 
@@ -48,7 +38,7 @@
         """Sends one state.
 
         Raises:
-            LoadError: If it was not taken.
+            PeerError: If it was not taken.
         """
         ...
 
@@ -65,18 +55,7 @@
 
     async def send(self, address: str, state: LoadState) -> None:
         """Sends one state."""
-        request = message.Request(
-            "POST", PATH, "", {"host": address}, _converter.dumps(state)
-        )
-        request.connect_timeout_s = CONNECT_S
-        try:
-            response = await exchange.fetch(
-                self.exchanger, address, request, SEND_TIMEOUT_S
-            )
-        except exchange.ExchangeError as e:
-            raise LoadError(e.reason) from e
-        if response.status != 200:
-            raise LoadError(f"status {response.status}")
+        await calls.post(self.exchanger, address, PATH, state, SEND_TIMEOUT_S)
 
 
 def decode(body: bytes) -> LoadState:
@@ -85,9 +64,4 @@
     Raises:
         ServiceError: ``BODY_INVALID``.
     """
-    try:
-        return _converter.loads(body, LoadState)
-    except (ValueError, cattrs.BaseValidationError) as e:
-        raise errors.ServiceError(
-            errors.ResultCode.BODY_INVALID, repr(e)[:200]
-        ) from None
+    return calls.decode(body, LoadState)
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -3,15 +3,20 @@
 A node that leads a duty watches the store; the others follow its mirror. So
 the store's calls do not grow with the number of nodes, results reach readers
 without a pause, and a node that the store turns away still learns of changes.
+Texts are most of what changes, so a follower names the batches that it wants
+to know in full; of the others it is told the keys only.
 """
 
 import base64
 from typing import Protocol
 
+import attrs
 import orjson
 import trio
 
-from kingcupscale import errors
+from kingcupscale.batches import interest as interests
+from kingcupscale.batches import record as records
+from kingcupscale.peering import calls
 from kingcupscale.storage import changelog
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
@@ -19,14 +24,19 @@
 from kingcupscale.web import message
 
 PATH = "/relay"
+COPY_PATH = "/relay-copy"
 # A follower waits this long for news; an answer that takes longer than this
 # and the margin means that the other node is gone.
 WAIT_S = 0.5
 MARGIN_S = 0.3
-CONNECT_S = 0.25
+# A whole batch with its texts takes a while on a narrow link.
+COPY_TIMEOUT_S = 1.0
+STATUS_UNKNOWN = 404
 STATUS_BEHIND = 410
 # Encoded changes kept; all followers ask for the latest ones.
 ENCODED_KEPT = 100
+# Stands for a value that the follower does not want to know.
+LEFT_OUT = b""
 
 
 class RelayError(Exception):
@@ -37,19 +47,70 @@
     """A node that no longer knows the changes that a follower lacks."""
 
 
+@attrs.frozen
+class Question:
+    """What a follower asks.
+
+    Attributes:
+        log: Log that it has read from; empty for none.
+        number: Number of the last change that it has read.
+        revision: Store revision up to which it knows everything.
+        everything: Whether it wants all batches in full.
+        models: Models whose batches it wants in full.
+        batches: Single batches that it wants in full.
+    """
+
+    log: str
+    number: int
+    revision: int
+    everything: bool
+    models: list[str]
+    batches: list[str]
+
+    def position(self) -> changelog.Position:
+        """Returns how far the follower has read."""
+        return changelog.Position(self.log, self.number, self.revision)
+
+    def interest(self) -> interests.Interest:
+        """Returns the batches that it wants."""
+        return interests.Interest(
+            self.everything, frozenset(self.models), frozenset(self.batches)
+        )
+
+
+@attrs.frozen
+class CopyQuestion:
+    """Asks for all that a node knows of a batch."""
+
+    batch: str
+
+
 class RelayClient(Protocol):
     """Asks other nodes for changes."""
 
     async def follow(
-        self, address: str, position: changelog.Position
+        self,
+        address: str,
+        position: changelog.Position,
+        interest: interests.Interest,
     ) -> changelog.Changes:
-        """Returns changes past a position, waiting for the first.
+        """Returns changes past a position, waiting for the first wanted one.
 
         Raises:
             RelayError: If the node does not answer as it should.
         """
         ...
 
+    async def copy(
+        self, address: str, batch_id: str
+    ) -> records.RecordCopy | None:
+        """Returns a batch as another node knows it; None if it does not.
+
+        Raises:
+            PeerError: If the node does not answer as it should.
+        """
+        ...
+
 
 class HttpRelayClient:
     """A ``RelayClient`` over HTTP.
@@ -62,74 +123,161 @@
         self.exchanger = exchanger
 
     async def follow(
-        self, address: str, position: changelog.Position
+        self,
+        address: str,
+        position: changelog.Position,
+        interest: interests.Interest,
     ) -> changelog.Changes:
-        """Returns changes past a position, waiting for the first."""
-        query = f"{position.log or '-'}/{position.number}/{position.revision}"
-        request = message.Request(
-            "GET", f"{PATH}/{query}", "", {"host": address}
+        """Returns changes past a position, waiting for the first wanted one."""
+        question = Question(
+            position.log,
+            position.number,
+            position.revision,
+            interest.everything,
+            sorted(interest.models),
+            sorted(interest.batches),
         )
-        request.connect_timeout_s = CONNECT_S
+        timeout_s = WAIT_S + MARGIN_S
         try:
-            response = await exchange.fetch(
-                self.exchanger, address, request, WAIT_S + MARGIN_S
+            body = await calls.post(
+                self.exchanger, address, PATH, question, timeout_s
             )
-        except exchange.ExchangeError as e:
+        except calls.PeerError as e:
+            if e.status == STATUS_BEHIND:
+                raise FollowedTooLateError(f"too far behind {address}") from e
             raise RelayError(e.reason) from e
-        if response.status == STATUS_BEHIND:
-            raise FollowedTooLateError(f"too far behind {address}")
-        if response.status != 200:
-            raise RelayError(f"status {response.status}")
         try:
-            return _decode(response.body)
+            return _decode(body)
         except (ValueError, KeyError, TypeError) as e:
             raise RelayError(f"unreadable answer: {e!r}") from e
 
+    async def copy(
+        self, address: str, batch_id: str
+    ) -> records.RecordCopy | None:
+        """Returns a batch as another node knows it; None if it does not."""
+        try:
+            body = await calls.post(
+                self.exchanger,
+                address,
+                COPY_PATH,
+                CopyQuestion(batch_id),
+                COPY_TIMEOUT_S,
+            )
+        except calls.PeerError as e:
+            if e.status == STATUS_UNKNOWN:
+                return None
+            raise
+        return calls.decode_answer(body, records.RecordCopy)
+
+
+class BatchesKnown(Protocol):
+    """What a node knows of the batches that followers ask for."""
+
+    records: dict[str, records.Record]
+
+    def model_of(self, batch_id: str) -> str | None:
+        """Returns the model that a batch trains, if that is known."""
+        ...
+
 
 class RelayHandler:
     """Answers followers from this node's mirror.
 
     Args:
         feed: The mirror.
+        book: The batches.
     """
 
-    def __init__(self, feed: feeds.Feed) -> None:
+    def __init__(self, feed: feeds.Feed, book: BatchesKnown) -> None:
         self.feed = feed
+        self.book = book
         self.encoded: dict[tuple[str, int], bytes] = {}
 
     async def __call__(self, request: message.Request) -> message.Response:
-        """Returns changes past the position that the path names."""
-        position = _decode_position(request.path)
+        """Answers a follower."""
+        if request.path == COPY_PATH:
+            return self._copy(calls.decode(request.body, CopyQuestion))
+        question = calls.decode(request.body, Question)
+        position, interest = question.position(), question.interest()
+        if self.feed.current_at < 0:
+            return message.Response(STATUS_BEHIND)
+        with trio.move_on_after(WAIT_S):
+            await self._wait_for_news(position, interest)
+        # Read after the wait: a change may have come as it ended, and the
+        # position that is told must not pass it.
         found = self.feed.log.since(position)
-        if found is None or self.feed.current_at < 0:
+        if found is None or any(self._lacks(e, interest) for e in found):
             return message.Response(STATUS_BEHIND)
-        if not found:
-            await self._wait_for_change(position)
-            # Read once more: a change may have come as the wait ended, and the
-            # position that is told must not pass it.
-            found = self.feed.log.since(position)
-            if found is None:
-                return message.Response(STATUS_BEHIND)
         return message.Response(
-            200, {"content-type": "application/json"}, self._encode(found)
+            200,
+            {"content-type": "application/json"},
+            self._encode(found, interest),
         )
 
-    async def _wait_for_change(self, position: changelog.Position) -> None:
-        with trio.move_on_after(WAIT_S):
-            while self.feed.log.since(position) == []:
-                await self.feed.changed.wait()
+    def _copy(self, question: CopyQuestion) -> message.Response:
+        record = self.book.records.get(question.batch)
+        if record is None or not record.is_current:
+            return message.Response(STATUS_UNKNOWN)
+        return message.Response(
+            200,
+            {"content-type": "application/json"},
+            calls.encode(record.copy(self.feed.revision)),
+        )
+
+    async def _wait_for_news(
+        self, position: changelog.Position, interest: interests.Interest
+    ) -> None:
+        """Waits for a change that the follower wants, or that is lost."""
+        looked = position
+        while True:
+            found = self.feed.log.since(looked)
+            if found is None or any(
+                self._is_wanted(e, interest) for e in found
+            ):
+                return
+            log = self.feed.log
+            looked = changelog.Position(log.id, log.number, looked.revision)
+            await self.feed.changed.wait()
+
+    def _is_wanted(
+        self, entry: stores.Entry, interest: interests.Interest
+    ) -> bool:
+        """Tells whether a follower wants to know a change in full."""
+        batch_id = records.batch_of(entry.key)
+        if batch_id is None:
+            return True
+        model = self.book.model_of(batch_id)
+        return model is None or interest.includes(batch_id, model)
+
+    def _lacks(self, entry: stores.Entry, interest: interests.Interest) -> bool:
+        """Tells whether a value is wanted that this node was not told."""
+        return (
+            entry.value == LEFT_OUT
+            and records.batch_of(entry.key) is not None
+            and self._is_wanted(entry, interest)
+        )
 
-    def _encode(self, entries: list[stores.Entry]) -> bytes:
+    def _encode(
+        self, entries: list[stores.Entry], interest: interests.Interest
+    ) -> bytes:
         return orjson.dumps(
             {
                 "log": self.feed.log.id,
                 "number": self.feed.log.number,
                 "revision": self.feed.revision,
                 "age_s": self.feed.age_s(),
-                "entries": [self._encode_once(entry) for entry in entries],
+                "entries": [self._encode_one(e, interest) for e in entries],
             }
         )
 
+    def _encode_one(
+        self, entry: stores.Entry, interest: interests.Interest
+    ) -> orjson.Fragment | list[str | int | None]:
+        if entry.value and not self._is_wanted(entry, interest):
+            left_out = attrs.evolve(entry, value=LEFT_OUT)
+            return _fields_of(left_out)
+        return self._encode_once(entry)
+
     def _encode_once(self, entry: stores.Entry) -> orjson.Fragment:
         """Returns an entry's encoding, kept for the other followers."""
         place = (entry.key, entry.revision)
@@ -148,13 +296,6 @@
     return [entry.key, text, entry.revision, entry.created]
 
 
-def _decode_position(path: str) -> changelog.Position:
-    parts = path.removeprefix(PATH).strip("/").split("/")
-    if len(parts) != 3 or not all(p.isdigit() for p in parts[1:]):
-        raise errors.ServiceError(errors.ResultCode.ROUTE_UNKNOWN)
-    return changelog.Position(parts[0], int(parts[1]), int(parts[2]))
-
-
 def _decode(body: bytes) -> changelog.Changes:
     fields = orjson.loads(body)
     entries = [
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -15,6 +15,7 @@
 from kingcupscale import metrics
 from kingcupscale import rendezvous
 from kingcupscale.batches import book as books
+from kingcupscale.batches import record as records
 from kingcupscale.capacity import fleetsize
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import peers
@@ -46,9 +47,8 @@
 # is sooner taken over.
 LEASE_SHARE = 0.7
 SWEEP_PAUSE_S = 0.25
+WANT_PAUSE_S = 0.1
 USAGE_PAUSE_S = 0.5
-# A batch is kept this much longer than it has to be readable.
-RETENTION_SLACK_S = 60.0
 # From a stop's signal: readiness goes first, callers are sent away meanwhile,
 # then the listeners close; the rest of the grace is for open requests.
 NOTICE_S = 3.0
@@ -146,6 +146,7 @@
         self.stopped = trio.Event()
         self.services: dict[str, leading.ServiceDuty] = {}
         self.models: dict[str, leading.ModelDuty] = {}
+        self.rankings: dict[str, list[str]] = {}
         self._make_storage()
         self._make_serving()
 
@@ -167,7 +168,6 @@
             lambda: self.services,
         )
         self.peers.feed = self.feed
-        self.relay = relay.RelayHandler(self.feed)
         self.roster = roster.Roster(
             self.clock,
             lambda: self.feed.regained_at,
@@ -178,7 +178,9 @@
             detour.DetourStore(around.store, self.peers.commit),
             self.clock,
             settings.value_bytes,
+            self._fetch_copy,
         )
+        self.relay = relay.RelayHandler(self.feed, self.book)
         announcement = orjson.dumps({"peers": settings.peers})
         ttl_s = max(
             settings.least_lease_s, LEASE_SHARE * settings.bounds.lease_s
@@ -187,6 +189,7 @@
             around.store, self.clock, settings.node, ttl_s, announcement
         )
         keys = around.keys
+        self.feed.subscribe(tenures.NODES_PREFIX, self._take_node)
         self.feed.subscribe(keys.configuration, self._take_configuration)
         self.feed.subscribe(keys.servers, self._take_server)
         self.feed.subscribe(keys.versions, self._take_version)
@@ -270,7 +273,31 @@
         """Follows a leader, or any node while the store does not answer."""
         if self.leads() and not self.feed.is_lost:
             return None
-        return await self.peers.follow(position, any_node=self.feed.is_lost)
+        return await self.peers.follow(
+            position, self.book.interest, any_node=self.feed.is_lost
+        )
+
+    async def _fetch_copy(self, batch_id: str) -> records.RecordCopy | None:
+        """Returns a batch from a node that is likely to know it."""
+        nodes = self.peers.leaders()
+        model = self.book.model_of(batch_id)
+        for service in self.services if model else []:
+            duty = leading.model_duty(service, model or "")
+            nodes.append(self.peers.holder(duty))
+        others = [n for n in dict.fromkeys(nodes) if n != self.settings.node]
+        return await self.peers.copy_of(batch_id, others)
+
+    async def _keep_batches(self) -> None:
+        """Has the batches known that this node's duties need."""
+        while True:
+            everything = self.leads() or leading.is_small_fleet(self)
+            models = {
+                duty.model
+                for duty in self.models.values()
+                if duty.wants_batches()
+            }
+            self.book.want(everything, frozenset(models))
+            await self.clock.sleep(WANT_PAUSE_S)
 
     def _feed_pause_s(self) -> float:
         if self.leads():
@@ -375,11 +402,20 @@
 
     def ranking(self, duty: str) -> list[str]:
         """Returns the candidates for a duty, the preferred one first."""
-        names = [
+        if duty not in self.rankings:
+            self.rankings[duty] = rendezvous.rank(duty, self.node_names())
+        return self.rankings[duty]
+
+    def node_names(self) -> list[str]:
+        """Returns the nodes that take part, this one included."""
+        return [
             entry.key.removeprefix(tenures.NODES_PREFIX)
             for entry in self.feed.under(tenures.NODES_PREFIX)
         ]
-        return rendezvous.rank(duty, names)
+
+    def _take_node(self, entry: stores.Entry) -> None:
+        """Has the candidates ranked anew."""
+        self.rankings.clear()
 
     def rank(self, duty: str) -> int:
         """Returns this node's place among the candidates for a duty."""
@@ -392,6 +428,8 @@
         async with trio.open_nursery() as nursery:
             for task in (
                 self.feed.run,
+                self.book.run,
+                self._keep_batches,
                 self.session.run,
                 self._sweep_forever,
                 self._lead_services,
@@ -464,10 +502,9 @@
         )
 
     async def _look_after_store(self) -> None:
-        """Reports usage, empties VMs and forgets old batches."""
+        """Reports usage and empties VMs."""
         await self.reporter.step()
         await self._answer_retirements()
-        await self._forget_old_batches()
 
     async def _answer_retirements(self) -> None:
         """VMs hold nothing that would have to be moved off them first."""
@@ -483,11 +520,3 @@
                 stores.Transaction(puts=[stores.Put(key, done)])
             )
             events.log(events.Event.VM_EMPTIED, vm=node)
-
-    async def _forget_old_batches(self) -> None:
-        now_ms = self.clock.now().timestamp() * 1000
-        kept_s = self.settings.bounds.retention_s + RETENTION_SLACK_S
-        for record in list(self.book.records.values()):
-            is_old = now_ms - record.submitted_ms > kept_s * 1000
-            if is_old and not record.is_open():
-                await self.book.forget(record)
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -47,6 +47,8 @@
         regained_at: Monotonic time at which the store last came back.
         is_following: Whether another node's mirror is followed.
         is_lost: Whether neither the store nor another node answers.
+        is_loading: Whether everything is being read anew.
+        on_reloaded: Called after changes may have been missed.
         changed: Set and replaced whenever something has changed.
         log: The latest changes, for nodes that follow this one.
     """
@@ -73,6 +75,10 @@
         self.regained_at = 0.0
         self.is_lost = False
         self.is_following = False
+        self.is_loading = False
+        self.on_reloaded: Callable[[], None] = _ignore
+        self.left_out = ""
+        self.follow_scope = trio.CancelScope()
         self.changed = trio.Event()
         self.hurried = trio.Event()
         self.log = changelog.ChangeLog()
@@ -82,6 +88,18 @@
         """Calls a listener with every change under a prefix."""
         self.listeners.append((prefix, listener))
 
+    def leave_out(self, prefix: str) -> None:
+        """Has the keys under a prefix left out when everything is read.
+
+        Changes under it are heard of; its listener reads the rest by need.
+        """
+        self.left_out = prefix
+
+    def ask_anew(self) -> None:
+        """Drops a question to another node and asks it anew."""
+        self.follow_scope.cancel()
+        self.hurry()
+
     def age_s(self) -> float:
         """Returns seconds since the mirror was known to be current."""
         if self.current_at < 0:
@@ -137,6 +155,7 @@
                 if not is_loaded:
                     await self._load()
                     is_loaded = True
+                    self.on_reloaded()
                 if not await self._follow_node():
                     self.is_following = False
                     await self._watch_store()
@@ -155,24 +174,40 @@
     async def _load(self) -> None:
         """Reads everything; what is not found any more is removed."""
         asked_at = self.clock.monotonic()
+        self.is_loading = True
+        try:
+            first, found = await self._scan_all()
+        finally:
+            self.is_loading = False
+        # Pages are no snapshot: what changed between them is watched again.
+        for key in [key for key in self.entries if key not in found]:
+            is_older = self.entries[key].revision <= first
+            if is_older and not self._is_left_out(key):
+                self.apply(stores.Entry(key, None, first))
+        self.revision = first
+        self.log.restart(first)
+        self._note_current(asked_at)
+
+    async def _scan_all(self) -> tuple[int, set[str]]:
+        """Returns the revision of the first page, and the keys found."""
         found: set[str] = set()
         first = 0
         after, has_more = "", True
         while has_more:
             page = await self.store.scan("", after)
             first = first or page.revision
+            has_more = page.has_more
             for entry in page.entries:
+                if self._is_left_out(entry.key):
+                    after, has_more = _past(self.left_out), True
+                    break
+                after = entry.key
                 found.add(entry.key)
                 self.apply(entry)
-            has_more = page.has_more
-            after = page.entries[-1].key if page.entries else after
-        # Pages are no snapshot: what changed between them is watched again.
-        for key in [key for key in self.entries if key not in found]:
-            if self.entries[key].revision <= first:
-                self.apply(stores.Entry(key, None, first))
-        self.revision = first
-        self.log.restart(first)
-        self._note_current(asked_at)
+        return first, found
+
+    def _is_left_out(self, key: str) -> bool:
+        return bool(self.left_out) and key.startswith(self.left_out)
 
     async def _follow_node(self) -> bool:
         """Takes over another node's changes; False if there is none."""
@@ -180,7 +215,11 @@
         position = changelog.Position(
             self.position.log, self.position.number, self.revision
         )
-        changes = await self.follow(position)
+        changes = None
+        with trio.CancelScope() as self.follow_scope:
+            changes = await self.follow(position)
+        if self.follow_scope.cancelled_caught:
+            return True
         if changes is None or changes.age_s > FOLLOWED_AGE_S:
             self.position = changelog.Position("", 0, 0)
             return False
@@ -221,3 +260,12 @@
         with trio.move_on_after(self.pause_s()):
             await self.hurried.wait()
         self.hurried = trio.Event()
+
+
+def _past(prefix: str) -> str:
+    """Returns the least key behind all keys under a prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _ignore() -> None:
+    """Does nothing."""
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -6,9 +6,9 @@
 import parameterized
 
 from kingcupscale.batches import batch
-from kingcupscale.batches import book
 from kingcupscale.batches import moving
 from kingcupscale.batches import placement
+from kingcupscale.batches import record
 from kingcupscale.batches import sample
 from kingcupscale.batches import weights
 from kingcupscale.capacity import fleetsize
@@ -47,7 +47,7 @@
     made = batch.Batch(
         f"b-{name}", "org", "train", "host", 0, model, minimum, 1, [item]
     )
-    return sample.Sample(item, book.Record(made, submitted_ms), ROUTE)
+    return sample.Sample(item, record.Record(made, submitted_ms), ROUTE)
 
 
 def replay(choose, lengths, paces, slots=4, token_s=0.001):
--- a/tests/storage/test_relay.py
+++ b/tests/storage/test_relay.py
@@ -6,6 +6,7 @@
 import parameterized
 import trio
 
+from kingcupscale.batches import interest
 from kingcupscale.fakes import virtualtime
 from kingcupscale.peering import relay
 from kingcupscale.storage import changelog
@@ -33,6 +34,15 @@
         yield await self.handler(request)
 
 
+class NoBatches:
+    """A node that knows no batches."""
+
+    records = {}
+
+    def model_of(self, batch_id):
+        return None
+
+
 class RelayTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [(seed,) for seed in (1, 2, 3, 4, 5, 6, 7, 8)]
@@ -44,7 +54,7 @@
         feed = feeds.Feed(None, clock, "n1", lambda: 0.0, follow_nobody)
         feed.current_at = 0.0
         client = relay.HttpRelayClient(
-            HandlerExchanger(relay.RelayHandler(feed))
+            HandlerExchanger(relay.RelayHandler(feed, NoBatches()))
         )
 
         async def change():
@@ -60,7 +70,9 @@
             position = changelog.Position("", 0, 0)
             known = 0
             while known < 40:
-                changes = await client.follow("n1", position)
+                changes = await client.follow(
+                    "n1", position, interest.EVERYTHING
+                )
                 known = max([known, *(e.revision for e in changes.entries)])
                 position = changes.position
                 self.assertGreaterEqual(known, position.revision)
