--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -74,6 +74,7 @@
         unexamined: Batches that may have to be loaded.
         reads: Monotonic time of the last read here, by batch.
         readers: How many readers wait for a result.
+        on_change: Called when a batch is added or ended.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.readers = 0
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
         self.swept_at = 0.0
+        self.on_change: Callable[[], None] = _ignore
         feed.leave_out(records.RESULTS_PREFIX)
         feed.subscribe(records.PREFIX, self._take_head)
         feed.subscribe(records.RESULTS_PREFIX, self._take_results)
@@ -161,6 +163,7 @@
             self._take_specification(batch_id, number, entry)
         elif kind == records.END and batch_id in self.records:
             self.records[batch_id].note_ended()
+            self.on_change()
 
     def _note_forgotten(self, batch_id: str) -> None:
         self.known.pop(batch_id, None)
@@ -192,6 +195,7 @@
             self.unexamined.add(batch_id)
         elif self.interest.includes(batch_id, model):
             self.records[batch_id] = record
+            self.on_change()
 
     def _may_have_results(self, batch_id: str) -> bool:
         """Tells whether results may have come before their batch."""
@@ -314,6 +318,7 @@
             self.reads[batch_id] = self.clock.monotonic()
         if is_read or self.interest.includes(batch_id, model):
             self.records[batch_id] = record
+            self.on_change()
 
     def _take_again(self, entry: stores.Entry) -> None:
         """Takes over a change that came while its batch was loaded."""
@@ -529,7 +534,7 @@
             if now - self.swept_at >= SWEEP_S:
                 self.swept_at = now
                 self._let_go()
-            await self.clock.sleep(KEEP_PAUSE_S)
+            await self.clock.rest(KEEP_PAUSE_S)
 
     async def _load_wanted(self) -> None:
         for batch_id in sorted(self.unexamined):
@@ -635,6 +640,10 @@
             await self.store.commit(stores.Transaction(removals=removals))
 
 
+def _ignore() -> None:
+    """Does nothing."""
+
+
 def _assemble(parts: dict[str, bytes]) -> records.Record | None:
     """Returns the batch that a specification's parts make, once all are there.
 
--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -25,6 +25,8 @@
 from kingcupscale.peering import handover
 
 TICK_S = 0.05
+# New batches wake the coordinator; this is for what nobody tells of.
+IDLE_TICK_S = 0.5
 # Pause before a sample goes on after an unexpected error of our own.
 ERROR_PAUSE_S = 0.8
 # A copied text replaces one that is shorter by more events than this.
@@ -181,9 +183,13 @@
             while True:
                 self._follow_batches()
                 self._dispatch(nursery)
-                with trio.move_on_after(TICK_S):
-                    await self.woken.wait()
-                self.woken = trio.Event()
+                await self._wait_for_work()
+
+    async def _wait_for_work(self) -> None:
+        """Waits for the next look, which is sooner while samples are open."""
+        with trio.move_on_after(TICK_S if self.progress else IDLE_TICK_S):
+            await self.woken.wait()
+        self.woken = trio.Event()
 
     def _follow_batches(self) -> None:
         """Takes up new batches and lets go of closed ones."""
--- a/src/kingcupscale/batches/copying.py
+++ b/src/kingcupscale/batches/copying.py
@@ -46,7 +46,7 @@
     async def run(self) -> None:
         """Sends copies until cancelled."""
         while True:
-            await self.clock.sleep(COPY_PAUSE_S)
+            await self.clock.rest(COPY_PAUSE_S)
             await self.send()
 
     async def send(self) -> None:
--- a/src/kingcupscale/clock.py
+++ b/src/kingcupscale/clock.py
@@ -1,11 +1,15 @@
 """The clock every part is given, so that tests can run on virtual time."""
 
 import datetime
+import math
 import time
 from typing import Protocol
 
 import trio
 
+# Tasks that work at a pace wake the process together, this often at most.
+BEAT_S = 0.1
+
 
 class Clock(Protocol):
     """Tells the time and waits."""
@@ -22,6 +26,14 @@
         """Waits for that many seconds."""
         ...
 
+    async def rest(self, seconds: float) -> None:
+        """Waits about that long, until a beat that all tasks share.
+
+        For loops that look after something at a pace: the process wakes once
+        for all of them.
+        """
+        ...
+
 
 class SystemClock:
     """The clock of the machine.
@@ -41,3 +53,18 @@
     async def sleep(self, seconds: float) -> None:
         """Waits for that many seconds."""
         await trio.sleep(seconds)
+
+    async def rest(self, seconds: float) -> None:
+        """Waits about that long, until a beat that all tasks share."""
+        await trio.sleep_until(beat_after(trio.current_time(), seconds))
+
+
+def beat_after(now: float, seconds: float) -> float:
+    """Returns the beat that is nearest to a time ahead, but not past yet.
+
+    Args:
+        now: Present time in seconds.
+        seconds: How far ahead.
+    """
+    beat = max(round((now + seconds) / BEAT_S), math.floor(now / BEAT_S) + 1)
+    return beat * BEAT_S
--- a/src/kingcupscale/fakes/virtualtime.py
+++ b/src/kingcupscale/fakes/virtualtime.py
@@ -10,6 +10,8 @@
 from trio._core import _run
 import trio.testing
 
+from kingcupscale import clock as clocks
+
 T = TypeVar("T")
 
 NOON = datetime.datetime(2026, 12, 4, 12, 0, tzinfo=datetime.UTC)
@@ -42,6 +44,10 @@
         """Waits for that many virtual seconds."""
         await trio.sleep(seconds)
 
+    async def rest(self, seconds: float) -> None:
+        """Waits about that long, until a beat that all tasks share."""
+        await trio.sleep_until(clocks.beat_after(trio.current_time(), seconds))
+
 
 def run(function: Callable[..., Awaitable[T]], *args: Any, seed: int = 0) -> T:
     """Runs a function on virtual time, with tasks in a repeatable order.
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -17,7 +17,7 @@
     from kingcupscale import runtime as runtimes
 
 DUTY_PAUSE_S = 0.2
-HOLDER_PAUSE_S = 0.05
+HOLDER_PAUSE_S = 0.1
 # A batch is kept this much longer than it has to be readable.
 RETENTION_SLACK_S = 60.0
 FORGET_PAUSE_S = 5.0
@@ -229,7 +229,7 @@
                 self.coordinator.set_active(self.model, False)
             elif holder and holder != self.runtime.settings.node:
                 await self._follow_holder(holder)
-            await self.runtime.clock.sleep(HOLDER_PAUSE_S)
+            await self.runtime.clock.rest(HOLDER_PAUSE_S)
 
     async def _follow_holder(self, holder: str) -> None:
         was_active = self.coordinator.is_active(self.model)
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -180,6 +180,7 @@
             settings.value_bytes,
             self._fetch_copy,
         )
+        self.book.on_change = self._wake_coordinators
         self.relay = relay.RelayHandler(self.feed, self.book)
         announcement = orjson.dumps({"peers": settings.peers})
         ttl_s = max(
@@ -244,6 +245,9 @@
         server.versions[state.model] = state.version
         server.closed[state.model] = now + state.closed_s
         server.loading_until = now + state.loading_s
+        self._wake_coordinators()
+
+    def _wake_coordinators(self) -> None:
         for duty in self.services.values():
             duty.coordinator.wake()
 
@@ -297,7 +301,7 @@
                 if duty.wants_batches()
             }
             self.book.want(everything, frozenset(models))
-            await self.clock.sleep(WANT_PAUSE_S)
+            await self.clock.rest(WANT_PAUSE_S)
 
     def _feed_pause_s(self) -> float:
         if self.leads():
@@ -459,7 +463,7 @@
     async def _sweep_forever(self) -> None:
         while True:
             self.roster.sweep()
-            await self.clock.sleep(SWEEP_PAUSE_S)
+            await self.clock.rest(SWEEP_PAUSE_S)
 
     async def _lead_services(self) -> None:
         """Contends for each service that has model engines, and its models."""
@@ -477,11 +481,11 @@
                                 self, self.services[name], model
                             )
                             nursery.start_soon(self.models[duty].run)
-                await self.clock.sleep(LEAD_PAUSE_S)
+                await self.clock.rest(LEAD_PAUSE_S)
 
     async def _share_usage(self) -> None:
         while True:
-            await self.clock.sleep(USAGE_PAUSE_S)
+            await self.clock.rest(USAGE_PAUSE_S)
             try:
                 await self.usage.share()
             except stores.StoreError as e:
--- a/src/kingcupscale/storage/tenure.py
+++ b/src/kingcupscale/storage/tenure.py
@@ -71,7 +71,7 @@
                     reason=e.reason,
                     left_s=round(self.ends_at - self.clock.monotonic(), 2),
                 )
-            await self.clock.sleep(self.ttl_s / RENEWALS_PER_TTL)
+            await self.clock.rest(self.ttl_s / RENEWALS_PER_TTL)
 
     async def _keep(self) -> None:
         sent_at = self.clock.monotonic()
@@ -249,7 +249,7 @@
                 duty=tenure.name,
                 reason=e.reason,
             )
-        await tenure.clock.sleep(pause_s)
+        await tenure.clock.rest(pause_s)
 
 
 async def _wait_for_turn(tenure: Tenure, rank: int) -> None:
--- /dev/null
+++ b/tests/platform/serverstandin.py
@@ -0,0 +1,194 @@
+"""The platform's engines and cloud in memory, keeping book of what they see."""
+
+import collections
+
+import attrs
+import orjson
+import trio
+
+from kingcupscale.platform import names
+from kingcupscale.web import message
+from tests.platform import storestandin
+
+
+@attrs.define
+class Run:
+    """A run that an engine began."""
+
+    request: str
+    server: str
+    version: int
+    resumed_after: int | None
+    at: float
+    events: int = 0
+    is_whole: bool = False
+
+
+class Server:
+    """A backend server: a model engine, or a plain one without a model."""
+
+    def __init__(self, site, server_id, service, zone, model="", slots=4):
+        self.site = site
+        self.id = server_id
+        self.service = service
+        self.zone = zone
+        self.address = f"{server_id}:80"
+        self.versions = {model: 1} if model else {}
+        self.slots = slots
+        self.event_s = 0.02
+        self.length = 10
+        self.orders = 0
+        self.beats = 0
+        self.fence = 0
+        self.loading = ""
+        self.state = "ready"
+        self.is_full = False
+        self.statuses = []
+        self.begun = []
+        self.running = set()
+        self.drop_after = None
+        self.born = 1
+
+    def enter(self):
+        self.beats += 1
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "sequence": self.beats,
+            "born": self.born,
+            "models": self.models(),
+        }
+        self.site.store.put(names.SERVERS_PREFIX + self.id, orjson.dumps(entry))
+
+    def models(self):
+        return [
+            {"name": model, "version": version, "adapters": []}
+            for model, version in self.versions.items()
+        ]
+
+    async def __call__(self, request):
+        expected = request.headers.get(names.EXPECT_SERVER, self.id)
+        if expected != self.id:
+            return message.Response(421, {names.SERVER_ID: self.id})
+        if request.path == "/report":
+            return storestandin.json_response(
+                {
+                    "stage": "mixed",
+                    "models": self.models(),
+                    "busy": bool(self.loading),
+                    "sequence": self.orders,
+                }
+            )
+        if request.path == "/order":
+            return self.take_order(orjson.loads(request.body))
+        if names.KEY in request.headers:
+            self.site.broken.append("a key reached a server")
+        return await self.run(request)
+
+    def take_order(self, order):
+        self.site.orders.append((self.id, order, trio.current_time()))
+        if order["fence"] < self.fence:
+            return message.Response(412)
+        self.fence = order["fence"]
+        if self.loading or order["expectedRev"] != self.orders:
+            return message.Response(409)
+        if self.versions[order["model"]] == order["version"]:
+            return message.Response(200)
+        self.orders += 1
+        self.loading = order["model"]
+        self.site.nursery.start_soon(self.load, order)
+        return message.Response(202)
+
+    async def load(self, order):
+        await trio.sleep(0.9)
+        self.versions[order["model"]] = order["version"]
+        self.loading = ""
+
+    def head(self, request):
+        return {
+            names.REQUEST_ID: request.headers[names.REQUEST_ID],
+            names.SIGNATURE: f"signed-{request.headers[names.REQUEST_ID]}",
+            names.SERVER_LOAD: f"{len(self.running)},0,{self.slots}",
+        }
+
+    def turn_away(self, status=503):
+        return message.Response(status, {names.NOT_RUN: "1"})
+
+    async def run(self, request):
+        model = request.headers.get(names.MODEL, "")
+        version = self.versions.get(model, 0)
+        wanted = request.headers.get(names.EXPECT_VERSION)
+        if wanted is not None and int(wanted) != version:
+            return self.turn_away(421)
+        is_full = self.is_full or len(self.running) >= self.slots
+        if is_full or self.loading == model != "":
+            return self.turn_away()
+        resumed = request.headers.get(names.RESUME_AFTER)
+        run = Run(
+            request.headers[names.REQUEST_ID],
+            self.id,
+            version,
+            int(resumed) if resumed else None,
+            trio.current_time(),
+        )
+        self.begun.append(run)
+        self.site.runs.append(run)
+        status = self.statuses.pop(0) if self.statuses else 200
+        if status != 200:
+            return message.Response(status, self.head(request))
+        if model:
+            headers = self.head(request)
+            headers[names.WEIGHT_VERSION] = str(version)
+            return message.Response(200, headers, chunks=self.stream(run))
+        self.running.add(run.request)
+        try:
+            await trio.sleep(self.event_s)
+        finally:
+            self.running.discard(run.request)
+        run.is_whole = True
+        return message.Response(200, self.head(request), b"the answer")
+
+    async def stream(self, run):
+        self.running.add(run.request)
+        try:
+            first = (run.resumed_after or 0) + 1
+            for number in range(first, self.length + 1):
+                await trio.sleep(self.event_s)
+                if self.drop_after is not None and number > self.drop_after:
+                    await trio.sleep_forever()
+                run.events += 1
+                yield f"id: {number}\ndata: t{number}\n\n".encode()
+            run.is_whole = True
+        finally:
+            self.running.discard(run.request)
+
+
+class Cloud:
+    """Takes usage reports and orders for servers."""
+
+    def __init__(self, site):
+        self.site = site
+        self.reports = collections.defaultdict(list)
+        self.orders = []
+        self.fence = 0
+        self.is_down = False
+
+    async def __call__(self, request):
+        if self.is_down:
+            return message.Response(503)
+        fence = int(request.headers[names.FENCE])
+        holder = request.headers[names.DUTY_HOLDER]
+        body = orjson.loads(request.body)
+        if request.path == "/usage":
+            if fence < self.fence:
+                return message.Response(409)
+            self.fence = fence
+            self.reports[body["window"]].append((holder, fence, body["counts"]))
+        else:
+            self.orders.append((holder, fence, body))
+        return message.Response(200)
--- /dev/null
+++ b/tests/platform/storestandin.py
@@ -0,0 +1,166 @@
+"""The platform's metadata store in memory."""
+
+import base64
+import collections
+import urllib.parse
+
+import orjson
+import trio
+
+from kingcupscale.web import message
+
+
+def json_response(value, status=200):
+    return message.Response(
+        status, {"content-type": "application/json"}, orjson.dumps(value)
+    )
+
+
+class Store:
+    """The metadata store."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.history_from = 0
+        self.revision = 10
+        self.leases = {}
+        self.is_down = False
+        self.changed = trio.Event()
+        self.calls = collections.Counter()
+        self.lease_number = 0
+
+    async def __call__(self, request):
+        await trio.sleep(0.004)
+        name = request.path.split("/")[1]
+        self.calls[name] += 1
+        if self.is_down:
+            return message.Response(503)
+        self.expire()
+        query = dict(urllib.parse.parse_qsl(request.query))
+        handler = getattr(self, "on_" + name.replace("-", "_"))
+        return await handler(request, query)
+
+    def expire(self):
+        now = trio.current_time()
+        for lease, (ends_at, _) in list(self.leases.items()):
+            if now >= ends_at:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        del self.leases[lease]
+        for key, item in list(self.items.items()):
+            if item["lease"] == lease:
+                self.remove(key)
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        self.items[key] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self.note(self.items[key])
+
+    def remove(self, key):
+        if key not in self.items:
+            return
+        self.revision += 1
+        del self.items[key]
+        self.note({"key": key, "revision": self.revision, "deleted": True})
+
+    def note(self, event):
+        self.history.append(event)
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
+    def forget_history(self):
+        self.history.clear()
+        self.history_from = self.revision
+
+    def value(self, key):
+        item = self.items.get(key)
+        return None if item is None else base64.b64decode(item["value"])
+
+    async def on_kv_key(self, request, query):
+        item = self.items.get(query["key"])
+        if item is None:
+            return json_response({"asOf": self.revision}, 404)
+        return json_response({**item, "asOf": self.revision})
+
+    async def on_kv_range(self, request, query):
+        prefix = query.get("pathPrefix", "")
+        after = query.get("after", "")
+        found = [
+            self.items[key]
+            for key in sorted(self.items)
+            if key.startswith(prefix) and key > after
+        ]
+        return json_response(
+            {
+                "items": found[:20],
+                "hasMore": len(found) > 20,
+                "asOf": self.revision,
+            }
+        )
+
+    async def on_kv_watch(self, request, query):
+        after = int(query["after"])
+        if after < self.history_from:
+            return message.Response(410)
+        prefix = query.get("pathPrefix", "")
+        found = []
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while True:
+                found = [
+                    event
+                    for event in self.history
+                    if event["revision"] > after
+                    and event["key"].startswith(prefix)
+                ]
+                if found:
+                    break
+                await self.changed.wait()
+        if self.is_down:
+            return message.Response(503)
+        return json_response({"events": found, "asOf": self.revision})
+
+    async def on_kv_txn(self, request, query):
+        body = orjson.loads(request.body)
+        for row in body["expectedRev"]:
+            present = self.items.get(row["key"], {}).get("revision", 0)
+            if present != row["revision"]:
+                return json_response({"items": []}, 412)
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return message.Response(404)
+        for put in body["puts"]:
+            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        for key in body["remove"]:
+            self.remove(key)
+        return json_response({"revision": self.revision})
+
+    async def on_kv_lease(self, request, query):
+        ttl_ms = orjson.loads(request.body)["ttlMs"]
+        self.lease_number += 1
+        ends_at = trio.current_time() + ttl_ms / 1000
+        self.leases[self.lease_number] = (ends_at, ttl_ms)
+        return json_response({"lease": self.lease_number, "ttlMs": ttl_ms})
+
+    async def on_kv_keep(self, request, query):
+        lease = int(request.path.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return message.Response(404)
+        ttl_ms = self.leases[lease][1]
+        self.leases[lease] = (trio.current_time() + ttl_ms / 1000, ttl_ms)
+        return json_response({"ttlMs": ttl_ms})
+
+    async def on_kv_lease_end(self, request, query):
+        lease = int(request.path.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return message.Response(404)
+        self.end_lease(lease)
+        return json_response({})
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real node processes under random faults, on one machine."""
