Tell a follower how old the mirror was when it asked

Cause: the handler had come to look for news by its own numbers, and a change that the follower knew already ended its wait early with an empty answer. The follower took every empty answer for one that was kept back for the whole wait and thought its mirror 0.2 s newer than it was.

Change: the answer says how old the mirror was when the question came.

--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -201,6 +201,7 @@
         position, interest = question.position(), question.interest()
         if self.feed.current_at < 0:
             return message.Response(STATUS_BEHIND)
+        asked_at = self.feed.clock.monotonic()
         with trio.move_on_after(WAIT_S):
             await self._wait_for_news(position, interest)
         # Read after the wait: a change may have come as it ended, and the
@@ -211,7 +212,7 @@
         return message.Response(
             200,
             {"content-type": "application/json"},
-            self._encode(found, interest),
+            self._encode(found, interest, asked_at - self.feed.current_at),
         )
 
     def _copy(self, question: CopyQuestion) -> message.Response:
@@ -258,14 +259,17 @@
         )
 
     def _encode(
-        self, entries: list[stores.Entry], interest: interests.Interest
+        self,
+        entries: list[stores.Entry],
+        interest: interests.Interest,
+        age_s: float,
     ) -> bytes:
         return orjson.dumps(
             {
                 "log": self.feed.log.id,
                 "number": self.feed.log.number,
                 "revision": self.feed.revision,
-                "age_s": self.feed.age_s(),
+                "age_s": age_s,
                 "entries": [self._encode_one(e, interest) for e in entries],
             }
         )
@@ -310,7 +314,4 @@
     position = changelog.Position(
         fields["log"], int(fields["number"]), int(fields["revision"])
     )
-    # An empty answer was kept back for the whole of the wait, so it tells of
-    # a later time than that of the question.
-    age_s = float(fields["age_s"]) - (0.0 if entries else WAIT_S)
-    return changelog.Changes(entries, position, age_s)
+    return changelog.Changes(entries, position, float(fields["age_s"]))
--- a/tests/storage/test_relay.py
+++ b/tests/storage/test_relay.py
@@ -76,3 +76,29 @@
                 known = max([known, *(e.revision for e in changes.entries)])
                 position = changes.position
                 self.assertGreaterEqual(known, position.revision)
+
+    @virtual.on_virtual_time
+    async def test_answer_is_no_newer_than_the_mirror(self):
+        clock = virtualtime.VirtualClock()
+        feed = feeds.Feed(None, clock, "n1", lambda: 0.0, follow_nobody)
+        feed.current_at = 0.0
+        feed.revision = 9
+        client = relay.HttpRelayClient(
+            HandlerExchanger(relay.RelayHandler(feed, NoBatches()))
+        )
+
+        async def change():
+            # The follower knows of this one, so it gets an empty answer early.
+            await trio.sleep(0.1)
+            feed.apply(stores.Entry("key", b"v", 9, 9))
+            feed.announce()
+
+        async with trio.open_nursery() as nursery:
+            await trio.sleep(5)
+            nursery.start_soon(change)
+            asked_at = trio.current_time()
+            changes = await client.follow(
+                "n1", changelog.Position("", 0, 9), interest.EVERYTHING
+            )
+        self.assertEqual(changes.entries, [])
+        self.assertLessEqual(asked_at - changes.age_s, feed.current_at)
