--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -91,10 +91,13 @@
         await self._start(node)
 
     async def _start(self, node):
-        while node.process.poll() is None:
+        ended = node.process
+        while ended.poll() is None:
             await trio.sleep(0.05)
-        node.is_paused = False
-        node.start()
+        # Another fault that overlaps may have started it again.
+        if node.process is ended:
+            node.is_paused = False
+            node.start()
 
     async def reload_node(self, for_s):
         """Has a process read its settings again."""
--- /dev/null
+++ b/tests/test_embedding.py
@@ -0,0 +1,30 @@
+"""Names that embedders use come from the top, and cost nothing unused."""
+
+import subprocess
+import sys
+import unittest
+
+import parameterized
+
+import kingcupscale
+
+
+class EmbeddingTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [(name,) for name in sorted(kingcupscale.__all__)]
+    )
+    def test_name_is_there(self, name):
+        self.assertEqual(getattr(kingcupscale, name).__name__, name)
+
+    def test_unknown_name_is_an_error(self):
+        with self.assertRaises(AttributeError):
+            kingcupscale.Unknown  # noqa: B018
+
+    def test_node_starts_without_what_it_does_not_run(self):
+        program = (
+            "import sys, kingcupscale.commands.serving;"
+            "print([m for m in sys.modules if m.endswith('_pb2')])"
+        )
+        words = [sys.executable, "-c", program]
+        printed = subprocess.run(words, capture_output=True, check=True)
+        self.assertEqual(printed.stdout.strip(), b"[]")
