--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -25,7 +25,12 @@
 
     async def __call__(self, request: message.Request) -> message.Response:
         """Returns all metrics, whatever the path."""
-        rows = [*self._gauges(), *self._events(), *self._histograms()]
+        rows = [
+            *self._gauges(),
+            *self._store_calls(),
+            *self._events(),
+            *self._histograms(),
+        ]
         body = "".join(f"{PREFIX}{row}\n" for row in rows).encode()
         return message.Response(200, {"content-type": CONTENT_TYPE}, body)
 
@@ -49,6 +54,13 @@
             f"readers_waiting {runtime.book.readers}",
         ]
 
+    def _store_calls(self) -> list[str]:
+        calls = self.runtime.surroundings.store.calls
+        return [
+            f'store_calls_total{{call="{name}"}} {count}'
+            for name, count in sorted(calls.items())
+        ]
+
     def _events(self) -> list[str]:
         if self.lines is None:
             return []
--- a/src/kingcupscale/platform/store.py
+++ b/src/kingcupscale/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store as the product's store."""
 
 import base64
+import collections
 from typing import Any
 import urllib.parse
 
@@ -21,12 +22,15 @@
     Args:
         exchanger: Carries the calls.
         address: ``host:port`` of the store.
+
+    Attributes:
+        calls: Calls that were made, by the first part of their path.
     """
 
     def __init__(self, exchanger: exchange.Exchanger, address: str) -> None:
         self.exchanger = exchanger
         self.address = address
-        self.calls = 0
+        self.calls: collections.Counter[str] = collections.Counter()
 
     async def get(self, key: str) -> stores.Entry | None:
         """Returns one entry, or None if there is none."""
@@ -101,7 +105,7 @@
         body: Any = None,
         wait_s: float = 0.0,
     ) -> tuple[int, dict[str, Any]]:
-        self.calls += 1
+        self.calls[path.split("/")[1]] += 1
         request = message.Request(
             method,
             path,
--- a/src/kingcupscale/storage/store.py
+++ b/src/kingcupscale/storage/store.py
@@ -1,5 +1,6 @@
 """The shared store as the product sees it: transactions, leases, watches."""
 
+import collections
 from typing import Protocol
 
 import attrs
@@ -89,7 +90,13 @@
 
 
 class Store(Protocol):
-    """What the product asks of the store. All calls raise ``StoreError``."""
+    """What the product asks of the store. All calls raise ``StoreError``.
+
+    Attributes:
+        calls: Calls that were made, by kind.
+    """
+
+    calls: collections.Counter[str]
 
     async def get(self, key: str) -> Entry | None:
         """Returns one entry, or None if there is none."""
