Have one node read a closed batch from the store for all

Cause: after a restart of all nodes nobody knows the closed batches, and each node that is asked reads them from the store by itself, two calls and the texts each time.

Change: a node that watches the store reads a batch when another node asks it for a copy.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -282,12 +282,15 @@
         self._note_read(batch_id)
         return record
 
-    async def load(self, batch_id: str, is_read: bool) -> records.Record | None:
+    async def load(
+        self, batch_id: str, is_read: bool, asks_nodes: bool = True
+    ) -> records.Record | None:
         """Has a batch known in full; None if it does not exist.
 
         Args:
             batch_id: The batch.
             is_read: Whether it is wanted whatever its model is.
+            asks_nodes: Whether another node's copy will do.
 
         Raises:
             ServiceError: ``STORE_UNAVAILABLE``.
@@ -299,7 +302,7 @@
         loading = self.loading[batch_id] = Loading()
         self._update_interest()
         try:
-            record = await self._fetch(batch_id)
+            record = await self._fetch(batch_id, asks_nodes)
         finally:
             del self.loading[batch_id]
             loading.done.set()
@@ -327,15 +330,18 @@
         else:
             self._take_results(entry)
 
-    async def _fetch(self, batch_id: str) -> records.Record | None:
-        copy = await self._fetch_current_copy(batch_id)
-        if copy is not None:
-            return copy
+    async def _fetch(
+        self, batch_id: str, asks_nodes: bool
+    ) -> records.Record | None:
+        if asks_nodes:
+            copy = await self._fetch_current_copy(batch_id)
+            if copy is not None:
+                return copy
         try:
             return await self._scan(batch_id)
         except stores.StoreError as e:
             reason = e.reason
-        if await self._is_refreshed_by_followed_node():
+        if asks_nodes and await self._is_refreshed_by_followed_node():
             key = records.key_of(batch_id, records.SPECIFICATION, "0")
             if key not in self.feed.entries:
                 return None
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -179,6 +179,16 @@
         """Returns the model that a batch trains, if that is known."""
         ...
 
+    async def load(
+        self, batch_id: str, is_read: bool, asks_nodes: bool
+    ) -> records.Record | None:
+        """Has a batch known in full; None if it does not exist.
+
+        Raises:
+            ServiceError: If that cannot be known.
+        """
+        ...
+
 
 class RelayHandler:
     """Answers followers from this node's mirror.
@@ -196,7 +206,7 @@
     async def __call__(self, request: message.Request) -> message.Response:
         """Answers a follower."""
         if request.path == COPY_PATH:
-            return self._copy(calls.decode(request.body, CopyQuestion))
+            return await self._copy(calls.decode(request.body, CopyQuestion))
         question = calls.decode(request.body, Question)
         position, interest = question.position(), question.interest()
         if self.feed.current_at < 0:
@@ -215,8 +225,13 @@
             self._encode(found, interest, asked_at - self.feed.current_at),
         )
 
-    def _copy(self, question: CopyQuestion) -> message.Response:
+    async def _copy(self, question: CopyQuestion) -> message.Response:
         record = self.book.records.get(question.batch)
+        if record is None and not self.feed.is_following:
+            # The others ask here, so that one node reads it for all of them.
+            record = await self.book.load(
+                question.batch, is_read=True, asks_nodes=False
+            )
         if record is None or not record.is_current:
             return message.Response(STATUS_UNKNOWN)
         return message.Response(
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -10,6 +10,7 @@
 from kingcupscale.batches import book as books
 from kingcupscale.batches import record as records
 from kingcupscale.fakes import virtualtime
+from kingcupscale.peering import calls
 from kingcupscale.peering import relay
 from kingcupscale.storage import detour
 from kingcupscale.storage import feed as feeds
@@ -134,7 +135,10 @@
             return None
 
     async def _fetch_copy(self, batch_id):
-        return await self._client().copy("n", batch_id)
+        try:
+            return await self._client().copy("n", batch_id)
+        except calls.PeerError:
+            return None
 
 
 class Fleet:
