Leave no gap between a load's pages and the log that others follow

Cause: changes that came between the pages of a full read were known when the watch showed them again, so they were never put into the log, while the log said that it was complete from the first page on. A node that followed the reader by revision skipped them. Two pages at least are read since results are left out, so it comes more often; it could happen before.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -15,32 +15,15 @@
 import attrs
 import orjson
 
+from bench import sitebreaks as breaks
+
 ROOT = pathlib.Path(__file__).parent.parent
 SOURCE = pathlib.Path("src/kingcupscale")
 TEST_LIMIT_S = 400
 
 
-@attrs.frozen
-class Break:
-    """One mechanism broken on purpose.
-
-    Attributes:
-        promise: Which promise rests on it.
-        file: Source file.
-        old: Text that stands there once.
-        new: What takes its place.
-        test: The test that must fail.
-    """
-
-    promise: str
-    file: str
-    old: str
-    new: str
-    test: str
-
-
 BREAKS = (
-    Break(
+    breaks.Break(
         "each sample names its versions",
         "rollouts/step.py",
         "and last.version == piece.version",
@@ -48,7 +31,7 @@
         "tests.test_rollouts.StepTest"
         ".test_sample_over_a_swap_names_both_versions",
     ),
-    Break(
+    breaks.Break(
         "no sample is older than the bound",
         "rollouts/step.py",
         "return self.context.rule.allows(sample.oldest_version(), "
@@ -57,14 +40,14 @@
         "tests.test_rollouts.StepTest"
         ".test_samples_that_fell_behind_are_made_again",
     ),
-    Break(
+    breaks.Break(
         "each sample is delivered once",
         "rollouts/trainer.py",
         "if group.group in has or group.group not in wanted:",
         "if group.group not in wanted:",
         "tests.test_breaks.TrainerTest.test_repeated_group_is_dropped",
     ),
-    Break(
+    breaks.Break(
         "runs only for the key's organisation",
         "serving/claims.py",
         'key = f"{PREFIX}{organisation}/{digest}"',
@@ -72,21 +55,21 @@
         "tests.test_serving.PlainCallTest"
         ".test_keys_of_two_organisations_do_not_clash",
     ),
-    Break(
+    breaks.Break(
         "no backend server sees a key",
         "serving/plain.py",
         'FORWARDED_HEADERS = ("accept", "accept-language", "content-type")',
         'FORWARDED_HEADERS = ("accept", "authorization", "content-type")',
         "tests.test_breaks.KeyTest.test_key_dropped_at_the_entry_stays_dropped",
     ),
-    Break(
+    breaks.Break(
         "no backend server sees a key",
         "serving/entry.py",
         "_check_exposure(request, text)\n        return grant",
         "return grant",
         "tests.test_serving.RefusalTest",
     ),
-    Break(
+    breaks.Break(
         "a withdrawn key stops within seconds",
         "serving/sessions.py",
         "session.withdraw()",
@@ -94,7 +77,7 @@
         "tests.test_configuration.ClusterTest"
         ".test_withdrawal_ends_an_open_stream",
     ),
-    Break(
+    breaks.Break(
         "a withdrawn key stops within seconds",
         "configuration/admission.py",
         "is_open = self.ready and (self.is_confirmed() or is_held)",
@@ -102,14 +85,14 @@
         "tests.test_configuration.ClusterTest"
         ".test_node_cut_off_from_store_and_peers_stops_admitting",
     ),
-    Break(
+    breaks.Break(
         "orders from one process",
         "duties/lease.py",
         "return self.orders_from <= now < last",
         "return now < last",
         "tests.test_lease.LeaseTest.test_new_holder_waits_out_orders_under_way",
     ),
-    Break(
+    breaks.Break(
         "orders from one process",
         "duties/lease.py",
         "if self.epoch != epoch or not self.may_order():",
@@ -117,21 +100,21 @@
         "tests.test_lease.LeaseTest"
         ".test_paused_holder_is_followed_and_cannot_order",
     ),
-    Break(
+    breaks.Break(
         "orders from one process",
         "duties/journal.py",
         "if not answer.written:",
         "if False:",
         "tests.test_lease.JournalTest.test_former_holder_cannot_write",
     ),
-    Break(
+    breaks.Break(
         "no usage window with different figures",
         "usage/reporting.py",
         "totals[index] - before[index]",
         "totals[index]",
         "tests.test_usage.ReportingTest",
     ),
-    Break(
+    breaks.Break(
         "no usage window with different figures",
         "usage/copying.py",
         "collectors = self.collectors()",
@@ -139,7 +122,7 @@
         "tests.test_usage.ReportingTest"
         ".test_counts_of_a_crashed_node_are_reported",
     ),
-    Break(
+    breaks.Break(
         "whole answer to its own request",
         "serving/generation.py",
         "if chunk.request_id != order.request_id:",
@@ -147,7 +130,7 @@
         "tests.test_breaks.CrossedTest"
         ".test_piece_of_another_answer_is_not_passed_on",
     ),
-    Break(
+    breaks.Break(
         "whole answer to its own request",
         "serving/generation.py",
         "if chunk.start != position:",
@@ -155,28 +138,28 @@
         "tests.test_breaks.CrossedTest"
         ".test_piece_that_comes_twice_is_not_passed_on",
     ),
-    Break(
+    breaks.Break(
         "whole answer to its own request",
         "serving/plain.py",
         "if response.headers.get(REQUEST_ID_HEADER) != expected:",
         "if False:",
         "tests.test_serving.PlainCallTest.test_non_idempotent_call_runs_once",
     ),
-    Break(
+    breaks.Break(
         "a refusal that says not run is true",
         "serving/plain.py",
         "raise _unknown(e.reason) from e",
         "raise errors.ServiceError(errors.ResultCode.BACKEND_FAILED) from e",
         "tests.test_serving.PlainCallTest.test_non_idempotent_call_runs_once",
     ),
-    Break(
+    breaks.Break(
         "a non-idempotent request runs at most once",
         "serving/plain.py",
         "if e.request_left and not is_idempotent:",
         "if False:",
         "tests.test_serving.PlainCallTest.test_non_idempotent_call_runs_once",
     ),
-    Break(
+    breaks.Break(
         "a non-idempotent request runs at most once",
         "serving/claims.py",
         "is_same and claim.state is ClaimState.NOT_RUN",
@@ -184,7 +167,7 @@
         "tests.test_serving.PlainCallTest"
         ".test_retries_by_key_over_nodes_run_once",
     ),
-    Break(
+    breaks.Break(
         "a leaving server gets no new work",
         "serving/routing.py",
         "if not state.is_leaving and state.name not in wish.excluded",
@@ -192,7 +175,7 @@
         "tests.test_serving.GenerationTest"
         ".test_leaving_engine_gets_nothing_new",
     ),
-    Break(
+    breaks.Break(
         "a planned stop cuts no request",
         "node.py",
         "while self.entry.active or self.sessions.open_sessions:",
@@ -200,14 +183,14 @@
         "tests.test_serving.PlannedStopTest"
         ".test_drain_cuts_no_request_and_loses_no_usage",
     ),
-    Break(
+    breaks.Break(
         "accepted configuration in force, never reverts",
         "configuration/replica.py",
         "if batch.snapshot and batch.snapshot.revision > self.revision:",
         "if batch.snapshot:",
         "tests.test_configuration.ReplicaTest",
     ),
-    Break(
+    breaks.Break(
         "accepted configuration in force, never reverts",
         "configuration/editor.py",
         "if not self.admission.has_majority():",
@@ -215,7 +198,7 @@
         "tests.test_configuration.ClusterTest"
         ".test_minority_that_reaches_the_store_accepts_no_change",
     ),
-    Break(
+    breaks.Break(
         "accepted configuration in force, never reverts",
         "configuration/spreading.py",
         "if self.replica.revision and self.admission.is_majority(reached):",
@@ -223,7 +206,7 @@
         "tests.test_configuration.ClusterTest"
         ".test_starting_node_waits_for_more_than_one_stale_peer",
     ),
-    Break(
+    breaks.Break(
         "accepted configuration in force, never reverts",
         "configuration/editor.py",
         "if not is_enough and not self.admission.is_majority(set(reached)):",
@@ -234,6 +217,13 @@
 )
 
 
+PARTS = {
+    "own": BREAKS,
+    "site": breaks.BREAKS,
+    "all": (*BREAKS, *breaks.BREAKS),
+}
+
+
 @attrs.frozen
 class Outcome:
     """What a break did.
@@ -251,11 +241,13 @@
     is_red: bool
 
 
-def try_break(broken: Break) -> Outcome:
+def try_break(broken: breaks.Break) -> Outcome:
     """Makes a break in a copy of the tree and runs its test."""
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder) / "tree"
-        ignored = shutil.ignore_patterns(".git", ".venv", "__pycache__")
+        ignored = shutil.ignore_patterns(
+            ".git", ".venv", "__pycache__", "target", "journal"
+        )
         shutil.copytree(ROOT, copy, ignore=ignored)
         path = copy / SOURCE / broken.file
         text = path.read_text(encoding="utf-8")
@@ -276,11 +268,18 @@
 def main() -> int:
     """Tries all breaks from the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--part",
+        choices=("own", "site", "all"),
+        default="all",
+        help="breaks of the product's own interface, of a node on the"
+        " platform, or all",
+    )
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--jobs", type=int, default=os.cpu_count() or 1)
     arguments = parser.parse_args()
     with futures.ThreadPoolExecutor(arguments.jobs) as pool:
-        outcomes = list(pool.map(try_break, BREAKS))
+        outcomes = list(pool.map(try_break, PARTS[arguments.part]))
     green = [outcome for outcome in outcomes if not outcome.is_red]
     if arguments.json:
         print(orjson.dumps([attrs.asdict(o) for o in outcomes]).decode())
--- /dev/null
+++ b/bench/sitebreaks.py
@@ -0,0 +1,115 @@
+"""Deliberate breaks of what a node does on the platform."""
+
+import attrs
+
+
+@attrs.frozen
+class Break:
+    """One mechanism broken on purpose.
+
+    Attributes:
+        promise: Which promise rests on it.
+        file: Source file.
+        old: Text that stands there once.
+        new: What takes its place.
+        test: The test that must fail.
+    """
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+SITE = "tests.platform.test_site."
+BOOK = "tests.batches.test_book"
+
+BREAKS = (
+    Break(
+        "a result has one position",
+        "batches/book.py",
+        "stores.Transaction(conditions, puts)",
+        "stores.Transaction([], puts)",
+        BOOK,
+    ),
+    Break(
+        "a reader hears of results without the store",
+        "batches/book.py",
+        "self.feed.ask_anew()",
+        "pass",
+        BOOK,
+    ),
+    Break(
+        "no result is missed by a node that takes a copy",
+        "batches/book.py",
+        "if copy is None or copy.revision < revision:",
+        "if copy is None:",
+        BOOK,
+    ),
+    Break(
+        "no result is missed while a batch is loaded",
+        "batches/book.py",
+        "for entry in loading.entries:",
+        "for entry in ():",
+        BOOK,
+    ),
+    Break(
+        "no result is missed after lost history",
+        "storage/feed.py",
+        "self.on_reloaded()",
+        "pass",
+        BOOK,
+    ),
+    Break(
+        "a mirror is no newer than it says",
+        "peering/relay.py",
+        "asked_at - self.feed.current_at",
+        "0.0",
+        "tests.storage.test_relay",
+    ),
+    Break(
+        "a follower skips no change",
+        "peering/relay.py",
+        "        found = self.feed.log.since(position)\n"
+        "        if found is None or",
+        "        if not found or",
+        "tests.storage.test_relay",
+    ),
+    Break(
+        "a configuration never goes back",
+        "runtime.py",
+        "if not catalogue.is_newer(found, self.catalogue):",
+        "if False:",
+        SITE + "ConfigurationTest"
+        ".test_older_or_unreadable_configuration_changes_nothing",
+    ),
+    Break(
+        "orders end with the lease",
+        "storage/tenure.py",
+        "return self.clock.monotonic() < self.ends_at - safety_s",
+        "return self.lease != stores.NO_LEASE",
+        SITE + "VersionTest.test_paused_holder_gives_no_order_after_its_lease",
+    ),
+    Break(
+        "a withdrawn key ends on a node that hears nobody",
+        "runtime.py",
+        "return is_alone and bool(self.peers.addresses())",
+        "return False",
+        SITE + "ConfigurationTest.test_node_that_hears_nobody_stops_admitting",
+    ),
+    Break(
+        "texts go on after a takeover",
+        "batches/coordinator.py",
+        "sample.events = self.texts.pop(item.id, [])",
+        "sample.events = []",
+        SITE + "BatchTest.test_texts_go_on_after_a_takeover",
+    ),
+    Break(
+        "a draining server gets nothing new",
+        "fleet/roster.py",
+        "            and self.entry.state is ServerState.READY\n",
+        "",
+        SITE + "CallTest.test_draining_server_gets_nothing_new",
+    ),
+)
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -185,7 +185,10 @@
             if is_older and not self._is_left_out(key):
                 self.apply(stores.Entry(key, None, first))
         self.revision = first
-        self.log.restart(first)
+        # Changes between the pages are known already, so the watch that shows
+        # them again adds nothing to the log: it is complete from behind them.
+        newest = max((e.revision for e in self.entries.values()), default=0)
+        self.log.restart(max(first, newest))
         self._note_current(asked_at)
 
     async def _scan_all(self) -> tuple[int, set[str]]:
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -31,6 +31,8 @@
         self.history = []
         self.revision = 1
         self.changed = trio.Event()
+        self.scans = 0
+        self.lost_at = 0
 
     async def lag(self):
         await trio.sleep(self.rng.choice([0.001, 0.01, 0.1, 0.3]))
@@ -40,6 +42,7 @@
         return self.entries.get(key)
 
     async def scan(self, prefix, after=""):
+        self.scans += 1
         await self.lag()
         keys = [k for k in sorted(self.entries) if k.startswith(prefix)]
         keys = [key for key in keys if key > after]
@@ -53,6 +56,8 @@
         with trio.move_on_after(wait_s):
             while self.revision <= after:
                 await self.changed.wait()
+        if after < self.lost_at:
+            raise stores.HistoryLostError
         found = [e for e in self.history if e.revision > after]
         result = stores.Page(found, self.revision, False)
         await self.lag()
@@ -197,7 +202,7 @@
                 await node.book.read(record, 0, 0.2)
 
 
-class BookTest(unittest.TestCase):
+class BookScheduleTest(unittest.TestCase):
     @parameterized.parameterized.expand([(seed,) for seed in range(1, 31)])
     @virtual.on_virtual_time
     async def test_no_node_misses_a_result_of_what_it_holds(self, seed):
@@ -226,3 +231,145 @@
         await node.book.read(record, 0, 0.0)
         self.assertEqual(len(record.results), ITEMS, batch_id)
         self.assertEqual(len(record.listed), ITEMS)
+
+
+class Pair:
+    """A leader that watches the store, and a node that follows it."""
+
+    def __init__(self, nursery):
+        fleet = Fleet(1)
+        fleet.rng = random.Random(1)
+        fleet.rng.choice = lambda choices: choices[0]
+        fleet.nodes = fleet.nodes[1:3]
+        self.store = fleet.store
+        self.store.rng = fleet.rng
+        self.leader, self.follower = fleet.nodes
+        self.leader.book.want(True, frozenset())
+        self.follower.book.want(False, frozenset())
+        for node in fleet.nodes:
+            nursery.start_soon(node.feed.run)
+            nursery.start_soon(node.book.run)
+
+    async def accept(self, items=4):
+        """Has the leader accept a batch."""
+        made = [
+            batch.Item(f"i{n}", "/", {}, b"", 1, "g", None)
+            for n in range(items)
+        ]
+        new = batch.Batch("b", "o", "r", "h", 0, "alpha", 1, 1, made)
+        await self.leader.book.accept(new, 5.0)
+
+    async def list_one(self):
+        """Has the leader list one more result."""
+        record = self.leader.book.records["b"]
+        item = f"i{len(record.results)}"
+        result = batch.Result(item, batch.ResultState.DONE, item)
+        chunk = records.Chunk([result])
+        await self.leader.book.append([(record, chunk)])
+
+    async def read(self):
+        """Returns how many results the follower shows."""
+        record = await self.follower.book.find("b", "o")
+        return len(await self.follower.book.read(record, 0, 0.0))
+
+
+class BookTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_reader_hears_of_results_without_the_store(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept()
+            await trio.sleep(1)
+            self.assertEqual(await pair.read(), 0)
+            scans = pair.store.scans
+            for count in (1, 2, 3):
+                await pair.list_one()
+                await trio.sleep(0.1)
+                self.assertEqual(await pair.read(), count)
+            self.assertEqual(pair.store.scans, scans)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_copy_older_than_the_mirror_is_not_taken(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept()
+            await trio.sleep(1)
+            record = pair.leader.book.records["b"]
+            old = record.copy(pair.follower.feed.revision)
+            await pair.list_one()
+            await trio.sleep(1)
+
+            async def fetch_old(batch_id):
+                return old
+
+            pair.follower.book.fetch_copy = fetch_old
+            self.assertEqual(await pair.read(), 1)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_results_of_lost_history_are_read(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept()
+            await trio.sleep(1)
+            await pair.read()
+            pair.follower.is_leader = True
+            await trio.sleep(1)
+            # What comes now is in no history that the node is shown.
+            put = stores.Put(
+                records.result_key("b", 0),
+                records.encode(
+                    records.Chunk([batch.Result("i0", batch.ResultState.DONE)])
+                ),
+            )
+            pair.store.lost_at = pair.store.revision + 1
+            pair.store.revision += 1
+            pair.store.entries[put.key] = stores.Entry(
+                put.key, put.value, pair.store.revision, pair.store.revision
+            )
+            changed, pair.store.changed = pair.store.changed, trio.Event()
+            changed.set()
+            await trio.sleep(1)
+            self.assertEqual(await pair.read(), 1)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_closed_batch_is_read_from_the_store_by_one_node(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept(items=1)
+            await pair.list_one()
+            await trio.sleep(1)
+            pair.leader.book.records.clear()
+            self.assertEqual(await pair.read(), 1)
+            self.assertIn("b", pair.leader.book.records)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_two_writers_get_two_positions(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept()
+            await trio.sleep(1)
+            await pair.read()
+            listed = []
+
+            async def list_item(node, item):
+                record = node.book.records["b"]
+                result = batch.Result(item, batch.ResultState.DONE, item)
+                chunk = records.Chunk([result])
+                listed.append(await node.book.append([(record, chunk)]))
+
+            async with trio.open_nursery() as writers:
+                writers.start_soon(list_item, pair.leader, "i0")
+                writers.start_soon(list_item, pair.follower, "i1")
+            self.assertEqual(sorted(listed), [False, True])
+            await trio.sleep(1)
+            self.assertEqual(await pair.read(), 1)
+            nursery.cancel_scope.cancel()
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -614,12 +614,13 @@
         async with trio.open_nursery() as nursery:
             site = standin.Site(nursery, nodes=1)
             await site.start()
-            site.servers["p1"].state = "draining"
-            site.servers["p1"].enter()
+            # The one in the node's own zone, which it prefers.
+            site.servers["p2"].state = "draining"
+            site.servers["p2"].enter()
             await trio.sleep(1)
             for number in range(8):
                 await self._send(site, standin.CALL_PATH + "1", f"q{number}")
-            self.assertEqual({run.server for run in site.runs}, {"p2"})
+            self.assertEqual({run.server for run in site.runs}, {"p1"})
             nursery.cancel_scope.cancel()
 
     @parameterized.parameterized.expand(
--- a/tests/storage/test_feed.py
+++ b/tests/storage/test_feed.py
@@ -6,10 +6,13 @@
 import hypothesis
 from hypothesis import strategies
 import parameterized
+import trio
 
+from kingcupscale.fakes import virtualtime
 from kingcupscale.storage import changelog
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
+from tests import virtual
 
 
 def entry(key, revision, value=b"v"):
@@ -52,6 +55,40 @@
         self.assertEqual([e.key for e in feed.under("a/")], ["a/1", "a/2"])
 
 
+class ChangingStore:
+    """Two pages, and a change of the second after the first was read."""
+
+    async def scan(self, prefix, after=""):
+        if not after:
+            return stores.Page([entry("a", 5)], 10, True)
+        return stores.Page([entry("b", 12)], 12, False)
+
+    async def watch(self, prefix, after, wait_s):
+        await trio.sleep(0.01)
+        changes = [e for e in (entry("b", 12),) if e.revision > after]
+        if not changes:
+            await trio.sleep_forever()
+        return stores.Page(changes, 12, False)
+
+
+class LoadTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_follower_hears_of_what_changed_between_pages(self):
+        feed = feeds.Feed(
+            ChangingStore(),
+            virtualtime.VirtualClock(),
+            "n1",
+            lambda: 0.0,
+            follow_nobody,
+        )
+        with trio.move_on_after(1):
+            await feed.run()
+        found = feed.log.since(changelog.Position("another", 7, 10))
+        is_told = found is None or [e.key for e in found] == ["b"]
+        self.assertTrue(is_told, found)
+        self.assertEqual(feed.log.since(changelog.Position("", 0, 12)), [])
+
+
 class ChangeLogTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
     @hypothesis.given(strategies.integers(0, 10_000), strategies.integers(1, 5))
