Read everything anew when a mirror differs from the followed one for long

A checksum of all keys and revisions now goes with each answer; a node that differs for 2 s reads all keys again. Tests: a missed change is noticed, one that is under way is not.

Book is divided: source (whole batches from nodes or the store), retention and record.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -42,7 +42,7 @@
     ),
     Break(
         "no result is missed by a node that takes a copy",
-        "batches/book.py",
+        "batches/source.py",
         "if copy is None or copy.revision < revision:",
         "if copy is None:",
         BOOK,
--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -1,6 +1,5 @@
 """The batches that the store holds, as far as this node needs to know them."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 
 import attrs
@@ -14,6 +13,7 @@
 from kingcupscale.batches import batch
 from kingcupscale.batches import interest as interests
 from kingcupscale.batches import record as records
+from kingcupscale.batches import source as sources
 from kingcupscale.storage import detour
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
@@ -21,8 +21,6 @@
 # A value travels as base64, so three quarters of the largest value, less some
 # room for names.
 VALUE_SHARE = 0.7
-# Time for a node that is followed to tell that nothing is missing.
-REFRESH_S = 2.5
 # A mirror that is older than this may lack results that other nodes show.
 STALE_S = 0.7
 # A batch that is read here is kept up to date for this long after a read;
@@ -33,9 +31,6 @@
 KEEP_PAUSE_S = 0.1
 SWEEP_S = 1.0
 
-# Returns another node's copy of a batch, if one has it.
-FetchCopy = Callable[[str], Awaitable[records.RecordCopy | None]]
-
 
 @attrs.frozen
 class Known:
@@ -83,13 +78,13 @@
         store: detour.DetourStore,
         clock: clocks.Clock,
         value_bytes: int,
-        fetch_copy: FetchCopy,
+        fetch_copy: sources.FetchCopy,
     ) -> None:
         self.feed = feed
         self.store = store
         self.clock = clock
         self.part_bytes = int(value_bytes * VALUE_SHARE)
-        self.fetch_copy = fetch_copy
+        self.source = sources.Source(feed, store, clock, fetch_copy)
         self.records: dict[str, records.Record] = {}
         self.interest = interests.Interest()
         self.known: dict[str, Known] = {}
@@ -112,7 +107,7 @@
         if (everything and not before.everything) or models - before.models:
             self.unexamined |= {
                 batch_id
-                for batch_id in self._batch_ids()
+                for batch_id in self.batch_ids()
                 if batch_id not in self.records and not self._has_end(batch_id)
             }
 
@@ -135,7 +130,7 @@
     def _update_interest(self) -> None:
         self._set_interest(self.interest.everything, self.interest.models)
 
-    def _batch_ids(self) -> list[str]:
+    def batch_ids(self) -> list[str]:
         """Returns all batches that the store is known to hold."""
         suffix = f"/{records.SPECIFICATION}/0"
         return [
@@ -182,9 +177,9 @@
         parts = self.waiting_parts.setdefault(batch_id, {})
         parts[number] = entry.value
         try:
-            record = _assemble(parts)
+            record = records.assemble(parts)
         except (ValueError, cattrs.BaseValidationError) as e:
-            _log_unreadable(entry, e)
+            log_unreadable(entry, e)
             return
         if record is None:
             return
@@ -216,19 +211,9 @@
         if record is None:
             return
         try:
-            self._take_chunk(record, int(number), entry.value)
+            record.take_value(int(number), entry.value)
         except (ValueError, cattrs.BaseValidationError) as e:
-            _log_unreadable(entry, e)
-
-    def _take_chunk(
-        self, record: records.Record, first: int, value: bytes
-    ) -> None:
-        if value:
-            chunk = records.decode(records.Chunk, value)
-            record.take_chunk(first, chunk.results)
-        elif first >= len(record.results):
-            # Left out by a node that was asked before this was wanted.
-            record.is_current = False
+            log_unreadable(entry, e)
 
     def _note_reloaded(self) -> None:
         """Has all batches looked at again: results may have been missed."""
@@ -302,7 +287,7 @@
         loading = self.loading[batch_id] = Loading()
         self._update_interest()
         try:
-            record = await self._fetch(batch_id, asks_nodes)
+            record = await self.source.fetch(batch_id, asks_nodes)
         finally:
             del self.loading[batch_id]
             loading.done.set()
@@ -330,126 +315,6 @@
         else:
             self._take_results(entry)
 
-    async def _fetch(
-        self, batch_id: str, asks_nodes: bool
-    ) -> records.Record | None:
-        if asks_nodes:
-            copy = await self._fetch_current_copy(batch_id)
-            if copy is not None:
-                return copy
-        try:
-            return await self._scan(batch_id)
-        except stores.StoreError as e:
-            reason = e.reason
-        if asks_nodes and await self._is_refreshed_by_followed_node():
-            key = records.key_of(batch_id, records.SPECIFICATION, "0")
-            if key not in self.feed.entries:
-                return None
-            copy = await self._fetch_current_copy(batch_id)
-            if copy is not None:
-                return copy
-        raise errors.ServiceError(
-            errors.ResultCode.STORE_UNAVAILABLE, reason, retry_after_s=0.5
-        )
-
-    async def _fetch_current_copy(self, batch_id: str) -> records.Record | None:
-        """Returns another node's state, if it is as new as the mirror."""
-        key = records.key_of(batch_id, records.SPECIFICATION, "0")
-        if key not in self.feed.entries:
-            return None
-        revision = self.feed.revision
-        copy = await self.fetch_copy(batch_id)
-        if copy is None or copy.revision < revision:
-            return None
-        return records.from_copy(copy)
-
-    async def _scan(self, batch_id: str) -> records.Record | None:
-        """Reads a batch from the store; None if there is none."""
-        parts: dict[str, bytes] = {}
-        is_ended = False
-        for entry in await self._entries(records.key_of(batch_id, "")):
-            kind, _, number = entry.key.rpartition("/")
-            if kind.endswith("/" + records.SPECIFICATION):
-                parts[number] = entry.value or b""
-            is_ended = is_ended or number == records.END
-            self.feed.apply(entry)
-        record = _assemble(parts)
-        if record is None:
-            return None
-        await self._read_results(record)
-        if is_ended:
-            record.note_ended()
-        return record
-
-    async def _entries(
-        self, prefix: str, after: str = ""
-    ) -> list[stores.Entry]:
-        found: list[stores.Entry] = []
-        has_more = True
-        while has_more:
-            page = await self.store.scan(prefix, after)
-            found += page.entries
-            has_more = page.has_more
-            after = page.entries[-1].key if page.entries else after
-        return found
-
-    async def _read_results(self, record: records.Record) -> None:
-        """Reads the results that a record lacks from the store."""
-        prefix = f"{records.RESULTS_PREFIX}{record.batch.id}/"
-        after = ""
-        if record.results:
-            last = len(record.results) - 1
-            after = records.result_key(record.batch.id, last)
-        for entry in await self._entries(prefix, after):
-            first = int(entry.key.removeprefix(prefix))
-            self._take_chunk(record, first, entry.value or b"")
-
-    async def refresh(self, record: records.Record) -> None:
-        """Brings a batch up to date with the store itself.
-
-        Raises:
-            ServiceError: ``STORE_UNAVAILABLE``.
-        """
-        was_current = record.is_current
-        # What changes from here on is heard of.
-        record.is_current = True
-        try:
-            await self._read_results(record)
-            return
-        except stores.StoreError as e:
-            reason = e.reason
-            record.is_current = was_current and record.is_current
-        if not await self._is_refreshed_by_followed_node():
-            raise errors.ServiceError(
-                errors.ResultCode.STORE_UNAVAILABLE, reason, retry_after_s=0.5
-            )
-        if not record.is_current:
-            await self._take_copy(record)
-
-    async def _take_copy(self, record: records.Record) -> None:
-        """Adds what another node has listed.
-
-        Raises:
-            ServiceError: ``STORE_UNAVAILABLE`` if none can tell.
-        """
-        copy = await self._fetch_current_copy(record.batch.id)
-        if copy is None:
-            raise errors.ServiceError(
-                errors.ResultCode.STORE_UNAVAILABLE, retry_after_s=0.5
-            )
-        known = len(record.results)
-        record.take_chunk(known, copy.results[known:])
-        record.is_current = True
-
-    async def _is_refreshed_by_followed_node(self) -> bool:
-        """Waits a little for the mirror to become current by another node."""
-        asked_at = self.clock.monotonic()
-        with trio.move_on_after(REFRESH_S):
-            while self.feed.current_at < asked_at:
-                await self.feed.changed.wait()
-            return True
-        return False
-
     async def read(
         self, record: records.Record, after: int, wait_s: float
     ) -> list[batch.Result]:
@@ -464,7 +329,7 @@
             ServiceError: ``STORE_UNAVAILABLE`` if results may be missing.
         """
         if after > len(record.results) or not record.is_current:
-            await self.refresh(record)
+            await self.source.refresh(record)
         if after >= len(record.results) and record.is_open():
             self.readers += 1
             self.feed.hurry()
@@ -475,7 +340,7 @@
             is_empty = after >= len(record.results) and record.is_open()
             is_stale = self.feed.age_s() > STALE_S or not record.is_current
             if is_empty and is_stale:
-                await self.refresh(record)
+                await self.source.refresh(record)
         return record.page(after)
 
     async def _wait_for_result(
@@ -523,7 +388,7 @@
         revision = await self.store.commit(stores.Transaction(conditions, puts))
         if revision is None:
             for record, _ in additions:
-                await self.refresh(record)
+                await self.source.refresh(record)
             return False
         for put in puts:
             self.feed.apply(
@@ -565,7 +430,7 @@
             if record.is_current or not record.is_open():
                 continue
             try:
-                await self.refresh(record)
+                await self.source.refresh(record)
             except errors.ServiceError as e:
                 _log_unloaded(record.batch.id, e)
                 return
@@ -596,80 +461,13 @@
         read_at = self.reads.get(record.batch.id, 0.0)
         return read_at, record.submitted_ms
 
-    async def forget_older_than(self, seconds: float) -> None:
-        """Removes batches that need not be read any more.
-
-        Only for nodes that want everything: to them a batch that is not known
-        in full is a closed one.
-
-        Raises:
-            StoreError: If the store cannot be reached.
-        """
-        now_ms = self.clock.now().timestamp() * 1000
-        for batch_id in self._batch_ids():
-            if batch_id in self.unexamined or batch_id in self.loading:
-                continue
-            known = self.known.get(batch_id)
-            if known is None:
-                await self._learn(batch_id)
-                continue
-            record = self.records.get(batch_id)
-            is_old = now_ms - known.submitted_ms > seconds * 1000
-            if is_old and not (record and record.is_open()):
-                await self._forget(batch_id)
-
-    async def _learn(self, batch_id: str) -> None:
-        """Reads when a batch came, of one that was seen by its name only."""
-        key = records.key_of(batch_id, records.SPECIFICATION, "0")
-        entry = await self.store.store.get(key)
-        if entry is None or entry.value is None:
-            return
-        try:
-            head = records.decode(records.Specification, entry.value)
-        except (ValueError, cattrs.BaseValidationError) as e:
-            _log_unreadable(entry, e)
-            return
-        self.known[batch_id] = Known(head.submitted_ms, head.batch.model)
-
-    async def _forget(self, batch_id: str) -> None:
-        prefix = f"{records.RESULTS_PREFIX}{batch_id}/"
-        keys = [entry.key for entry in await self._entries(prefix)]
-        heads = self.feed.under(records.key_of(batch_id, ""))
-        # The specification goes last, so that a half-removed batch is found
-        # again by the next round.
-        keys += sorted(
-            (entry.key for entry in heads),
-            key=lambda key: records.SPECIFICATION in key,
-        )
-        for start in range(0, len(keys), 32):
-            removals = keys[start : start + 32]
-            await self.store.commit(stores.Transaction(removals=removals))
-
 
 def _ignore() -> None:
     """Does nothing."""
 
 
-def _assemble(parts: dict[str, bytes]) -> records.Record | None:
-    """Returns the batch that a specification's parts make, once all are there.
-
-    Raises:
-        ValueError: If a part makes no sense, or a
-            ``cattrs.BaseValidationError``.
-    """
-    if "0" not in parts:
-        return None
-    head = records.decode(records.Specification, parts["0"])
-    if len(parts) < head.parts:
-        return None
-    items = list(head.batch.items)
-    for part in range(1, head.parts):
-        items += records.decode(records.Items, parts[str(part)]).items
-    whole = attrs.evolve(head.batch, items=items)
-    return records.Record(whole, head.submitted_ms)
-
-
-def _log_unreadable(entry: stores.Entry, error: Exception) -> None:
+def log_unreadable(entry: stores.Entry, error: Exception) -> None:
+    """Logs a stored value that makes no sense."""
     events.log(
         events.Event.STORE_ENTRY_UNREADABLE,
         key=entry.key,
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -110,6 +110,19 @@
             self.results += following
             self.listed.update(result.item for result in following)
 
+    def take_value(self, first: int, value: bytes) -> None:
+        """Takes over a chunk as the store holds it.
+
+        Raises:
+            ValueError: If it makes no sense, or a
+                ``cattrs.BaseValidationError``.
+        """
+        if value:
+            self.take_chunk(first, decode(Chunk, value).results)
+        elif first >= len(self.results):
+            # Left out by a node that was asked before this was wanted.
+            self.is_current = False
+
     def note_ended(self) -> None:
         """Notes the end; bodies need not be shown any more after it."""
         if self.is_ended:
@@ -163,6 +176,25 @@
     return record
 
 
+def assemble(parts: dict[str, bytes]) -> Record | None:
+    """Returns the batch that a specification's parts make, once all are there.
+
+    Raises:
+        ValueError: If a part makes no sense, or a
+            ``cattrs.BaseValidationError``.
+    """
+    if "0" not in parts:
+        return None
+    head = decode(Specification, parts["0"])
+    if len(parts) < head.parts:
+        return None
+    items = list(head.batch.items)
+    for part in range(1, head.parts):
+        items += decode(Items, parts[str(part)]).items
+    whole = attrs.evolve(head.batch, items=items)
+    return Record(whole, head.submitted_ms)
+
+
 def key_of(batch_id: str, *parts: str) -> str:
     """Returns a key of a batch."""
     return "/".join([PREFIX + batch_id, *parts])
--- /dev/null
+++ b/src/kingcupscale/batches/retention.py
@@ -0,0 +1,80 @@
+"""Removing batches that need not be read any more."""
+
+import cattrs
+
+from kingcupscale import clock as clocks
+from kingcupscale.batches import book as books
+from kingcupscale.batches import record as records
+from kingcupscale.storage import store as stores
+
+# Keys in one transaction, which the store takes at the least.
+REMOVALS_MOST = 32
+
+
+class Retention:
+    """Removes old batches from the store.
+
+    Args:
+        book: The batches.
+        clock: Tells the time.
+    """
+
+    def __init__(self, book: books.Book, clock: clocks.Clock) -> None:
+        self.book = book
+        self.source = book.source
+        self.store = book.store
+        self.clock = clock
+
+    async def forget_older_than(self, seconds: float) -> None:
+        """Removes batches that need not be read any more.
+
+        Only for nodes that want everything: to them a batch that is not known
+        in full is a closed one.
+
+        Raises:
+            StoreError: If the store cannot be reached.
+        """
+        now_ms = self.clock.now().timestamp() * 1000
+        for batch_id in self.book.batch_ids():
+            if (
+                batch_id in self.book.unexamined
+                or batch_id in self.book.loading
+            ):
+                continue
+            known = self.book.known.get(batch_id)
+            if known is None:
+                await self._learn(batch_id)
+                continue
+            record = self.book.records.get(batch_id)
+            is_old = now_ms - known.submitted_ms > seconds * 1000
+            if is_old and not (record and record.is_open()):
+                await self._forget(batch_id)
+
+    async def _learn(self, batch_id: str) -> None:
+        """Reads when a batch came, of one that was seen by its name only."""
+        key = records.key_of(batch_id, records.SPECIFICATION, "0")
+        entry = await self.store.store.get(key)
+        if entry is None or entry.value is None:
+            return
+        try:
+            head = records.decode(records.Specification, entry.value)
+        except (ValueError, cattrs.BaseValidationError) as e:
+            books.log_unreadable(entry, e)
+            return
+        self.book.known[batch_id] = books.Known(
+            head.submitted_ms, head.batch.model
+        )
+
+    async def _forget(self, batch_id: str) -> None:
+        prefix = f"{records.RESULTS_PREFIX}{batch_id}/"
+        keys = [entry.key for entry in await self.source.entries(prefix)]
+        heads = self.book.feed.under(records.key_of(batch_id, ""))
+        # The specification goes last, so that a half-removed batch is found
+        # again by the next round.
+        keys += sorted(
+            (entry.key for entry in heads),
+            key=lambda key: records.SPECIFICATION in key,
+        )
+        for start in range(0, len(keys), REMOVALS_MOST):
+            removals = keys[start : start + REMOVALS_MOST]
+            await self.store.commit(stores.Transaction(removals=removals))
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -8,6 +8,7 @@
 from kingcupscale.batches import coordinator as coordinators
 from kingcupscale.batches import copying
 from kingcupscale.batches import loader as loaders
+from kingcupscale.batches import retention
 from kingcupscale.capacity import fleetsize
 from kingcupscale.peering import calls
 from kingcupscale.peering import loads
@@ -72,6 +73,7 @@
             lambda: runtime.open_items(service),
         )
         self.nursery: trio.Nursery | None = None
+        self.retention = retention.Retention(runtime.book, around.clock)
         self.forgot_at = 0.0
 
     async def run(self) -> None:
@@ -99,9 +101,7 @@
             return
         self.forgot_at = now
         retention_s = self.runtime.settings.bounds.retention_s
-        await self.runtime.book.forget_older_than(
-            retention_s + RETENTION_SLACK_S
-        )
+        await self.retention.forget_older_than(retention_s + RETENTION_SLACK_S)
 
     def _tell(self, state: loads.LoadState) -> None:
         """Takes over a load's state and passes it on to the model's node."""
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -285,6 +285,7 @@
                 "number": self.feed.log.number,
                 "revision": self.feed.revision,
                 "age_s": age_s,
+                "checksum": str(self.feed.checksum),
                 "entries": [self._encode_one(e, interest) for e in entries],
             }
         )
@@ -329,4 +330,6 @@
     position = changelog.Position(
         fields["log"], int(fields["number"]), int(fields["revision"])
     )
-    return changelog.Changes(entries, position, float(fields["age_s"]))
+    return changelog.Changes(
+        entries, position, float(fields["age_s"]), int(fields["checksum"])
+    )
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -35,6 +35,7 @@
     Attributes:
         entries: The changes, in order.
         position: Where to go on.
+        checksum: Of all keys and revisions of the other node.
         age_s: Seconds from when the mirror was known to be current until the
             follower asked; below 0 if it was current later than that.
     """
@@ -42,6 +43,7 @@
     entries: list[stores.Entry]
     position: Position
     age_s: float
+    checksum: int
 
 
 class ChangeLog:
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -9,6 +9,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale import hashing
 from kingcupscale.storage import changelog
 from kingcupscale.storage import store as stores
 
@@ -19,6 +20,9 @@
 RETRY_MOST_S = 0.5
 # A followed mirror that is older than this is no better than none.
 FOLLOWED_AGE_S = 1.1
+# A node that knows other things than the one that it follows for this long
+# has missed a change; own writes are known to both within a second.
+DIFFERS_S = 2.0
 
 Listener = Callable[[stores.Entry], None]
 # Returns another node's changes past a position; None if there is no node to
@@ -47,6 +51,8 @@
         regained_at: Monotonic time at which the store last came back.
         is_following: Whether another node's mirror is followed.
         is_lost: Whether neither the store nor another node answers.
+        checksum: Of all keys and their revisions, but those left out; equal
+            on nodes that know the same.
         is_loading: Whether everything is being read anew.
         on_reloaded: Called after changes may have been missed.
         changed: Set and replaced whenever something has changed.
@@ -78,6 +84,8 @@
         self.is_loading = False
         self.on_reloaded: Callable[[], None] = _ignore
         self.left_out = ""
+        self.checksum = 0
+        self.differs_since: float | None = None
         self.follow_scope = trio.CancelScope()
         self.changed = trio.Event()
         self.hurried = trio.Event()
@@ -130,6 +138,8 @@
             del self.entries[entry.key]
         else:
             self.entries[entry.key] = entry
+        if not self._is_left_out(entry.key):
+            self.checksum ^= _mark(known) ^ _mark(entry)
         self.log.add(entry)
         for prefix, listener in self.listeners:
             if entry.key.startswith(prefix):
@@ -232,8 +242,27 @@
         self.position = changes.position
         self.revision = max(self.revision, changes.position.revision)
         self._note_current(max(self.current_at, asked_at - changes.age_s))
+        self.compare(changes.checksum)
         return True
 
+    def compare(self, checksum: int) -> None:
+        """Has everything read anew if the followed node knows other things.
+
+        Both may know of own writes before the other does, so a difference
+        counts only if it lasts.
+
+        Raises:
+            HistoryLostError: If it has lasted.
+        """
+        now = self.clock.monotonic()
+        if checksum == self.checksum:
+            self.differs_since = None
+        elif self.differs_since is None:
+            self.differs_since = now
+        elif now - self.differs_since > DIFFERS_S:
+            self.differs_since = None
+            raise stores.HistoryLostError
+
     async def _watch_store(self) -> None:
         asked_at = self.clock.monotonic()
         page = await self.store.watch("", self.revision, WATCH_WAIT_S)
@@ -270,5 +299,12 @@
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
 
 
+def _mark(entry: stores.Entry | None) -> int:
+    """Returns what an entry adds to the checksum."""
+    if entry is None or entry.value is None:
+        return 0
+    return hashing.number(f"{entry.key} {entry.revision}")
+
+
 def _ignore() -> None:
     """Does nothing."""
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -9,6 +9,7 @@
 from kingcupscale.batches import batch
 from kingcupscale.batches import book as books
 from kingcupscale.batches import record as records
+from kingcupscale.batches import retention
 from kingcupscale.fakes import virtualtime
 from kingcupscale.peering import calls
 from kingcupscale.peering import relay
@@ -75,6 +76,9 @@
             )
             self.entries[put.key] = entry
             self.history.append(entry)
+        for key in transaction.removals:
+            del self.entries[key]
+            self.history.append(stores.Entry(key, None, self.revision))
         changed, self.changed = self.changed, trio.Event()
         changed.set()
         revision = self.revision
@@ -103,7 +107,7 @@
     def __init__(self, fleet, name, is_leader):
         self.fleet = fleet
         self.is_leader = is_leader
-        clock = virtualtime.VirtualClock()
+        clock = self.clock = virtualtime.VirtualClock()
         self.feed = feeds.Feed(
             fleet.store, clock, name, self._pause_s, self._follow
         )
@@ -305,7 +309,7 @@
             async def fetch_old(batch_id):
                 return old
 
-            pair.follower.book.fetch_copy = fetch_old
+            pair.follower.book.source.fetch_copy = fetch_old
             self.assertEqual(await pair.read(), 1)
             nursery.cancel_scope.cancel()
 
@@ -373,3 +377,19 @@
             await trio.sleep(1)
             self.assertEqual(await pair.read(), 1)
             nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_old_closed_batch_is_removed_from_the_store(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept(items=1)
+            keeper = retention.Retention(pair.leader.book, pair.leader.clock)
+            await trio.sleep(20)
+            await keeper.forget_older_than(10.0)
+            self.assertTrue(pair.store.entries)
+            await pair.list_one()
+            await trio.sleep(1)
+            await keeper.forget_older_than(10.0)
+            self.assertEqual(pair.store.entries, {})
+            nursery.cancel_scope.cancel()
--- a/tests/storage/test_feed.py
+++ b/tests/storage/test_feed.py
@@ -127,3 +127,35 @@
         self.assertIsNone(log.since(behind))
         near = changelog.Position("other", 7, 100)
         self.assertEqual([e.revision for e in log.since(near)], [101])
+
+
+class CompareTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_change_that_was_missed_is_read_before_long(self):
+        feed = make_feed()
+        feed.clock = virtualtime.VirtualClock()
+        leader = make_feed()
+        for key, revision in (("a", 1), ("b", 2), ("a", 3)):
+            leader.apply(entry(key, revision))
+            if key != "b":
+                feed.apply(entry(key, revision))
+        feed.compare(leader.checksum)
+        await trio.sleep(feeds.DIFFERS_S + 0.1)
+        with self.assertRaises(stores.HistoryLostError):
+            feed.compare(leader.checksum)
+
+    @virtual.on_virtual_time
+    async def test_difference_that_passes_is_none(self):
+        feed = make_feed()
+        feed.clock = virtualtime.VirtualClock()
+        leader = make_feed()
+        leader.apply(entry("a", 1))
+        feed.compare(leader.checksum)
+        feed.apply(entry("a", 1))
+        await trio.sleep(1)
+        feed.compare(leader.checksum)
+        leader.apply(entry("a", 2, None))
+        feed.apply(entry("a", 2, None))
+        self.assertEqual((feed.checksum, leader.checksum), (0, 0))
+        await trio.sleep(feeds.DIFFERS_S + 0.1)
+        feed.compare(leader.checksum)
