--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -28,6 +28,7 @@
     STORE_FAILED = (2204, "A call to the key-value service failed.")
     STORE_REGAINED = (2205, "The key-value service answers again.")
     STORE_HISTORY_LOST = (2206, "A watch was too late; all keys are read anew.")
+    MIRROR_DIFFERED = (2209, "A change was missed; all keys are read anew.")
     STORE_ENTRY_UNREADABLE = (2207, "A stored value makes no sense; left out.")
     WRITTEN_THROUGH_PEER = (2208, "Another node wrote for this one.")
     LEASE_ACQUIRED = (2301, "The node holds a duty's lease.")
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -261,6 +261,12 @@
             self.differs_since = now
         elif now - self.differs_since > DIFFERS_S:
             self.differs_since = None
+            events.log(
+                events.Event.MIRROR_DIFFERED,
+                node=self.node,
+                revision=self.revision,
+                keys=len(self.entries),
+            )
             raise stores.HistoryLostError
 
     async def _watch_store(self) -> None:
