Adopt a copied result only in the batch that it was made for

Cause: a finished result that was copied to the next node and never listed, as its batch was ended, was listed for the same item when its group came again in a later batch, with weights older than that batch allows.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -90,7 +90,7 @@
         self.progress: dict[str, Progress] = {}
         self.prompts: dict[str, set[str]] = {}
         self.texts: dict[str, list[serverclient.StreamEvent]] = {}
-        self.results: dict[str, batches.Result] = {}
+        self.results: dict[tuple[str, str], batches.Result] = {}
         self.leftovers: list[samples.Sample] = []
         self.woken = trio.Event()
 
@@ -133,7 +133,7 @@
                 known = known + list(text.events)
             self.texts[text.item] = known
             if text.result is not None:
-                self.results[text.item] = text.result
+                self.results[text.batch_id, text.item] = text.result
             sample = present.get(text.item)
             if sample is not None:
                 self._adopt(sample)
@@ -144,8 +144,9 @@
         if sample.result is not None:
             return
         text = self.texts.get(sample.id, [])
-        if sample.id in self.results:
-            sample.result = self.results.pop(sample.id)
+        place = (sample.record.batch.id, sample.id)
+        if place in self.results:
+            sample.result = self.results.pop(place)
             sample.stage = samples.Stage.FINISHED
             sample.scope.cancel()
             self.lister.finished.set()
@@ -248,8 +249,7 @@
                 sample.waiting_since = now
                 sample.events = self.texts.pop(item.id, [])
                 progress.samples[item.id] = sample
-                if item.id in self.results:
-                    self._adopt(sample)
+                self._adopt(sample)
         self.progress[record.batch.id] = progress
         events.log(
             events.Event.BATCH_TAKEN_UP,
--- a/src/kingcupscale/batches/copying.py
+++ b/src/kingcupscale/batches/copying.py
@@ -95,7 +95,14 @@
             added = sample.events[sent:]
             is_new = sample.result and sample.id not in self.sent_results
             if added or is_new:
-                texts.append(handover.Text(sample.id, added, sample.result))
+                texts.append(
+                    handover.Text(
+                        sample.id,
+                        added,
+                        sample.result,
+                        sample.record.batch.id,
+                    )
+                )
                 self.sent[sample.id] = sent
         self.sent = {i: n for i, n in self.sent.items() if i in open_items}
         self.sent_results &= open_items
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -6,6 +6,8 @@
 import parameterized
 import trio
 
+from kingcupscale.batches import batch
+from kingcupscale.peering import handover
 from kingcupscale.platform import names
 from tests import virtual
 from tests.platform import standin
@@ -405,6 +407,26 @@
 
 
 class VersionTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_result_of_an_ended_batch_is_not_listed_in_another(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery)
+            await site.start()
+            site.name_version(2)
+            await trio.sleep(4)
+            old = batch.Result(
+                "b1-i0", batch.ResultState.DONE, "old", [1], "old score"
+            )
+            text = handover.Text("b1-i0", [], old, "b0")
+            for node in site.nodes:
+                duty = node.runtime.services["engines"]
+                duty.coordinator.take_copy(handover.Copy("engines", [text]))
+            await site.submit(site.nodes[0], "b1", minimum=2)
+            for result in await site.read_all(site.nodes[0], "b1"):
+                self.assertEqual(result["versions"], [2])
+                self.assertEqual(result["text"], standin.text_of(10))
+            nursery.cancel_scope.cancel()
+
     @virtual.on_virtual_time
     async def test_engines_alternate_and_no_text_is_too_old(self):
         async with trio.open_nursery() as nursery:
