--- a/src/kingcupscale/peering/handover.py
+++ b/src/kingcupscale/peering/handover.py
@@ -26,8 +26,8 @@
         item: The item's identity.
         events: New events, in order.
         result: Its result, if it is finished and not listed yet.
-        batch_id: The batch that the result belongs to; the item may come again in
-            another one, which wants other versions and another score.
+        batch_id: The batch that the result belongs to; the item may come
+            again in another one, which wants other versions.
     """
 
     item: str
