--- a/bench/days.py
+++ b/bench/days.py
@@ -72,6 +72,8 @@
     Kind("scale_out", "share = 0.3, gap_s = 3.0", True),
     Kind("clock_step", "x = 900.0, share = 0.3, for_s = 4.0"),
     Kind("cloud_slow", "x = 50.0, for_s = 4.0"),
+    Kind("node_freeze", 'count = 1, for_s = 3.0, how = "renewed"'),
+    # Those below come on grown sites only, so they share no day with others.
     Kind("srv_flap", "share = 0.1, gap_s = 1.4, for_s = 5.0"),
     Kind("srv_lying_health", 'share = 0.1, for_s = 5.0, how = "hang"'),
     Kind("config_storm", "gap_s = 0.3, for_s = 3.0", True),
