Let two writes of usage counts meet

Cause: at a planned stop the last write of counts runs beside the usual one, and each removed the window after its own write; the second found it gone, and the node ended with code 1 in the middle of its stop. Counts that came while a write was under way, or after the last one, were lost or overwritten besides.

Change: a window's whole count is written, and again if it has grown; it is removed long after. Test first: test_last_counts_are_whole_though_two_write_at_once ended with the KeyError, and is green.

--- a/src/kingcupscale/usage/windows.py
+++ b/src/kingcupscale/usage/windows.py
@@ -71,6 +71,7 @@
         self.node = node
         self.window_s = window_s
         self.counts: dict[int, dict[str, int]] = {}
+        self.shared: dict[int, dict[str, int]] = {}
 
     def window_at(self, seconds: float) -> int:
         """Returns the window of a time in seconds since 1970."""
@@ -85,6 +86,9 @@
     async def share(self, is_last: bool = False) -> None:
         """Writes the counts of ended windows, or of all at the last.
 
+        What is written is always a window's whole count, so that it does no
+        harm to write it again, also while another write is under way.
+
         Raises:
             StoreError: If the store cannot be reached; they are kept.
         """
@@ -93,10 +97,16 @@
         for window in sorted(self.counts):
             if window >= ended and not is_last:
                 continue
+            counts = dict(self.counts[window])
+            if self.shared.get(window) == counts:
+                continue
             key = f"{COUNTS_PREFIX}{window}/{self.node}"
-            put = stores.Put(key, orjson.dumps(self.counts[window]))
+            put = stores.Put(key, orjson.dumps(counts))
             await self.feed.store.commit(stores.Transaction(puts=[put]))
-            del self.counts[window]
+            self.shared[window] = counts
+        for window in [w for w in self.shared if w < ended - WINDOWS_KEPT]:
+            del self.shared[window]
+            self.counts.pop(window, None)
 
 
 class WindowReporter:
