Let a broken connection end alone

Cause: hypercorn's worker ends as a whole when one connection ends with an error that it does not expect; a bad chunk behind a request under way is enough (BusyResourceError), so one caller could end a node. A client that closes behind a pipelined request left a connection that never ended, which held up a planned stop for the whole grace.

Test first: test_clients_that_break_the_protocol_harm_no_others ran into its limit.

--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -8,12 +8,12 @@
 
 import attrs
 import hypercorn.config
-import hypercorn.trio
 import trio
 
 from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale.web import message
+from kingcupscale.web import worker
 
 
 @attrs.frozen
@@ -215,23 +215,4 @@
     config.include_server_header = False
     config.include_date_header = False
     application = Application(handler, limits)
-    async with trio.open_nursery() as nursery:
-        urls = await nursery.start(
-            _serve_hypercorn, application, config, shutdown
-        )
-        task_status.started(urls[0].removeprefix("http://"))
-
-
-async def _serve_hypercorn(
-    application: Application,
-    config: hypercorn.config.Config,
-    shutdown: Callable[[], Awaitable[None]],
-    task_status: trio.TaskStatus[list[str]],
-) -> None:
-    await hypercorn.trio.serve(
-        application,
-        config,
-        shutdown_trigger=shutdown,
-        task_status=task_status,
-        mode="asgi",
-    )
+    await worker.Worker(application, config).serve(shutdown, task_status)
--- /dev/null
+++ b/src/kingcupscale/web/worker.py
@@ -0,0 +1,161 @@
+"""Accepting connections for an ASGI application, each one for itself.
+
+Hypercorn's own worker ends as a whole when one connection ends with an error
+that it does not expect; here such an error ends that connection only.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+
+import hypercorn.app_wrappers
+import hypercorn.config
+import hypercorn.trio.tcp_server
+import hypercorn.trio.worker_context
+import hypercorn.typing
+import trio
+
+from kingcupscale import events
+
+# What still runs for a connection this long after its end waits for something
+# that can't come, such as a pipelined request behind an answer to nobody.
+GONE_S = 1.0
+
+
+class Worker:
+    """Serves one application on one address.
+
+    Args:
+        application: The ASGI application.
+        config: Hypercorn's settings; the first address in ``bind`` is used.
+    """
+
+    def __init__(
+        self,
+        application: hypercorn.typing.ASGIFramework,
+        config: hypercorn.config.Config,
+    ) -> None:
+        self.application = hypercorn.app_wrappers.ASGIWrapper(application)
+        self.config = config
+        self.context = hypercorn.trio.worker_context.WorkerContext(None)
+
+    async def serve(
+        self,
+        shutdown: Callable[[], Awaitable[None]],
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until told to stop, then ends the open connections.
+
+        Args:
+            shutdown: Returns when no connection is to be accepted any more.
+            task_status: Told the bound ``host:port``.
+        """
+        host, _, port = self.config.bind[0].rpartition(":")
+        (listener,) = await trio.open_tcp_listeners(
+            int(port), host=host, backlog=self.config.backlog
+        )
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    functools.partial(
+                        trio.serve_listeners,
+                        self._serve_connection,
+                        [listener],
+                        handler_nursery=connections,
+                    )
+                )
+                bound = listener.socket.getsockname()
+                task_status.started(f"{bound[0]}:{bound[1]}")
+                await shutdown()
+                accepting.cancel_scope.cancel()
+            await self.context.terminated.set()
+            limit_s = self.config.graceful_timeout
+            connections.cancel_scope.deadline = trio.current_time() + limit_s
+
+    async def _serve_connection(self, accepted: trio.SocketStream) -> None:
+        """Serves one connection until it is done or gone."""
+        stream = WatchedStream(accepted)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._run, stream, nursery.cancel_scope)
+                await stream.gone.wait()
+                await trio.sleep(GONE_S)
+                nursery.cancel_scope.cancel()
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _run(
+        self, stream: "WatchedStream", connection: trio.CancelScope
+    ) -> None:
+        """Runs hypercorn's server; what goes wrong ends only this one."""
+        server = hypercorn.trio.tcp_server.TCPServer(
+            self.application,
+            self.config,
+            self.context,
+            hypercorn.typing.ConnectionState({}),
+            stream,
+        )
+        try:
+            await server.run()
+        except Exception as e:
+            _log(e)
+        except BaseExceptionGroup as group:
+            failures, others = group.split(Exception)
+            if failures is not None:
+                _log(failures)
+            if others is not None:
+                raise others from None
+        connection.cancel()
+
+
+class WatchedStream(trio.abc.HalfCloseableStream):
+    """A connection that tells when it is closed or broken.
+
+    Args:
+        stream: The connection.
+
+    Attributes:
+        socket: Its socket.
+        gone: Set once nothing can be sent any more.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.socket = stream.socket
+        self.gone = trio.Event()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Returns some received data; nothing at its end."""
+        return await self.stream.receive_some(max_bytes)
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends all of the data."""
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.gone.set()
+            raise
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Waits until sending is likely to go on at once."""
+        await self.stream.wait_send_all_might_not_block()
+
+    async def send_eof(self) -> None:
+        """Tells the other side that nothing more is sent."""
+        await self.stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Closes the connection."""
+        self.gone.set()
+        await self.stream.aclose()
+
+
+def _log(error: Exception | BaseExceptionGroup) -> None:
+    """Logs the innermost error of a connection."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    events.log(
+        events.Event.CONNECTION_FAILED,
+        kind=type(error).__name__,
+        reason=str(error)[:200],
+    )
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -199,3 +199,40 @@
             await exchange.fetch(exchanger, address, request, 5)
         self.assertFalse(handler.started.is_set())
         await exchanger.aclose()
+
+
+class ConnectionTest(unittest.TestCase):
+    @on_sockets
+    async def test_clients_that_break_the_protocol_harm_no_others(
+        self, address, handler, stop
+    ):
+        good = (
+            b"POST /stream HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi"
+        )
+        bad = (
+            b"POST /stream HTTP/1.1\r\nhost: x\r\n"
+            b"transfer-encoding: chunked\r\n\r\nzz\r\n"
+        )
+
+        async def break_it(parts, pause_s):
+            try:
+                stream = await _send_raw(address, parts[0])
+                for part in parts[1:]:
+                    await trio.sleep(pause_s)
+                    await stream.send_all(part)
+                await trio.sleep(pause_s)
+                await stream.aclose()
+            except trio.BrokenResourceError:
+                return
+
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                parts = ([bad], [good, bad], [good, good, bad], [bad, bad])
+                pause_s = 0.002 * (number % 5)
+                nursery.start_soon(break_it, parts[number % 4], pause_s)
+        await trio.sleep(0.5)
+        stream = await _send_raw(
+            address,
+            b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi",
+        )
+        self.assertIn(b'{"bytes":2}', await _read_all(stream))
