Keep nothing of a lease after its session is closed

Cause: a renewal or a grant under way when a stopping node closed its session was taken for a lease that holds, or a new one was opened 0.5 s later. The node could then take duties again while it stopped, or with lease 0, which is none: such a duty's key would never lapse and nobody could take it any more.

--- a/src/kingcupscale/storage/tenure.py
+++ b/src/kingcupscale/storage/tenure.py
@@ -50,15 +50,18 @@
         self.announcement = announcement
         self.lease = stores.NO_LEASE
         self.ends_at = 0.0
+        self.is_closed = False
 
     def is_held(self) -> bool:
         """Tells whether the lease surely holds right now."""
+        if self.lease == stores.NO_LEASE:
+            return False
         safety_s = self.ttl_s * SAFETY_SHARE
         return self.clock.monotonic() < self.ends_at - safety_s
 
     async def run(self) -> None:
-        """Keeps a lease until cancelled."""
-        while True:
+        """Keeps a lease until closed or cancelled."""
+        while not self.is_closed:
             try:
                 await self._keep()
             except stores.LeaseEndedError:
@@ -78,11 +81,15 @@
         if self.lease == stores.NO_LEASE:
             lease = await self.store.grant(self.ttl_s)
             await self._announce(lease)
+            if self.is_closed:
+                await self.store.revoke(lease)
+                return
             self.lease = lease
             events.log(events.Event.SESSION_OPENED, node=self.node, lease=lease)
         else:
             await self.store.renew(self.lease)
-        self.ends_at = sent_at + self.ttl_s
+        if not self.is_closed:
+            self.ends_at = sent_at + self.ttl_s
 
     async def _announce(self, lease: int) -> None:
         put = stores.Put(NODES_PREFIX + self.node, self.announcement, lease)
@@ -99,7 +106,8 @@
         self.ends_at = 0.0
 
     async def close(self) -> None:
-        """Ends the lease, so that successors need not wait for its end."""
+        """Ends the lease for good, so that successors need not wait for it."""
+        self.is_closed = True
         lease = self.lease
         if lease == stores.NO_LEASE:
             return
