--- a/src/kingcupscale/platform/store.py
+++ b/src/kingcupscale/platform/store.py
@@ -46,9 +46,9 @@
             query["after"] = after
         status, body = await self._call("GET", "/kv-range", query)
         fields = _expect_ok(status, body)
-        entries = [_decode_entry(item) for item in fields.get("items", ())]
+        entries = _decode_entries(fields, "items")
         has_more = bool(fields.get("hasMore"))
-        return stores.Page(entries, int(fields["asOf"]), has_more)
+        return stores.Page(entries, _number(fields, "asOf"), has_more)
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -63,8 +63,8 @@
         if status == 410:
             raise stores.HistoryLostError
         fields = _expect_ok(status, body)
-        entries = [_decode_entry(item) for item in fields.get("events", ())]
-        return stores.Page(entries, int(fields["asOf"]))
+        entries = _decode_entries(fields, "events")
+        return stores.Page(entries, _number(fields, "asOf"))
 
     async def commit(self, transaction: stores.Transaction) -> int | None:
         """Returns the new revision, or None if a condition did not hold."""
@@ -75,13 +75,13 @@
             return None
         if status == 404:
             raise stores.LeaseEndedError
-        return int(_expect_ok(status, body)["revision"])
+        return _number(_expect_ok(status, body), "revision")
 
     async def grant(self, ttl_s: float) -> int:
         """Returns the number of a new lease."""
         request = {"ttlMs": int(ttl_s * 1000)}
         status, body = await self._call("POST", "/kv-lease", {}, request)
-        return int(_expect_ok(status, body)["lease"])
+        return _number(_expect_ok(status, body), "lease")
 
     async def renew(self, lease: int) -> None:
         """Renews a lease."""
@@ -134,6 +134,21 @@
     raise stores.StoreError(f"status {status}", 500 <= status != 503)
 
 
+def _number(fields: dict[str, Any], name: str) -> int:
+    """Returns a number of an answer; without it, what was done is unknown."""
+    value = fields.get(name)
+    if not isinstance(value, int):
+        raise stores.StoreError(f"unreadable {name}: {value!r}"[:200], True)
+    return value
+
+
+def _decode_entries(fields: dict[str, Any], name: str) -> list[stores.Entry]:
+    items = fields.get(name, [])
+    if not isinstance(items, list):
+        raise stores.StoreError(f"unreadable {name}: {items!r}"[:200], True)
+    return [_decode_entry(item) for item in items]
+
+
 def _decode_entry(item: dict[str, Any]) -> stores.Entry:
     try:
         value = None
