--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -28,6 +28,9 @@
 READ_KEPT_S = 10.0
 # Texts of batches that nothing is added to any more, in bytes.
 CLOSED_BYTES = 8_000_000
+# Shortest time between two questions that are dropped for a wider one; longer
+# than a quiet one takes.
+ASK_ANEW_S = 1.0
 KEEP_PAUSE_S = 0.1
 SWEEP_S = 1.0
 
@@ -94,6 +97,7 @@
         self.readers = 0
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
         self.swept_at = 0.0
+        self.asked_anew_at = -ASK_ANEW_S
         self.on_change: Callable[[], None] = _ignore
         feed.leave_out(records.RESULTS_PREFIX)
         feed.subscribe(records.PREFIX, self._take_head)
@@ -108,7 +112,7 @@
             self.unexamined |= {
                 batch_id
                 for batch_id in self.batch_ids()
-                if batch_id not in self.records and not self._has_end(batch_id)
+                if batch_id not in self.records and not self.has_end(batch_id)
             }
 
     def model_of(self, batch_id: str) -> str | None:
@@ -123,8 +127,12 @@
         new = interests.Interest(everything, models, single)
         is_wider = new.is_wider_than(self.interest)
         self.interest = new
-        if is_wider:
-            # An answer to the narrower question may leave out what is wanted.
+        now = self.clock.monotonic()
+        if is_wider and now - self.asked_anew_at >= ASK_ANEW_S:
+            # An answer to the narrower question may leave out what is wanted,
+            # which then has to be read; but a question that is dropped again
+            # and again would never be answered.
+            self.asked_anew_at = now
             self.feed.ask_anew()
 
     def _update_interest(self) -> None:
@@ -139,7 +147,8 @@
             if entry.key.endswith(suffix)
         ]
 
-    def _has_end(self, batch_id: str) -> bool:
+    def has_end(self, batch_id: str) -> bool:
+        """Tells whether the store is known to hold a batch's end."""
         key = records.key_of(batch_id, records.END)
         return key in self.feed.entries
 
@@ -189,8 +198,16 @@
         if self._may_have_results(batch_id):
             self.unexamined.add(batch_id)
         elif self.interest.includes(batch_id, model):
-            self.records[batch_id] = record
-            self.on_change()
+            self._hold(record)
+
+    def _hold(self, record: records.Record) -> None:
+        """Knows a batch in full from here on."""
+        batch_id = record.batch.id
+        if self.has_end(batch_id):
+            # The end may have been heard of before what the batch came from.
+            record.note_ended()
+        self.records[batch_id] = record
+        self.on_change()
 
     def _may_have_results(self, batch_id: str) -> bool:
         """Tells whether results may have come before their batch."""
@@ -305,8 +322,7 @@
         if is_read:
             self.reads[batch_id] = self.clock.monotonic()
         if is_read or self.interest.includes(batch_id, model):
-            self.records[batch_id] = record
-            self.on_change()
+            self._hold(record)
 
     def _take_again(self, entry: stores.Entry) -> None:
         """Takes over a change that came while its batch was loaded."""
@@ -413,14 +429,14 @@
             is_wanted = known is None or self.interest.includes(
                 batch_id, known.model
             )
-            if not is_wanted or self._has_end(batch_id):
+            if not is_wanted or self.has_end(batch_id):
                 self.unexamined.discard(batch_id)
                 continue
             try:
                 await self.load(batch_id, is_read=False)
             except errors.ServiceError as e:
                 self.unexamined.add(batch_id)
-                _log_unloaded(batch_id, e)
+                log_unloaded(batch_id, e)
                 return
         await self._refresh_open()
 
@@ -432,7 +448,7 @@
             try:
                 await self.source.refresh(record)
             except errors.ServiceError as e:
-                _log_unloaded(record.batch.id, e)
+                log_unloaded(record.batch.id, e)
                 return
 
     def _let_go(self) -> None:
@@ -475,5 +491,6 @@
     )
 
 
-def _log_unloaded(batch_id: str, error: errors.ServiceError) -> None:
+def log_unloaded(batch_id: str, error: errors.ServiceError) -> None:
+    """Logs a batch that could not be had."""
     events.log(events.Event.BATCH_UNREADABLE, batch=batch_id, reason=str(error))
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -119,8 +119,9 @@
         """
         if value:
             self.take_chunk(first, decode(Chunk, value).results)
-        elif first >= len(self.results):
-            # Left out by a node that was asked before this was wanted.
+        is_left_out = not value and first >= len(self.results)
+        if is_left_out or self.chunks:
+            # What is missing may have been told before it was wanted.
             self.is_current = False
 
     def note_ended(self) -> None:
--- a/src/kingcupscale/batches/retention.py
+++ b/src/kingcupscale/batches/retention.py
@@ -3,6 +3,7 @@
 import cattrs
 
 from kingcupscale import clock as clocks
+from kingcupscale import errors
 from kingcupscale.batches import book as books
 from kingcupscale.batches import record as records
 from kingcupscale.storage import store as stores
@@ -28,9 +29,6 @@
     async def forget_older_than(self, seconds: float) -> None:
         """Removes batches that need not be read any more.
 
-        Only for nodes that want everything: to them a batch that is not known
-        in full is a closed one.
-
         Raises:
             StoreError: If the store cannot be reached.
         """
@@ -45,11 +43,21 @@
             if known is None:
                 await self._learn(batch_id)
                 continue
-            record = self.book.records.get(batch_id)
             is_old = now_ms - known.submitted_ms > seconds * 1000
-            if is_old and not (record and record.is_open()):
+            if is_old and await self._is_closed(batch_id):
                 await self._forget(batch_id)
 
+    async def _is_closed(self, batch_id: str) -> bool:
+        """Tells whether nothing is added to a batch any more for sure."""
+        if self.book.has_end(batch_id):
+            return True
+        try:
+            record = await self.book.load(batch_id, is_read=True)
+        except errors.ServiceError as e:
+            books.log_unloaded(batch_id, e)
+            return False
+        return record is not None and not record.is_open()
+
     async def _learn(self, batch_id: str) -> None:
         """Reads when a batch came, of one that was seen by its name only."""
         key = records.key_of(batch_id, records.SPECIFICATION, "0")
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -144,6 +144,8 @@
             return None
 
     async def _fetch_copy(self, batch_id):
+        if self.fleet.leaders() == [self]:
+            return None
         try:
             return await self._client().copy("n", batch_id)
         except calls.PeerError:
@@ -393,3 +395,67 @@
             await keeper.forget_older_than(10.0)
             self.assertEqual(pair.store.entries, {})
             nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_old_open_batch_stays_though_it_is_not_known_yet(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept()
+            await trio.sleep(20)
+            # As on a node that has just come to lead the service.
+            pair.leader.book.records.clear()
+            keeper = retention.Retention(pair.leader.book, pair.leader.clock)
+            await keeper.forget_older_than(10.0)
+            self.assertEqual(len(pair.store.entries), 1)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_batch_whose_end_is_known_is_not_opened_by_an_old_copy(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            await pair.accept()
+            await trio.sleep(1)
+            open_copy = pair.leader.book.records["b"].copy(10**6)
+
+            async def fetch_old(batch_id):
+                return open_copy
+
+            pair.follower.book.source.fetch_copy = fetch_old
+            await pair.leader.book.end(pair.leader.book.records["b"], 5.0)
+            await trio.sleep(1)
+            record = await pair.follower.book.find("b", "o")
+            self.assertTrue(record.is_ended)
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_readers_of_unknown_batches_do_not_make_the_mirror_old(self):
+        async with trio.open_nursery() as nursery:
+            pair = Pair(nursery)
+            await trio.sleep(1)
+            for number in range(60):
+                await pair.follower.book.load(f"none-{number}", is_read=True)
+                await trio.sleep(0.1)
+                self.assertLess(pair.follower.feed.age_s(), 2.5)
+            nursery.cancel_scope.cancel()
+
+
+class RecordTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("next", [0, 1], True, 2),
+            ("again", [0, 0], True, 1),
+            ("gap", [1], False, 0),
+            ("gap_that_closes", [1, 0], False, 2),
+        ]
+    )
+    def test_gap_is_noticed(self, _, positions, is_current, count):
+        new = batch.Batch("b", "o", "r", "h", 0, "alpha", 1, 1, [])
+        record = records.Record(new, 0)
+        for position in positions:
+            result = batch.Result(f"i{position}", batch.ResultState.DONE)
+            value = records.encode(records.Chunk([result]))
+            record.take_value(position, value)
+        self.assertEqual(record.is_current, is_current)
+        self.assertEqual(len(record.results), count)
