--- a/tests/soak/session.py
+++ b/tests/soak/session.py
@@ -57,10 +57,9 @@
                 await session.run(seconds)
             finally:
                 with trio.CancelScope(shield=True):
-                    codes = await world.close()
-            for name, code in codes.items():
-                if code != 0:
-                    session.observed.note("exit code", name, code)
+                    failed = await world.close()
+            for name, (code, words) in failed.items():
+                session.observed.note("exit code", name, code, words)
             session.observed.check_end()
             nursery.cancel_scope.cancel()
     return session.outcome(seed)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,5 +1,6 @@
 """The platform on loopback, and node processes before it."""
 
+import contextlib
 import os
 import pathlib
 import random
@@ -22,14 +23,22 @@
 ENGINES = 4
 PLAIN_SERVERS = 2
 EXIT_LIMIT_S = 15.0
+# Below the range of ports for outgoing connections.
+LISTENING_PORTS = (12_000, 32_000)
 READY_LIMIT_S = 20.0
 
 
 def free_address():
-    """Returns an address of the loopback that nobody listens at."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns an address of the loopback that nobody listens at.
+
+    Its port is none that the system gives to outgoing connections, so that it
+    is still free when a node starts again.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*LISTENING_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 class UnreliableStore:
@@ -154,6 +163,12 @@
                 await trio.sleep(0.05)
         return self.process.poll()
 
+    def last_words(self):
+        """Returns what the process has written beside its log."""
+        path = self.folder / f"log-{self.starts}"
+        lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
+        return [line for line in lines if not line.startswith("{")][-6:]
+
     async def end(self):
         """Ends the process for good."""
         self.pause(False)
@@ -265,16 +280,18 @@
             node.offsets.write_text("0", encoding="ascii")
 
     async def close(self):
-        """Ends all processes; returns the exit code of each node."""
-        codes = {}
+        """Ends all processes; returns what each wrote that ended badly."""
+        failed = {}
 
         async def end(node):
-            codes[node.name] = await node.end()
+            code = await node.end()
+            if code != 0:
+                failed[node.name] = (code, node.last_words())
 
         async with trio.open_nursery() as nursery:
             for node in self.nodes:
                 nursery.start_soon(end, node)
-        return codes
+        return failed
 
 
 def make_rng(seed, purpose):
