Pass on none of an item's headers that are not its sender's to set

Cause: an item's headers went to engines as they came: a caller could name another organisation on an open route, a key, an event to resume after, or a transfer coding; and an id, a path or a header with a line end made every run fail before it was sent, which counted against one engine after the other.

Change: headers that the system or the connection owns are dropped, as of single calls; text that can't stand in a request is refused with 422.

--- a/src/kingcupscale/platform/documents.py
+++ b/src/kingcupscale/platform/documents.py
@@ -1,6 +1,7 @@
 """Documents in the platform's store, decoded into the product's types."""
 
 import base64
+import re
 from typing import Any
 
 import orjson
@@ -10,6 +11,11 @@
 from kingcupscale.fleet import roster
 from kingcupscale.platform import names
 
+# What may stand in a request's first line and in its headers.
+_VISIBLE = re.compile(r"[!-~]+")
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_HEADER_VALUE = re.compile(r"[ -~\t]*")
+
 # The wire's kinds of route; a rollout route takes batches.
 _KINDS = {
     "idempotent": catalogue.RouteKind.IDEMPOTENT,
@@ -202,13 +208,11 @@
 
 def _decode_item(item: dict[str, Any]) -> batch.Item:
     scorer = item.get("scorer")
-    headers = item.get("headers", {})
-    if not all(isinstance(v, str) for v in headers.values()):
-        raise ValueError("headers must be text")
+    headers = _headers(item.get("headers", {}))
     return batch.Item(
         id=_text(item, "id"),
-        path=_text(item, "path"),
-        headers={name.lower(): value for name, value in headers.items()},
+        path=_path(item),
+        headers=headers,
         body=_base64(item["body"]),
         tokens=int(item.get("tokens", 0)),
         group=str(item.get("group", item["id"])),
@@ -217,24 +221,42 @@
         else batch.Scorer(
             id=_text(scorer, "id"),
             host=_text(scorer, "host"),
-            path=_text(scorer, "path"),
+            path=_path(scorer),
             body=_base64(scorer["body"]),
         ),
         length_hint=_read_hint(headers),
     )
 
 
+def _headers(fields: dict[str, Any]) -> dict[str, str]:
+    """Returns an item's headers but those that are not its sender's to set."""
+    headers = {}
+    for name, value in fields.items():
+        if not isinstance(value, str) or not _HEADER_VALUE.fullmatch(value):
+            raise ValueError(f"header {name[:40]!r} must be printable text")
+        if not _HEADER_NAME.fullmatch(name):
+            raise ValueError(f"{name[:40]!r} is no name of a header")
+        headers[name.lower()] = value
+    dropped = names.CONNECTION_HEADERS | names.OWN_REQUEST_HEADERS
+    return {n: value for n, value in headers.items() if n not in dropped}
+
+
 def _read_hint(headers: dict[str, str]) -> int:
-    for name, value in headers.items():
-        if name.lower() == names.LENGTH_HINT and value.strip().isdigit():
-            return int(value)
-    return 0
+    value = headers.get(names.LENGTH_HINT, "").strip()
+    return int(value) if value.isdigit() else 0
+
+
+def _path(fields: dict[str, Any]) -> str:
+    path = _text(fields, "path")
+    if not path.startswith("/"):
+        raise ValueError("a path begins with a slash")
+    return path
 
 
 def _text(fields: dict[str, Any], name: str) -> str:
     value = fields[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} must be text")
+    if not isinstance(value, str) or not _VISIBLE.fullmatch(value):
+        raise ValueError(f"{name} must be visible text without spaces")
     return value
 
 
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -257,6 +257,9 @@
             nursery.cancel_scope.cancel()
 
 
+ITEM = {"id": "a", "path": "/x", "body": ""}
+
+
 class SubmissionTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
@@ -288,6 +291,52 @@
                 b'"headers":{"a":1}}]}',
                 422,
             ),
+            (
+                "header_value_with_a_line_end",
+                orjson.dumps(
+                    {"items": [{**ITEM, "headers": {"a": "b\r\nc: d"}}]}
+                ),
+                422,
+            ),
+            (
+                "header_name_with_a_space",
+                orjson.dumps({"items": [{**ITEM, "headers": {"a b": "c"}}]}),
+                422,
+            ),
+            (
+                "path_with_a_space",
+                orjson.dumps({"items": [{**ITEM, "path": "/x HTTP/1.1"}]}),
+                422,
+            ),
+            (
+                "path_without_a_slash",
+                orjson.dumps({"items": [{**ITEM, "path": "x"}]}),
+                422,
+            ),
+            (
+                "id_with_a_line_end",
+                orjson.dumps({"items": [{**ITEM, "id": "a\nb"}]}),
+                422,
+            ),
+            (
+                "scorer_host_with_a_line_end",
+                orjson.dumps(
+                    {
+                        "items": [
+                            {
+                                **ITEM,
+                                "scorer": {
+                                    "id": "s",
+                                    "host": "h\nx: y",
+                                    "path": "/s",
+                                    "body": "",
+                                },
+                            }
+                        ]
+                    }
+                ),
+                422,
+            ),
             (
                 "scorer_without_path",
                 b'{"items":[{"id":"a","path":"/x","body":"",'
