--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -19,6 +19,7 @@
 
     Args:
         target: ``host:port`` to pass on to.
+        host: Where it listens.
 
     Attributes:
         address: ``host:port`` where it listens.
@@ -28,8 +29,9 @@
             "down" from it.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, host: str) -> None:
         self.target = target
+        self.host = host
         self.address = ""
         self.delay_s = 0.0
         self.is_refusing = False
@@ -39,9 +41,9 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled."""
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        (listener,) = await trio.open_tcp_listeners(0, host=self.host)
         port = listener.socket.getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self.address = f"{self.host}:{port}"
         await trio.serve_listeners(
             self._pass_on, [listener], task_status=task_status
         )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """The platform on loopback, and node processes before it."""
 
 import contextlib
+import itertools
 import os
 import pathlib
 import random
@@ -23,22 +24,43 @@
 ENGINES = 4
 PLAIN_SERVERS = 2
 EXIT_LIMIT_S = 15.0
-# Below the range of ports for outgoing connections.
-LISTENING_PORTS = (12_000, 32_000)
+# Port that a world holds at its host as long as it lasts, and the first one of
+# its nodes; below the range of ports for outgoing connections.
+CLAIM_PORT = 12_000
+FIRST_PORT = 12_001
 READY_LIMIT_S = 20.0
 
 
-def free_address():
-    """Returns an address of the loopback that nobody listens at.
+class Host:
+    """A loopback address that no other world has, in any process.
 
-    Its port is none that the system gives to outgoing connections, so that it
-    is still free when a node starts again.
+    Outgoing connections come from 127.0.0.1, so its ports stay free for nodes
+    that start again.
+
+    Attributes:
+        name: The address.
+        claim: A bound socket that keeps others away.
+        ports: Ports that nobody listens at yet.
     """
-    while True:
-        port = random.SystemRandom().randrange(*LISTENING_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
+
+    def __init__(self):
+        rng = random.SystemRandom()
+        self.claim = socket.socket()
+        self.name = ""
+        while not self.name:
+            name = f"127.{rng.randrange(1, 255)}.{rng.randrange(1, 255)}.1"
+            with contextlib.suppress(OSError):
+                self.claim.bind((name, CLAIM_PORT))
+                self.name = name
+        self.ports = itertools.count(FIRST_PORT)
+
+    def next_address(self):
+        """Returns a free ``host:port``."""
+        return f"{self.name}:{next(self.ports)}"
+
+    def close(self):
+        """Leaves the address to others."""
+        self.claim.close()
 
 
 class UnreliableStore:
@@ -79,12 +101,12 @@
         self.world = world
         self.name = name
         self.zone = zone
-        self.callers = free_address()
-        self.readiness = free_address()
-        self.peers = free_address()
-        self.front = proxies.Proxy(self.callers)
-        self.store = proxies.Proxy(world.store_address)
-        self.cloud = proxies.Proxy(world.cloud_address)
+        self.callers = world.host.next_address()
+        self.readiness = world.host.next_address()
+        self.peers = world.host.next_address()
+        self.front = proxies.Proxy(self.callers, world.host.name)
+        self.store = proxies.Proxy(world.store_address, world.host.name)
+        self.cloud = proxies.Proxy(world.cloud_address, world.host.name)
         self.folder = world.folder / name
         self.folder.mkdir()
         self.offsets = self.folder / "offset"
@@ -193,6 +215,7 @@
         self.folder = pathlib.Path(folder)
         self.nursery = nursery
         self.rng = rng
+        self.host = Host()
         self.store = storestandin.Store()
         self.unreliable = UnreliableStore(self.store, nursery, rng)
         self.broken = []
@@ -233,13 +256,13 @@
             await trio.sleep_forever()
 
         return await self.nursery.start(
-            server.serve, handler, "127.0.0.1:0", server.Limits(), never
+            server.serve, handler, f"{self.host.name}:0", server.Limits(), never
         )
 
     async def _add_server(self, name, service, zone, model):
         added = serverstandin.Server(self, name, service, zone, model)
         added.length = 40
-        link = proxies.Proxy(await self._serve(added))
+        link = proxies.Proxy(await self._serve(added), self.host.name)
         await self.nursery.start(link.run)
         added.address = link.address
         self.servers[name] = added
@@ -291,6 +314,7 @@
         async with trio.open_nursery() as nursery:
             for node in self.nodes:
                 nursery.start_soon(end, node)
+        self.host.close()
         return failed
 
 
