Ask an engine that refuses a version without naming its own

It expected an old version, each engine answered 421, and nothing but a header or the engine's entry could correct it.

An answer of 421 without a version now has the engine's report asked. The test (versions changed behind the nodes' back) failed before: no results in 20 s.

--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -114,13 +114,7 @@
         if answer.load is not None:
             server.note_load(answer.load, now)
         if answer.not_run:
-            model = sample.record.batch.model
-            if not answer.wrong_server:
-                server.closed[model] = now + TURNED_AWAY_S
-            elif answer.version:
-                server.versions[model] = answer.version
-            else:
-                server.note_failure(now)
+            await self._note_turned_away(sample, server, answer)
             return f"turned away with {answer.status}"
         if answer.status == 422:
             self.fail(sample, "the server can never do it")
@@ -130,6 +124,25 @@
             return f"failed with {answer.status}"
         return await self._read_events(sample, server, answer)
 
+    async def _note_turned_away(
+        self,
+        sample: samples.Sample,
+        server: roster.Server,
+        answer: serverclient.Answer,
+    ) -> None:
+        now = self.clock.monotonic()
+        model = sample.record.batch.model
+        if not answer.wrong_server:
+            server.closed[model] = now + TURNED_AWAY_S
+        elif answer.version:
+            server.versions[model] = answer.version
+        else:
+            # Its address may have gone to another server, or it has other
+            # weights than this node was told; the report shows which.
+            server.note_failure(now)
+            report = await self.client.report(server)
+            server.versions.update(report.versions)
+
     def _note_own_failure(
         self, sample: samples.Sample, answer: serverclient.Answer
     ) -> None:
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -488,6 +488,20 @@
                 self.assertEqual(result["text"], standin.text_of(10))
             nursery.cancel_scope.cancel()
 
+    @virtual.on_virtual_time
+    async def test_version_that_a_node_was_not_told_is_asked_for(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery)
+            await site.start()
+            for server in site.servers.values():
+                if server.versions:
+                    server.versions[standin.MODEL] = 2
+            await site.submit(site.nodes[0])
+            results = await site.read_all(site.nodes[1])
+            versions = [result["versions"] for result in results]
+            self.assertEqual(versions, 4 * [[2]])
+            nursery.cancel_scope.cancel()
+
     @virtual.on_virtual_time
     async def test_engines_alternate_and_no_text_is_too_old(self):
         async with trio.open_nursery() as nursery:
