--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -185,4 +185,11 @@
         "}",
         "tests.platform.test_documents",
     ),
+    Break(
+        "a version that nobody told of is asked for",
+        "batches/generation.py",
+        "            server.versions.update(report.versions)\n",
+        "            del report\n",
+        SITE + "VersionTest",
+    ),
 )
