Split the node's runtime and the forwarder, and read the store's values in one way

What operators, servers and trainers write is followed by directives.py, VMs to be emptied by retirements.py, and what a node reaches the world by stands in surroundings.py. Routes and keys are looked up by gateway/admission.py, which forwarder and callers share; a call and what was tried for it have modules of their own.

A service with models but no slots no longer ends the node: its models are contended for only beside the service.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -78,9 +78,9 @@
     ),
     Break(
         "a configuration never goes back",
-        "runtime.py",
-        "if not catalogue.is_newer(found, self.catalogue):",
-        "if False:",
+        "directives.py",
+        "not catalogue.is_newer(found, self.catalogue)",
+        "False",
         SITE + "ConfigurationTest"
         ".test_older_or_unreadable_configuration_changes_nothing",
     ),
--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import attrs
-import cattrs
 import trio
 
 from kingcupscale import clock as clocks
@@ -15,6 +14,7 @@
 from kingcupscale.batches import record as records
 from kingcupscale.batches import source as sources
 from kingcupscale.storage import detour
+from kingcupscale.storage import entries
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 
@@ -185,11 +185,7 @@
             return
         parts = self.waiting_parts.setdefault(batch_id, {})
         parts[number] = entry.value
-        try:
-            record = records.assemble(parts)
-        except (ValueError, cattrs.BaseValidationError) as e:
-            log_unreadable(entry, e)
-            return
+        record = entries.read(entry, lambda _: records.assemble(parts))
         if record is None:
             return
         del self.waiting_parts[batch_id]
@@ -227,10 +223,7 @@
         record = self.records.get(batch_id)
         if record is None:
             return
-        try:
-            record.take_value(int(number), entry.value)
-        except (ValueError, cattrs.BaseValidationError) as e:
-            log_unreadable(entry, e)
+        entries.read(entry, lambda v: record.take_value(int(number), v))
 
     def _note_reloaded(self) -> None:
         """Has all batches looked at again: results may have been missed."""
@@ -482,15 +475,6 @@
     """Does nothing."""
 
 
-def log_unreadable(entry: stores.Entry, error: Exception) -> None:
-    """Logs a stored value that makes no sense."""
-    events.log(
-        events.Event.STORE_ENTRY_UNREADABLE,
-        key=entry.key,
-        reason=repr(error)[:200],
-    )
-
-
 def log_unloaded(batch_id: str, error: errors.ServiceError) -> None:
     """Logs a batch that could not be had."""
     events.log(events.Event.BATCH_UNREADABLE, batch=batch_id, reason=str(error))
--- a/src/kingcupscale/batches/retention.py
+++ b/src/kingcupscale/batches/retention.py
@@ -1,11 +1,12 @@
 """Removing batches that need not be read any more."""
 
-import cattrs
+import functools
 
 from kingcupscale import clock as clocks
 from kingcupscale import errors
 from kingcupscale.batches import book as books
 from kingcupscale.batches import record as records
+from kingcupscale.storage import entries
 from kingcupscale.storage import store as stores
 
 # Keys in one transaction, which the store takes at the least.
@@ -64,10 +65,9 @@
         entry = await self.store.store.get(key)
         if entry is None or entry.value is None:
             return
-        try:
-            head = records.decode(records.Specification, entry.value)
-        except (ValueError, cattrs.BaseValidationError) as e:
-            books.log_unreadable(entry, e)
+        decode = functools.partial(records.decode, records.Specification)
+        head = entries.read(entry, decode)
+        if head is None:
             return
         self.book.known[batch_id] = books.Known(
             head.submitted_ms, head.batch.model
--- a/src/kingcupscale/batches/scoring.py
+++ b/src/kingcupscale/batches/scoring.py
@@ -9,6 +9,7 @@
 from kingcupscale.batches import sample as samples
 from kingcupscale.fleet import catalogue
 from kingcupscale.gateway import forwarder
+from kingcupscale.gateway import inbound as inbounds
 
 # Longest that one scoring call may take; its route's own limit is shorter.
 CALL_LIMIT_S = 30.0
@@ -83,8 +84,8 @@
         if route and sample.score_failures >= route.max_attempts:
             self.fail(sample, "its scoring call failed at every run")
 
-    def _score_call(self, scorer: batches.Scorer) -> forwarder.Inbound:
-        return forwarder.Inbound(
+    def _score_call(self, scorer: batches.Scorer) -> inbounds.Inbound:
+        return inbounds.Inbound(
             request_id=scorer.id,
             method="POST",
             host=scorer.host,
--- /dev/null
+++ b/src/kingcupscale/directives.py
@@ -0,0 +1,79 @@
+"""What operators, servers and trainers have written, as one node knows it."""
+
+import functools
+
+from kingcupscale import events
+from kingcupscale import surroundings
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import roster
+from kingcupscale.storage import entries
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+
+
+class Directives:
+    """Follows the configuration, the servers' entries and named versions.
+
+    What makes no sense is logged and changes nothing; nothing goes back.
+
+    Args:
+        feed: The mirror of the store.
+        servers: Takes over the servers' entries.
+        keys: Where each of it is written.
+        decoders: How it is read.
+
+    Attributes:
+        catalogue: The configuration in force; None before the first.
+        named_versions: Newest weight version by model.
+    """
+
+    def __init__(
+        self,
+        feed: feeds.Feed,
+        servers: roster.Roster,
+        keys: surroundings.Keys,
+        decoders: surroundings.Decoders,
+    ) -> None:
+        self.servers = servers
+        self.keys = keys
+        self.decoders = decoders
+        self.catalogue: catalogue.Catalogue | None = None
+        self.named_versions: dict[str, int] = {}
+        feed.subscribe(keys.configuration, self._take_configuration)
+        feed.subscribe(keys.servers, self._take_server)
+        feed.subscribe(keys.versions, self._take_version)
+
+    def _take_configuration(self, entry: stores.Entry) -> None:
+        if entry.value is None:
+            return
+        found = entries.read(entry, self.decoders.catalogue)
+        if found is None or not catalogue.is_newer(found, self.catalogue):
+            return
+        self.catalogue = found
+        events.log(
+            events.Event.CONFIGURATION_APPLIED,
+            revision=found.version,
+            routes=len(found.routes),
+            organisations=len(found.organisations),
+        )
+
+    def _take_server(self, entry: stores.Entry) -> None:
+        server_id = entry.key.removeprefix(self.keys.servers)
+        if entry.value is None:
+            self.servers.remove(server_id)
+            return
+        decode = functools.partial(self.decoders.server, server_id)
+        found = entries.read(entry, decode)
+        if found is not None:
+            self.servers.enter(found)
+
+    def _take_version(self, entry: stores.Entry) -> None:
+        if entry.value is None:
+            return
+        found = entries.read(entry, self.decoders.named_version)
+        if found is None:
+            return
+        model, version = found
+        if version > self.named_versions.get(model, 0):
+            self.named_versions[model] = version
+            events.log(events.Event.VERSION_NAMED, model=model, version=version)
--- /dev/null
+++ b/src/kingcupscale/gateway/admission.py
@@ -0,0 +1,62 @@
+"""Who may send what: routes and keys by the configuration in force."""
+
+from collections.abc import Callable
+
+from kingcupscale import errors
+from kingcupscale.fleet import catalogue
+from kingcupscale.gateway import inbound as inbounds
+
+# A node without a configuration has started just now.
+NOT_READY_RETRY_S = 0.5
+
+
+class Admission:
+    """Finds routes and organisations.
+
+    Args:
+        catalogue_now: Returns the configuration in force.
+    """
+
+    def __init__(
+        self, catalogue_now: Callable[[], catalogue.Catalogue | None]
+    ) -> None:
+        self.catalogue_now = catalogue_now
+
+    def admit(
+        self, inbound: inbounds.Inbound
+    ) -> tuple[catalogue.Route, catalogue.Organisation | None]:
+        """Returns a request's route and organisation.
+
+        Raises:
+            ServiceError: If there is no route, or the key gives no access.
+        """
+        configured = self._configured()
+        route = configured.find_route(inbound.host, inbound.path)
+        if route is None:
+            raise errors.ServiceError(errors.ResultCode.ROUTE_UNKNOWN)
+        return route, self.authenticate(route, inbound.key)
+
+    def authenticate(
+        self, route: catalogue.Route | None, key: str
+    ) -> catalogue.Organisation | None:
+        """Returns the organisation that holds a key; None on open routes.
+
+        Raises:
+            ServiceError: ``KEY_REFUSED``.
+        """
+        is_open = route is not None and route.is_open
+        configured = self._configured()
+        if is_open or not configured.organisations:
+            return None
+        organisation = configured.find_organisation(key)
+        if organisation is None:
+            raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)
+        return organisation
+
+    def _configured(self) -> catalogue.Catalogue:
+        configured = self.catalogue_now()
+        if configured is None:
+            raise errors.ServiceError(
+                errors.ResultCode.NOT_READY, retry_after_s=NOT_READY_RETRY_S
+            )
+        return configured
--- a/src/kingcupscale/gateway/callers.py
+++ b/src/kingcupscale/gateway/callers.py
@@ -9,7 +9,9 @@
 from kingcupscale.batches import book as books
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
+from kingcupscale.gateway import admission as admissions
 from kingcupscale.gateway import forwarder
+from kingcupscale.gateway import inbound as inbounds
 from kingcupscale.web import message
 
 # A sender is answered this long before it stops waiting.
@@ -23,6 +25,7 @@
     """Answers callers.
 
     Args:
+        admission: Finds routes and organisations.
         forward: Passes single calls on.
         book: The batches.
         clock: Tells the time.
@@ -31,11 +34,13 @@
 
     def __init__(
         self,
+        admission: admissions.Admission,
         forward: forwarder.Forwarder,
         book: books.Book,
         clock: clocks.Clock,
         find_refusal: Callable[[], errors.ServiceError | None],
     ) -> None:
+        self.admission = admission
         self.forwarder = forward
         self.book = book
         self.clock = clock
@@ -52,7 +57,7 @@
             raise refusal
 
     def admit(
-        self, inbound: forwarder.Inbound
+        self, inbound: inbounds.Inbound
     ) -> tuple[catalogue.Route, catalogue.Organisation | None]:
         """Returns a request's route and organisation.
 
@@ -60,9 +65,9 @@
             ServiceError: If the node, the route or the key do not allow it.
         """
         self.check_admission()
-        return self.forwarder.admit(inbound)
+        return self.admission.admit(inbound)
 
-    async def call(self, inbound: forwarder.Inbound) -> message.Response:
+    async def call(self, inbound: inbounds.Inbound) -> message.Response:
         """Returns the answer to a single call.
 
         Raises:
@@ -71,7 +76,7 @@
         return await self.forwarder.forward(inbound)
 
     async def submit(
-        self, new: batches.Batch, inbound: forwarder.Inbound
+        self, new: batches.Batch, inbound: inbounds.Inbound
     ) -> None:
         """Keeps a batch for good.
 
@@ -103,7 +108,7 @@
             ServiceError: If there is none, or that cannot be known.
         """
         self.check_admission()
-        organisation = self.forwarder.authenticate(None, key)
+        organisation = self.admission.authenticate(None, key)
         name = organisation.name if organisation else ""
         return await self.book.find(batch_id, name)
 
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -5,7 +5,6 @@
 import random
 from typing import Protocol
 
-import attrs
 import trio
 
 from kingcupscale import clock as clocks
@@ -15,6 +14,9 @@
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import roster
 from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import admission as admissions
+from kingcupscale.gateway import attempts as tries
+from kingcupscale.gateway import inbound as inbounds
 from kingcupscale.gateway import placement
 from kingcupscale.gateway import refusal
 from kingcupscale.web import message
@@ -33,39 +35,6 @@
 LATENCY_WEIGHT = 0.05
 
 
-@attrs.frozen
-class Inbound:
-    """A caller's request, decoded.
-
-    Attributes:
-        request_id: Identity that the caller gave it.
-        method: Method.
-        host: Host header.
-        path: Path.
-        query: Query.
-        headers: Headers that may be passed on.
-        body: The whole body.
-        key: The caller's key; empty if it sent none.
-        patience_s: Seconds that the caller will wait, from ``received_at``.
-        received_at: Monotonic time of arrival.
-        resume_after: Number of the last event that the caller has.
-        is_background: Whether nobody waits for it directly.
-    """
-
-    request_id: str
-    method: str
-    host: str
-    path: str
-    query: str
-    headers: dict[str, str]
-    body: bytes
-    key: str
-    patience_s: float
-    received_at: float
-    resume_after: int | None = None
-    is_background: bool = False
-
-
 class UsageCounter(Protocol):
     """Counts requests that began to run."""
 
@@ -74,37 +43,11 @@
         ...
 
 
-@attrs.define
-class Attempts:
-    """What has been tried for one call.
-
-    Attributes:
-        route: Its route.
-        organisation: Its organisation; None on an open route.
-        service: The service it goes to.
-        deadline: Monotonic time of its end.
-        wait_until: Monotonic time until which it waits for room.
-        tried: Servers that ran it or may have.
-        full: Servers that turned it away at the last look.
-        sent: How many attempts may have run.
-        reason: Why the last one failed.
-    """
-
-    route: catalogue.Route
-    organisation: catalogue.Organisation | None
-    service: str
-    deadline: float
-    wait_until: float
-    tried: set[str] = attrs.field(factory=set)
-    full: set[str] = attrs.field(factory=set)
-    sent: int = 0
-    reason: str = ""
-
-
 class Forwarder:
     """Answers single calls by way of backend servers.
 
     Args:
+        admission: Finds routes and organisations.
         servers: The servers.
         client: Calls them.
         usage: Counts what organisations run.
@@ -116,6 +59,7 @@
 
     def __init__(
         self,
+        admission: admissions.Admission,
         servers: roster.Roster,
         client: serverclient.ServerClient,
         usage: UsageCounter,
@@ -124,6 +68,7 @@
         rng: random.Random,
         zone: str,
     ) -> None:
+        self.admission = admission
         self.servers = servers
         self.client = client
         self.usage = usage
@@ -131,54 +76,16 @@
         self.clock = clock
         self.rng = rng
         self.zone = zone
-        self.catalogue: catalogue.Catalogue | None = None
         self.latency_s: dict[str, float] = {}
 
-    def admit(
-        self, inbound: Inbound
-    ) -> tuple[catalogue.Route, catalogue.Organisation | None]:
-        """Returns a request's route and organisation.
-
-        Raises:
-            ServiceError: If there is no route, or the key gives no access.
-        """
-        if self.catalogue is None:
-            raise errors.ServiceError(
-                errors.ResultCode.NOT_READY, retry_after_s=0.5
-            )
-        route = self.catalogue.find_route(inbound.host, inbound.path)
-        if route is None:
-            raise errors.ServiceError(errors.ResultCode.ROUTE_UNKNOWN)
-        return route, self.authenticate(route, inbound.key)
-
-    def authenticate(
-        self, route: catalogue.Route | None, key: str
-    ) -> catalogue.Organisation | None:
-        """Returns the organisation that holds a key; None on open routes.
-
-        Raises:
-            ServiceError: ``KEY_REFUSED``.
-        """
-        is_open = route is not None and route.is_open
-        if self.catalogue is None:
-            raise errors.ServiceError(
-                errors.ResultCode.NOT_READY, retry_after_s=0.5
-            )
-        if is_open or not self.catalogue.organisations:
-            return None
-        organisation = self.catalogue.find_organisation(key)
-        if organisation is None:
-            raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)
-        return organisation
-
-    async def forward(self, inbound: Inbound) -> message.Response:
+    async def forward(self, inbound: inbounds.Inbound) -> message.Response:
         """Returns the answer of a backend server.
 
         Raises:
             ServiceError: If none of them answers in time.
         """
-        route, organisation = self.admit(inbound)
-        attempts = Attempts(
+        route, organisation = self.admission.admit(inbound)
+        attempts = tries.Attempts(
             route,
             organisation,
             self._draw_service(route),
@@ -203,7 +110,10 @@
         return last
 
     def _record(
-        self, inbound: Inbound, attempts: Attempts, answer: message.Response
+        self,
+        inbound: inbounds.Inbound,
+        attempts: tries.Attempts,
+        answer: message.Response,
     ) -> None:
         elapsed_s = self.clock.monotonic() - inbound.received_at
         label = attempts.organisation.name if attempts.organisation else "open"
@@ -232,7 +142,7 @@
             return route.shares[0].service
         return self.rng.choices(route.shares, weights)[0].service
 
-    def _may_retry(self, attempts: Attempts) -> bool:
+    def _may_retry(self, attempts: tries.Attempts) -> bool:
         return (
             attempts.route.may_repeat()
             and attempts.sent < attempts.route.max_attempts
@@ -240,7 +150,7 @@
         )
 
     async def _find_server(
-        self, inbound: Inbound, attempts: Attempts
+        self, inbound: inbounds.Inbound, attempts: tries.Attempts
     ) -> roster.Server | None:
         """Returns a server with room, waiting a little for one."""
         until = attempts.wait_until
@@ -259,7 +169,7 @@
             await self.clock.sleep(ROOM_POLL_S)
 
     def _choose(
-        self, inbound: Inbound, attempts: Attempts, now: float
+        self, inbound: inbounds.Inbound, attempts: tries.Attempts, now: float
     ) -> roster.Server | None:
         usable = [
             server
@@ -275,7 +185,10 @@
         return placement.choose(fresh or usable, self.zone, now, self.rng)
 
     async def _attempt(
-        self, inbound: Inbound, attempts: Attempts, server: roster.Server
+        self,
+        inbound: inbounds.Inbound,
+        attempts: tries.Attempts,
+        server: roster.Server,
     ) -> message.Response | None:
         """Sends a call once; None if that brought no answer to pass on."""
         now = self.clock.monotonic()
@@ -314,7 +227,7 @@
             server.in_flight -= 1
         return answer
 
-    def _attempt_limit_s(self, attempts: Attempts) -> float:
+    def _attempt_limit_s(self, attempts: tries.Attempts) -> float:
         if attempts.sent + 1 >= attempts.route.max_attempts:
             return float("inf")
         usual_s = max(
@@ -325,7 +238,7 @@
         return ATTEMPT_PATIENCE * usual_s * 2**attempts.sent
 
     def _make_call(
-        self, inbound: Inbound, attempts: Attempts, left_s: float
+        self, inbound: inbounds.Inbound, attempts: tries.Attempts, left_s: float
     ) -> serverclient.Call:
         organisation = attempts.organisation
         return serverclient.Call(
@@ -343,7 +256,7 @@
 
     async def _exchange(
         self,
-        attempts: Attempts,
+        attempts: tries.Attempts,
         server: roster.Server,
         call: serverclient.Call,
     ) -> message.Response | None:
@@ -364,7 +277,7 @@
 
     def _was_turned_away(
         self,
-        attempts: Attempts,
+        attempts: tries.Attempts,
         server: roster.Server,
         answer: serverclient.Answer,
     ) -> bool:
@@ -385,7 +298,7 @@
             )
 
     def _learn(
-        self, attempts: Attempts, server: roster.Server, began_at: float
+        self, attempts: tries.Attempts, server: roster.Server, began_at: float
     ) -> None:
         elapsed_s = self.clock.monotonic() - began_at
         usual_s = self.latency_s.setdefault(attempts.service, elapsed_s)
@@ -399,7 +312,7 @@
 
     async def _open_stream(
         self,
-        attempts: Attempts,
+        attempts: tries.Attempts,
         server: roster.Server,
         call: serverclient.Call,
     ) -> message.Response | None:
@@ -428,7 +341,7 @@
                 yield piece
 
     def _failure(
-        self, inbound: Inbound, attempts: Attempts
+        self, inbound: inbounds.Inbound, attempts: tries.Attempts
     ) -> errors.ServiceError:
         now = self.clock.monotonic()
         left_s = inbound.received_at + inbound.patience_s - now
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -53,15 +53,15 @@
             runtime.forwarder,
             runtime.measures,
             around.clock,
-            lambda: runtime.catalogue,
+            runtime.catalogue_now,
         )
         self.loader = loaders.Loader(
             self.tenure,
             runtime.roster,
             around.servers,
-            runtime.named_versions,
+            runtime.directives.named_versions,
             around.clock,
-            lambda: runtime.catalogue,
+            runtime.catalogue_now,
             self._tell,
         )
         self.sizer = fleetsize.Sizer(
@@ -69,7 +69,7 @@
             runtime.roster,
             around.provider,
             around.clock,
-            lambda: runtime.catalogue,
+            runtime.catalogue_now,
             lambda: runtime.open_items(service),
         )
         self.nursery: trio.Nursery | None = None
--- a/src/kingcupscale/platform/frontend.py
+++ b/src/kingcupscale/platform/frontend.py
@@ -9,7 +9,7 @@
 from kingcupscale import errors
 from kingcupscale.fleet import catalogue
 from kingcupscale.gateway import callers
-from kingcupscale.gateway import forwarder
+from kingcupscale.gateway import inbound as inbounds
 from kingcupscale.platform import documents
 from kingcupscale.platform import names
 from kingcupscale.web import message
@@ -98,7 +98,7 @@
             200, {"content-type": "application/octet-stream"}, body
         )
 
-    def _decode(self, request: message.Request) -> forwarder.Inbound:
+    def _decode(self, request: message.Request) -> inbounds.Inbound:
         request_id = request.headers.get(names.REQUEST_ID, "")
         if not request_id:
             raise errors.ServiceError(
@@ -106,7 +106,7 @@
             )
         resume_after = request.headers.get(names.RESUME_AFTER, "")
         dropped = names.CONNECTION_HEADERS | names.OWN_REQUEST_HEADERS
-        return forwarder.Inbound(
+        return inbounds.Inbound(
             request_id=request_id,
             method=request.method,
             host=request.headers.get("host", ""),
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -14,6 +14,7 @@
 from kingcupscale import logs
 from kingcupscale import runtime as runtimes
 from kingcupscale import settings as settings_errors
+from kingcupscale import surroundings
 from kingcupscale.operating import exposition
 from kingcupscale.peering import commits
 from kingcupscale.peering import handover
@@ -37,14 +38,14 @@
 LIMITS_PAUSE_S = 0.5
 GC_ALLOCATIONS = 50_000
 
-KEYS = runtimes.Keys(
+KEYS = surroundings.Keys(
     names.CONFIGURATION_KEY,
     names.SERVERS_PREFIX,
     names.VERSIONS_PREFIX,
     names.RETIREMENTS_PREFIX,
     names.RETIREMENT_STATES_PREFIX,
 )
-DECODERS = runtimes.Decoders(
+DECODERS = surroundings.Decoders(
     documents.decode_catalogue,
     documents.decode_server,
     documents.decode_named_version,
@@ -79,7 +80,7 @@
     client = cloud.PlatformCloud(exchangers.cloud, settings.cloud)
     return runtimes.Runtime(
         settings,
-        runtimes.Surroundings(
+        surroundings.Surroundings(
             store.PlatformStore(exchangers.store, settings.store),
             servers.PlatformServers(exchangers.servers),
             client,
--- /dev/null
+++ b/src/kingcupscale/retirements.py
@@ -0,0 +1,48 @@
+"""Answering operators who want to take a VM away."""
+
+from collections.abc import Callable
+
+from kingcupscale import events
+from kingcupscale import surroundings
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+
+
+class Retirements:
+    """Answers requests to empty a VM.
+
+    VMs hold nothing that would have to be moved off them first, so that each
+    request is answered at once.
+
+    Args:
+        feed: Where requests and answers are seen.
+        keys: Where they are written.
+        encode: Returns an answer by its word.
+    """
+
+    def __init__(
+        self,
+        feed: feeds.Feed,
+        keys: surroundings.Keys,
+        encode: Callable[[str], bytes],
+    ) -> None:
+        self.feed = feed
+        self.keys = keys
+        self.done = encode("done")
+
+    async def answer(self) -> None:
+        """Answers the requests that have no answer yet.
+
+        Raises:
+            StoreError: If the store cannot be reached.
+        """
+        for entry in self.feed.under(self.keys.retirements):
+            vm = entry.key.removeprefix(self.keys.retirements)
+            key = self.keys.retirement_states + vm
+            known = self.feed.entries.get(key)
+            if known is not None and known.revision > entry.revision:
+                continue
+            await self.feed.store.commit(
+                stores.Transaction(puts=[stores.Put(key, self.done)])
+            )
+            events.log(events.Event.VM_EMPTIED, vm=vm)
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -1,26 +1,25 @@
 """A node on the platform: its parts wired together, and its lifecycle."""
 
-from collections.abc import Callable
-import random
+from collections.abc import Iterable
 
-import attrs
 import orjson
 import trio
 
-from kingcupscale import clock as clocks
 from kingcupscale import deployment
+from kingcupscale import directives
 from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale import leading
 from kingcupscale import metrics
 from kingcupscale import rendezvous
+from kingcupscale import retirements
+from kingcupscale import surroundings
 from kingcupscale.batches import book as books
 from kingcupscale.batches import record as records
-from kingcupscale.capacity import fleetsize
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import peers
 from kingcupscale.fleet import roster
-from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import admission as admissions
 from kingcupscale.gateway import callers
 from kingcupscale.gateway import forwarder
 from kingcupscale.peering import commits
@@ -54,77 +53,15 @@
 NOTICE_S = 3.0
 
 
-@attrs.frozen
-class Keys:
-    """Where operators and servers write in the store.
-
-    Attributes:
-        configuration: The configuration's key.
-        servers: Prefix of the servers' entries.
-        versions: Prefix of the versions that trainers name.
-        retirements: Prefix of requests to empty a VM.
-        retirement_states: Prefix of the answers to them.
-    """
-
-    configuration: str
-    servers: str
-    versions: str
-    retirements: str
-    retirement_states: str
-
-
-@attrs.frozen
-class Decoders:
-    """How what they write is read; each raises ``ValueError``."""
-
-    catalogue: Callable[[bytes], catalogue.Catalogue]
-    server: Callable[[str, bytes], roster.ServerEntry]
-    named_version: Callable[[bytes], tuple[str, int]]
-    retirement_state: Callable[[str], bytes]
-
-
-@attrs.frozen
-class Surroundings:
-    """What a node reaches the world by.
-
-    Attributes:
-        store: The shared store.
-        servers: Calls backend servers.
-        intake: Takes usage reports.
-        provider: Takes orders for servers.
-        clock: Tells the time.
-        rng: Decides among equals.
-        relay: Asks other nodes for changes.
-        commits: Has other nodes write to the store.
-        copies: Sends texts on their way to other nodes.
-        loads: Tells other nodes what engines load.
-        keys: Where operators and servers write.
-        decoders: How that is read.
-    """
-
-    store: stores.Store
-    servers: serverclient.ServerClient
-    intake: windows.Intake
-    provider: fleetsize.Provider
-    clock: clocks.Clock
-    rng: random.Random
-    relay: relay.RelayClient
-    commits: commits.CommitClient
-    copies: handover.CopyClient
-    loads: loads.LoadClient
-    keys: Keys
-    decoders: Decoders
-
-
 class Runtime:
     """One node.
 
     Args:
         settings: What it is told.
-        surroundings: What it reaches the world by.
+        around: What it reaches the world by.
 
     Attributes:
-        catalogue: The configuration in force; None before the first.
+        directives: What operators and trainers have written.
         callers: Answers callers.
         is_draining: Whether a planned stop has begun.
         stopped: Set when the listeners are to close.
@@ -133,14 +70,12 @@
     def __init__(
         self,
         settings: deployment.SiteSettings,
-        surroundings: Surroundings,
+        around: surroundings.Surroundings,
     ) -> None:
         self.settings = settings
-        self.surroundings = surroundings
-        self.clock = surroundings.clock
+        self.surroundings = around
+        self.clock = around.clock
         self.measures = metrics.Metrics()
-        self.catalogue: catalogue.Catalogue | None = None
-        self.named_versions: dict[str, int] = {}
         self.is_draining = False
         self.drain_asked = trio.Event()
         self.stopped = trio.Event()
@@ -189,18 +124,19 @@
         self.session = tenures.Session(
             around.store, self.clock, settings.node, ttl_s, announcement
         )
-        keys = around.keys
         self.feed.subscribe(tenures.NODES_PREFIX, self._take_node)
-        self.feed.subscribe(keys.configuration, self._take_configuration)
-        self.feed.subscribe(keys.servers, self._take_server)
-        self.feed.subscribe(keys.versions, self._take_version)
+        self.directives = directives.Directives(
+            self.feed, self.roster, around.keys, around.decoders
+        )
 
     def _make_serving(self) -> None:
         settings, around = self.settings, self.surroundings
         self.usage = windows.WindowCounter(
             self.feed, self.clock, settings.node, settings.bounds.window_s
         )
+        admission = admissions.Admission(self.catalogue_now)
         self.forwarder = forwarder.Forwarder(
+            admission,
             self.roster,
             around.servers,
             self.usage,
@@ -210,7 +146,11 @@
             settings.zone,
         )
         self.callers = callers.Callers(
-            self.forwarder, self.book, self.clock, self.find_refusal
+            admission,
+            self.forwarder,
+            self.book,
+            self.clock,
+            self.find_refusal,
         )
         self.reporter = windows.WindowReporter(
             tenures.Tenure(windows.DUTY, self.session, self.feed, self.clock),
@@ -220,6 +160,9 @@
             settings.bounds.window_s,
             settings.bounds.late_s,
         )
+        self.retirements = retirements.Retirements(
+            self.feed, around.keys, around.decoders.retirement_state
+        )
 
     async def answer_peer(self, request: message.Request) -> message.Response:
         """Answers another node."""
@@ -251,11 +194,16 @@
         for duty in self.services.values():
             duty.coordinator.wake()
 
+    def catalogue_now(self) -> catalogue.Catalogue | None:
+        """Returns the configuration in force; None before the first."""
+        return self.directives.catalogue
+
     def open_items(self, service: str) -> int:
         """Returns how many items of a service's open batches are unlisted."""
-        if self.catalogue is None:
+        configured = self.catalogue_now()
+        if configured is None:
             return 0
-        routes = {route.name for route in self.catalogue.routes_to(service)}
+        routes = {route.name for route in configured.routes_to(service)}
         return sum(
             len(record.batch.items) - len(record.results)
             for record in self.book.records.values()
@@ -313,71 +261,9 @@
             return NEEDED_PAUSE_S
         return FOLLOWER_PAUSE_S
 
-    def _take_configuration(self, entry: stores.Entry) -> None:
-        if entry.value is None:
-            return
-        try:
-            found = self.surroundings.decoders.catalogue(entry.value)
-        except ValueError as e:
-            events.log(
-                events.Event.STORE_ENTRY_UNREADABLE,
-                key=entry.key,
-                reason=str(e)[:200],
-            )
-            return
-        self.apply(found, "the store")
-
-    def apply(self, found: catalogue.Catalogue, source: str) -> None:
-        """Puts a configuration in force, unless a newer one is."""
-        if not catalogue.is_newer(found, self.catalogue):
-            return
-        self.catalogue = found
-        self.forwarder.catalogue = found
-        events.log(
-            events.Event.CONFIGURATION_APPLIED,
-            revision=found.version,
-            routes=len(found.routes),
-            organisations=len(found.organisations),
-            source=source,
-        )
-
-    def _take_server(self, entry: stores.Entry) -> None:
-        server_id = entry.key.removeprefix(self.surroundings.keys.servers)
-        if entry.value is None:
-            self.roster.remove(server_id)
-            return
-        try:
-            found = self.surroundings.decoders.server(server_id, entry.value)
-        except ValueError as e:
-            events.log(
-                events.Event.STORE_ENTRY_UNREADABLE,
-                key=entry.key,
-                reason=str(e)[:200],
-            )
-            return
-        self.roster.enter(found)
-
-    def _take_version(self, entry: stores.Entry) -> None:
-        if entry.value is None:
-            return
-        try:
-            model, version = self.surroundings.decoders.named_version(
-                entry.value
-            )
-        except ValueError as e:
-            events.log(
-                events.Event.STORE_ENTRY_UNREADABLE,
-                key=entry.key,
-                reason=str(e)[:200],
-            )
-            return
-        if version > self.named_versions.get(model, 0):
-            self.named_versions[model] = version
-            events.log(events.Event.VERSION_NAMED, model=model, version=version)
-
     def find_refusal(self) -> errors.ServiceError | None:
         """Returns why the node takes nothing now, or None."""
-        if self.catalogue is None:
+        if self.catalogue_now() is None:
             return errors.ServiceError(
                 errors.ResultCode.NOT_READY, retry_after_s=0.5
             )
@@ -469,20 +355,28 @@
         """Contends for each service that has model engines, and its models."""
         async with trio.open_nursery() as nursery:
             while True:
-                services = self.catalogue.services if self.catalogue else {}
-                for name, service in services.items():
-                    if service.slots and name not in self.services:
-                        self.services[name] = leading.ServiceDuty(self, name)
-                        nursery.start_soon(self.services[name].run)
-                    for model in service.models:
-                        duty = leading.model_duty(name, model)
-                        if duty not in self.models:
-                            self.models[duty] = leading.ModelDuty(
-                                self, self.services[name], model
-                            )
-                            nursery.start_soon(self.models[duty].run)
+                configured = self.catalogue_now()
+                for name, service in (
+                    configured.services.items() if configured else ()
+                ):
+                    if service.slots:
+                        self._contend_for(name, service.models, nursery)
                 await self.clock.rest(LEAD_PAUSE_S)
 
+    def _contend_for(
+        self, service: str, models: Iterable[str], nursery: trio.Nursery
+    ) -> None:
+        if service not in self.services:
+            self.services[service] = leading.ServiceDuty(self, service)
+            nursery.start_soon(self.services[service].run)
+        for model in models:
+            duty = leading.model_duty(service, model)
+            if duty not in self.models:
+                self.models[duty] = leading.ModelDuty(
+                    self, self.services[service], model
+                )
+                nursery.start_soon(self.models[duty].run)
+
     async def _share_usage(self) -> None:
         while True:
             await self.clock.rest(USAGE_PAUSE_S)
@@ -506,21 +400,6 @@
         )
 
     async def _look_after_store(self) -> None:
-        """Reports usage and empties VMs."""
+        """Reports usage and answers requests to empty VMs."""
         await self.reporter.step()
-        await self._answer_retirements()
-
-    async def _answer_retirements(self) -> None:
-        """VMs hold nothing that would have to be moved off them first."""
-        keys = self.surroundings.keys
-        done = self.surroundings.decoders.retirement_state("done")
-        for entry in self.feed.under(keys.retirements):
-            node = entry.key.removeprefix(keys.retirements)
-            key = keys.retirement_states + node
-            known = self.feed.entries.get(key)
-            if known is not None and known.revision > entry.revision:
-                continue
-            await self.feed.store.commit(
-                stores.Transaction(puts=[stores.Put(key, done)])
-            )
-            events.log(events.Event.VM_EMPTIED, vm=node)
+        await self.retirements.answer()
--- a/src/kingcupscale/usage/windows.py
+++ b/src/kingcupscale/usage/windows.py
@@ -7,6 +7,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.storage import entries
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
@@ -218,17 +219,11 @@
     def _add_up(self, window: int) -> dict[str, int]:
         totals: dict[str, int] = {}
         for entry in self.feed.under(f"{COUNTS_PREFIX}{window}/"):
-            try:
-                counts = cattrs.structure(
-                    orjson.loads(entry.value or b"{}"), dict[str, int]
-                )
-            except (ValueError, cattrs.BaseValidationError) as e:
-                events.log(
-                    events.Event.STORE_ENTRY_UNREADABLE,
-                    key=entry.key,
-                    reason=repr(e)[:200],
-                )
-                continue
+            counts = entries.read(entry, _decode_counts) or {}
             for organisation, number in counts.items():
                 totals[organisation] = totals.get(organisation, 0) + number
         return totals
+
+
+def _decode_counts(value: bytes) -> dict[str, int]:
+    return cattrs.structure(orjson.loads(value), dict[str, int])
