--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -23,16 +23,9 @@
 VALUE_SHARE = 0.7
 # A mirror that is older than this may lack results that other nodes show.
 STALE_S = 0.7
-# A batch that is read here is kept up to date for this long after a read;
-# readers ask about twice a second.
-READ_KEPT_S = 10.0
-# Texts of batches that nothing is added to any more, in bytes.
-CLOSED_BYTES = 8_000_000
 # Shortest time between two questions that are dropped for a wider one; longer
 # than a quiet one takes.
 ASK_ANEW_S = 1.0
-KEEP_PAUSE_S = 0.1
-SWEEP_S = 1.0
 
 
 @attrs.frozen
@@ -96,7 +89,6 @@
         self.loading: dict[str, Loading] = {}
         self.readers = 0
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
-        self.swept_at = 0.0
         self.asked_anew_at = -ASK_ANEW_S
         self.on_change: Callable[[], None] = _ignore
         feed.leave_out(records.RESULTS_PREFIX)
@@ -135,7 +127,8 @@
             self.asked_anew_at = now
             self.feed.ask_anew()
 
-    def _update_interest(self) -> None:
+    def update_interest(self) -> None:
+        """Has other nodes asked for what is read or loaded here by now."""
         self._set_interest(self.interest.everything, self.interest.models)
 
     def batch_ids(self) -> list[str]:
@@ -260,7 +253,7 @@
 
     def _note_read(self, batch_id: str) -> None:
         self.reads[batch_id] = self.clock.monotonic()
-        self._update_interest()
+        self.update_interest()
 
     async def find(self, batch_id: str, organisation: str) -> records.Record:
         """Returns a batch of an organisation.
@@ -295,7 +288,7 @@
         if batch_id in self.records:
             return self.records[batch_id]
         loading = self.loading[batch_id] = Loading()
-        self._update_interest()
+        self.update_interest()
         try:
             record = await self.source.fetch(batch_id, asks_nodes)
         finally:
@@ -306,7 +299,7 @@
             self._keep(record, is_read)
             for entry in loading.entries:
                 self._take_again(entry)
-        self._update_interest()
+        self.update_interest()
         return record
 
     def _keep(self, record: records.Record, is_read: bool) -> None:
@@ -406,70 +399,6 @@
         self.feed.announce()
         return True
 
-    async def run(self) -> None:
-        """Loads what is wanted and lets go of the rest, until cancelled."""
-        while True:
-            await self._load_wanted()
-            now = self.clock.monotonic()
-            if now - self.swept_at >= SWEEP_S:
-                self.swept_at = now
-                self._let_go()
-            await self.clock.rest(KEEP_PAUSE_S)
-
-    async def _load_wanted(self) -> None:
-        for batch_id in sorted(self.unexamined):
-            known = self.known.get(batch_id)
-            is_wanted = known is None or self.interest.includes(
-                batch_id, known.model
-            )
-            if not is_wanted or self.has_end(batch_id):
-                self.unexamined.discard(batch_id)
-                continue
-            try:
-                await self.load(batch_id, is_read=False)
-            except errors.ServiceError as e:
-                self.unexamined.add(batch_id)
-                log_unloaded(batch_id, e)
-                return
-        await self._refresh_open()
-
-    async def _refresh_open(self) -> None:
-        """Brings up to date what may have been missed of open batches."""
-        for record in list(self.records.values()):
-            if record.is_current or not record.is_open():
-                continue
-            try:
-                await self.source.refresh(record)
-            except errors.ServiceError as e:
-                log_unloaded(record.batch.id, e)
-                return
-
-    def _let_go(self) -> None:
-        """Lets go of batches that nobody here asks for any more."""
-        now = self.clock.monotonic()
-        self.reads = {
-            batch_id: at
-            for batch_id, at in self.reads.items()
-            if now - at < READ_KEPT_S
-        }
-        self._update_interest()
-        closed_bytes = 0
-        newest_first = sorted(
-            self.records.values(), key=self._last_wanted_at, reverse=True
-        )
-        for record in newest_first:
-            batch_id = record.batch.id
-            is_wanted = self.interest.includes(batch_id, record.batch.model)
-            if is_wanted and record.is_open():
-                continue
-            closed_bytes += record.size()
-            if not is_wanted or closed_bytes > CLOSED_BYTES:
-                del self.records[batch_id]
-
-    def _last_wanted_at(self, record: records.Record) -> tuple[float, int]:
-        read_at = self.reads.get(record.batch.id, 0.0)
-        return read_at, record.submitted_ms
-
 
 def _ignore() -> None:
     """Does nothing."""
--- /dev/null
+++ b/src/kingcupscale/batches/keeper.py
@@ -0,0 +1,94 @@
+"""Which batches a node goes on knowing in full."""
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale.batches import book as books
+from kingcupscale.batches import record as records
+
+# A batch that is read here is kept up to date for this long after a read;
+# readers ask about twice a second.
+READ_KEPT_S = 10.0
+# Texts of batches that nothing is added to any more, in bytes.
+CLOSED_BYTES = 8_000_000
+PAUSE_S = 0.1
+SWEEP_S = 1.0
+
+
+class Keeper:
+    """Loads the batches that are wanted, and lets go of the rest.
+
+    Args:
+        book: The batches.
+        clock: Tells the time.
+    """
+
+    def __init__(self, book: books.Book, clock: clocks.Clock) -> None:
+        self.book = book
+        self.clock = clock
+        self.swept_at = 0.0
+
+    async def run(self) -> None:
+        """Loads what is wanted and lets go of the rest, until cancelled."""
+        while True:
+            await self._load_wanted()
+            now = self.clock.monotonic()
+            if now - self.swept_at >= SWEEP_S:
+                self.swept_at = now
+                self._let_go()
+            await self.clock.rest(PAUSE_S)
+
+    async def _load_wanted(self) -> None:
+        for batch_id in sorted(self.book.unexamined):
+            known = self.book.known.get(batch_id)
+            is_wanted = known is None or self.book.interest.includes(
+                batch_id, known.model
+            )
+            if not is_wanted or self.book.has_end(batch_id):
+                self.book.unexamined.discard(batch_id)
+                continue
+            try:
+                await self.book.load(batch_id, is_read=False)
+            except errors.ServiceError as e:
+                self.book.unexamined.add(batch_id)
+                books.log_unloaded(batch_id, e)
+                return
+        await self._refresh_open()
+
+    async def _refresh_open(self) -> None:
+        """Brings up to date what may have been missed of open batches."""
+        for record in list(self.book.records.values()):
+            if record.is_current or not record.is_open():
+                continue
+            try:
+                await self.book.source.refresh(record)
+            except errors.ServiceError as e:
+                books.log_unloaded(record.batch.id, e)
+                return
+
+    def _let_go(self) -> None:
+        """Lets go of batches that nobody here asks for any more."""
+        now = self.clock.monotonic()
+        self.book.reads = {
+            batch_id: at
+            for batch_id, at in self.book.reads.items()
+            if now - at < READ_KEPT_S
+        }
+        self.book.update_interest()
+        closed_bytes = 0
+        newest_first = sorted(
+            self.book.records.values(), key=self._last_wanted_at, reverse=True
+        )
+        for record in newest_first:
+            batch_id = record.batch.id
+            is_wanted = self.book.interest.includes(
+                batch_id, record.batch.model
+            )
+            if is_wanted and record.is_open():
+                continue
+            closed_bytes += record.size()
+            if not is_wanted or closed_bytes > CLOSED_BYTES:
+                del self.book.records[batch_id]
+
+    def _last_wanted_at(self, record: records.Record) -> tuple[float, int]:
+        read_at = self.book.reads.get(record.batch.id, 0.0)
+        return read_at, record.submitted_ms
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -15,6 +15,7 @@
 from kingcupscale import retirements
 from kingcupscale import surroundings
 from kingcupscale.batches import book as books
+from kingcupscale.batches import keeper
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import peers
@@ -318,7 +319,7 @@
         async with trio.open_nursery() as nursery:
             for task in (
                 self.feed.run,
-                self.book.run,
+                keeper.Keeper(self.book, self.clock).run,
                 self._keep_batches,
                 self.session.run,
                 self._sweep_forever,
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -8,6 +8,7 @@
 
 from kingcupscale.batches import batch
 from kingcupscale.batches import book as books
+from kingcupscale.batches import keeper
 from kingcupscale.batches import record as records
 from kingcupscale.batches import retention
 from kingcupscale.fakes import virtualtime
@@ -218,7 +219,7 @@
             for node in fleet.nodes:
                 fleet.set_interest(node)
                 nursery.start_soon(node.feed.run)
-                nursery.start_soon(node.book.run)
+                nursery.start_soon(keeper.Keeper(node.book, node.clock).run)
             await trio.sleep(2)
             nursery.start_soon(fleet.change_roles)
             async with trio.open_nursery() as writers:
@@ -254,7 +255,7 @@
         self.follower.book.want(False, frozenset())
         for node in fleet.nodes:
             nursery.start_soon(node.feed.run)
-            nursery.start_soon(node.book.run)
+            nursery.start_soon(keeper.Keeper(node.book, node.clock).run)
 
     async def accept(self, items=4):
         """Has the leader accept a batch."""
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -631,6 +631,26 @@
                 self.assertEqual(response.status, 200)
             nursery.cancel_scope.cancel()
 
+    @virtual.on_virtual_time
+    async def test_models_without_slots_end_no_node(self):
+        async with trio.open_nursery() as nursery:
+            site = standin.Site(nursery, nodes=1)
+            configuration = standin.make_configuration()
+            configuration["services"].append(
+                {
+                    "name": "idle",
+                    "healthPath": "/h",
+                    "maxConnections": 1,
+                    "engine": {"slots": 0, "models": [{"name": "beta"}]},
+                }
+            )
+            site.write_configuration(configuration)
+            await site.start()
+            (node,) = site.nodes
+            self.assertEqual((await site.submit(node)).status, 202)
+            self.assertEqual(len(await site.read_all(node)), 4)
+            nursery.cancel_scope.cancel()
+
     @virtual.on_virtual_time
     async def test_forgotten_history_is_read_anew(self):
         async with trio.open_nursery() as nursery:
