--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -22,7 +22,7 @@
     test: str
 
 
-SITE = "tests.platform.test_site."
+SITE = "tests.platform."
 BOOK = "tests.batches.test_book"
 
 BREAKS = (
@@ -81,7 +81,7 @@
         "directives.py",
         "not catalogue.is_newer(found, self.catalogue)",
         "False",
-        SITE + "ConfigurationTest"
+        SITE + "test_configurations.ConfigurationTest"
         ".test_older_or_unreadable_configuration_changes_nothing",
     ),
     Break(
@@ -89,35 +89,37 @@
         "storage/tenure.py",
         "return self.clock.monotonic() < self.ends_at - safety_s",
         "return self.lease != stores.NO_LEASE",
-        SITE + "VersionTest.test_paused_holder_gives_no_order_after_its_lease",
+        SITE + "test_versions.VersionTest"
+        ".test_paused_holder_gives_no_order_after_its_lease",
     ),
     Break(
         "a withdrawn key ends on a node that hears nobody",
         "runtime.py",
         "return is_alone and bool(self.peers.addresses())",
         "return False",
-        SITE + "ConfigurationTest.test_node_that_hears_nobody_stops_admitting",
+        SITE + "test_configurations.ConfigurationTest"
+        ".test_node_that_hears_nobody_stops_admitting",
     ),
     Break(
         "texts go on after a takeover",
         "batches/coordinator.py",
         "sample.events = self.texts.pop(item.id, [])",
         "sample.events = []",
-        SITE + "BatchTest.test_texts_go_on_after_a_takeover",
+        SITE + "test_batches.BatchTest.test_texts_go_on_after_a_takeover",
     ),
     Break(
         "a draining server gets nothing new",
         "fleet/roster.py",
         "            and self.entry.state is ServerState.READY\n",
         "",
-        SITE + "CallTest.test_draining_server_gets_nothing_new",
+        SITE + "test_calls.CallTest.test_draining_server_gets_nothing_new",
     ),
     Break(
         "a batch that may be kept is not said to be refused",
         "batches/acceptance.py",
         "    if may_have_run:\n        raise",
         "    if False:\n        raise",
-        SITE + "SubmissionTest"
+        SITE + "test_submissions.SubmissionTest"
         ".test_batch_that_may_be_kept_is_not_said_to_be_refused",
     ),
     Break(
@@ -139,7 +141,7 @@
         "batches/coordinator.py",
         "place = (sample.record.batch.id, sample.id)",
         "place = next((p for p in self.results if p[1] == sample.id), None)",
-        SITE + "VersionTest"
+        SITE + "test_versions.VersionTest"
         ".test_result_of_an_ended_batch_is_not_listed_in_another",
     ),
     Break(
@@ -161,7 +163,7 @@
         "gateway/forwarder.py",
         "attempts.route.may_repeat()\n            and attempts.sent",
         "attempts.sent",
-        SITE + "CallTest.test_lost_answer",
+        SITE + "test_calls.CallTest.test_lost_answer",
     ),
     Break(
         "usage counts are whole",
@@ -190,6 +192,6 @@
         "batches/generation.py",
         "            server.versions.update(report.versions)\n",
         "            del report\n",
-        SITE + "VersionTest",
+        SITE + "test_versions.VersionTest",
     ),
 )
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import contextlib
 import random
 
 import orjson
@@ -253,6 +254,17 @@
         return results
 
 
+@contextlib.asynccontextmanager
+async def opened(nodes=2, plan=None, is_started=True):
+    """Yields a site, and ends it behind the body."""
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery, nodes, plan)
+        if is_started:
+            await site.start()
+        yield site
+        nursery.cancel_scope.cancel()
+
+
 def make_batch(batch_id, items=4, minimum=1, step=0, scored=True):
     """Returns a batch as a trainer sends it."""
 
--- /dev/null
+++ b/tests/platform/test_batches.py
@@ -0,0 +1,218 @@
+"""Batches before the platform's stand-in, under faults."""
+
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.platform import names
+from tests import virtual
+from tests.platform import standin
+
+
+class BatchTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_batch_is_run_scored_and_read_from_any_node(self):
+        async with standin.opened() as site:
+            one, two = site.nodes
+            self.assertEqual((await site.submit(one)).status, 202)
+            for node in (two, one):
+                results = await site.read_all(node)
+                self.assertEqual(len(results), 4)
+                for result in results:
+                    self.assertEqual(result["state"], "done")
+                    self.assertEqual(result["text"], standin.text_of(10))
+                    self.assertEqual(result["versions"], [1])
+                    number = result["id"].rpartition("i")[2]
+                    self.assertEqual(result["score"], f"signed-b1-s{number}")
+            self.assertEqual(site.broken, [])
+
+    @virtual.on_virtual_time
+    async def test_repeated_batch_is_kept_once(self):
+        async with standin.opened() as site:
+            for node in (*site.nodes, *site.nodes):
+                self.assertEqual((await site.submit(node)).status, 202)
+            await site.read_all(site.nodes[0])
+            await trio.sleep(1)
+            runs = [run.request for run in site.runs if "-i" in run.request]
+            self.assertEqual(len(runs), 4)
+
+    @virtual.on_virtual_time
+    async def test_ended_batch_sends_nothing_more_and_stays_readable(self):
+        async with standin.opened() as site:
+            for server in site.servers.values():
+                server.length = 200
+            node = site.nodes[0]
+            await site.submit(node, items=12)
+            await trio.sleep(0.5)
+            path = names.BATCHES_PATH + "b1"
+            for _ in range(2):
+                response = await site.call(node, "DELETE", path)
+                self.assertEqual(response.status, 200)
+            await trio.sleep(0.5)
+            ended_at = trio.current_time()
+            await trio.sleep(5)
+            self.assertFalse([r for r in site.runs if r.at > ended_at])
+            running = [s.running for s in site.servers.values()]
+            self.assertEqual(running, [set()] * len(running))
+            status, page = await site.read(site.nodes[1])
+            self.assertEqual((status, page["total"]), (200, 12))
+
+    @virtual.on_virtual_time
+    async def test_leader_lost_is_followed_without_double_positions(self):
+        async with standin.opened(nodes=3) as site:
+            leader = site.holder()
+            reader = site.other(leader)
+            for server in site.servers.values():
+                server.length = 60
+            await site.submit(reader, items=16)
+            await trio.sleep(2)
+            _, before = await site.read(reader)
+            site.network.crash(leader.name)
+            results = await site.read_all(reader)
+            self.assertEqual(len({r["id"] for r in results}), 16)
+            self.assertEqual(len(results), 16)
+            listed = before["results"]
+            self.assertEqual(results[: len(listed)], listed)
+
+    @parameterized.parameterized.expand([("killed",), ("stopped",), ("cut",)])
+    @virtual.on_virtual_time
+    async def test_texts_go_on_after_a_takeover(self, how):
+        async with standin.opened(nodes=3) as site:
+            leader = site.holder()
+            reader = site.other(leader)
+            for server in site.servers.values():
+                server.length = 200
+            await site.submit(reader, items=6)
+            await trio.sleep(2)
+            if how == "killed":
+                site.network.crash(leader.name)
+            elif how == "stopped":
+                leader.runtime.drain_asked.set()
+            else:
+                site.network.cut(leader.name, "store")
+            left_at = trio.current_time()
+            results = await site.read_all(reader)
+            self.assertEqual(
+                [r["text"] for r in results], [standin.text_of(200)] * 6
+            )
+            later = [
+                r for r in site.runs if r.at > left_at and "-i" in r.request
+            ]
+            self.assertEqual([r for r in later if not r.resumed_after], [])
+
+    @virtual.on_virtual_time
+    async def test_node_that_the_store_turns_away_serves_batches(self):
+        async with standin.opened(nodes=3) as site:
+            node = site.other(site.holder())
+            site.network.cut(node.name, "store")
+            await trio.sleep(3)
+            self.assertEqual((await site.submit(node)).status, 202)
+            self.assertEqual(len(await site.read_all(node)), 4)
+            path = names.BATCHES_PATH + "b1"
+            response = await site.call(node, "DELETE", path)
+            self.assertEqual(response.status, 200)
+            status, _ = await site.read(node, "b9")
+            self.assertEqual(status, 404)
+
+    @virtual.on_virtual_time
+    async def test_stand_in_runs_batches_while_the_store_is_down(self):
+        async with standin.opened(nodes=3) as site:
+            leader = site.holder()
+            reader = site.other(leader)
+            for server in site.servers.values():
+                server.length = 100
+            await site.submit(reader)
+            await trio.sleep(0.5)
+            site.store.is_down = True
+            site.network.crash(leader.name)
+            crashed_at = trio.current_time()
+            await trio.sleep(6)
+            site.store.is_down = False
+            returned_at = trio.current_time()
+            results = await site.read_all(reader)
+            self.assertEqual(len(results), 4)
+            self.assertLess(trio.current_time() - returned_at, 2.0)
+            again = [r for r in site.runs if r.at > returned_at]
+            self.assertEqual([r for r in again if "-i" in r.request], [])
+            meanwhile = [
+                r for r in site.runs if crashed_at < r.at < returned_at
+            ]
+            self.assertTrue(meanwhile)
+
+    @virtual.on_virtual_time
+    async def test_two_who_think_they_lead_list_each_item_once(self):
+        async with standin.opened(nodes=3) as site:
+            leader = site.holder()
+            for node in site.nodes:
+                if node is not leader:
+                    site.network.cut(leader.name, node.name)
+            reader = site.other(leader)
+            await trio.sleep(2)
+            await site.submit(reader, items=16)
+            results = await site.read_all(reader)
+            self.assertEqual(len({r["id"] for r in results}), 16)
+            self.assertEqual(len(results), 16)
+            # Other nodes may be this far behind a position that was read.
+            await trio.sleep(1)
+            _, page = await site.read(leader)
+            self.assertEqual(page["results"], results)
+
+    @virtual.on_virtual_time
+    async def test_silent_stream_goes_on_elsewhere_after_its_last_event(self):
+        async with standin.opened() as site:
+            site.servers["e1"].drop_after = 4
+            await site.submit(site.nodes[0], items=6)
+            results = await site.read_all(site.nodes[0])
+            self.assertEqual(
+                {r["text"] for r in results}, {standin.text_of(10)}
+            )
+            resumed = [r for r in site.runs if r.resumed_after]
+            self.assertTrue(resumed)
+            self.assertEqual({r.server for r in resumed}, {"e2"})
+
+    @virtual.on_virtual_time
+    async def test_slow_engine_is_left_for_a_faster_one(self):
+        async with standin.opened() as site:
+            for server in site.servers.values():
+                server.length = 60
+            await site.submit(site.nodes[0], "warm", items=4)
+            await site.read_all(site.nodes[0], "warm")
+            began_at = trio.current_time()
+            site.servers["e1"].event_s = 0.2
+            await site.submit(site.nodes[0], "slow", items=4)
+            await site.read_all(site.nodes[0], "slow")
+            self.assertLess(trio.current_time() - began_at, 5.0)
+
+    @parameterized.parameterized.expand(
+        [
+            ("never_done", 422, 1, 1),
+            ("fails_each_time", 500, 3, 3),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_item_that_cannot_be_done(self, _, status, most, least):
+        async with standin.opened() as site:
+            for name in ("e1", "e2"):
+                site.servers[name].statuses = [status] * 50
+            await site.submit(site.nodes[0], items=1)
+            (result,) = await site.read_all(site.nodes[0])
+            self.assertEqual(result["state"], "errored")
+            runs = [r for r in site.runs if "-i" in r.request]
+            self.assertLessEqual(len(runs), most)
+            self.assertGreaterEqual(len(runs), least)
+
+    @virtual.on_virtual_time
+    async def test_batch_survives_the_loss_of_all_nodes(self):
+        async with standin.opened() as site:
+            await site.submit(site.nodes[0], items=8)
+            for node in site.nodes:
+                site.network.crash(node.name)
+            site.nodes = [standin.Node(site, n, "a") for n in ("n8", "n9")]
+            await site.start()
+            results = await site.read_all(site.nodes[1])
+            self.assertEqual(len(results), 8)
+            response = await site.call(
+                site.nodes[0], "GET", names.ITEMS_PATH + "b1?id=b1-i3"
+            )
+            self.assertEqual(response.body, b"body 3")
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,113 @@
+"""Single calls before the platform's stand-in."""
+
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.platform import names
+from tests import virtual
+from tests.platform import standin
+
+
+class CallTest(unittest.TestCase):
+    async def _send(self, site, path, request_id="q1"):
+        return await site.call(
+            site.nodes[0],
+            "POST",
+            path,
+            b"?",
+            **{names.REQUEST_ID: request_id, names.DEADLINE_MS: "2000"},
+        )
+
+    @parameterized.parameterized.expand(
+        [
+            ("idempotent", standin.CALL_PATH, ["p1"], 200),
+            ("once_only", "/once/", ["p1", "p2"], 502),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_lost_answer(self, _, path, losing, status):
+        async with standin.opened(nodes=1) as site:
+            for name in ("p1", "p2"):
+                server = site.servers[name]
+                answer = server.run
+
+                async def lose(request, answer=answer, name=name):
+                    response = await answer(request)
+                    if name in losing:
+                        del response.headers[names.SIGNATURE]
+                    return response
+
+                server.run = lose
+            response = await self._send(site, path + "1")
+            self.assertEqual(response.status, status)
+            if path == "/once/":
+                self.assertEqual(len(site.runs), 1)
+
+    @virtual.on_virtual_time
+    async def test_full_servers_are_a_true_refusal(self):
+        async with standin.opened(nodes=1) as site:
+            for name in ("p1", "p2"):
+                site.servers[name].is_full = True
+            began_at = trio.current_time()
+            for path in (standin.CALL_PATH, "/once/"):
+                response = await self._send(site, path + "1")
+                self.assertEqual(response.status, 503)
+                self.assertGreater(float(response.headers["retry-after"]), 0)
+            self.assertLess(trio.current_time() - began_at, 1.0)
+            self.assertEqual(site.runs, [])
+
+    @virtual.on_virtual_time
+    async def test_draining_server_gets_nothing_new(self):
+        async with standin.opened(nodes=1) as site:
+            # The one in the node's own zone, which it prefers.
+            site.servers["p2"].state = "draining"
+            site.servers["p2"].enter()
+            await trio.sleep(1)
+            for number in range(8):
+                await self._send(site, standin.CALL_PATH + "1", f"q{number}")
+            self.assertEqual({run.server for run in site.runs}, {"p1"})
+
+    @parameterized.parameterized.expand(
+        [
+            ("other_bytes", b"\xff\x00"),
+            ("no_map", b"[]"),
+            ("missing_field", b'{"service":"plain"}'),
+            (
+                "unknown_state",
+                b'{"service":"plain","address":"x:1","zone":"a",'
+                b'"slots":1,"state":"odd"}',
+            ),
+            (
+                "address_of_other_type",
+                b'{"service":"plain","address":7,"zone":"a",'
+                b'"slots":1,"state":"ready"}',
+            ),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_malformed_entry_names_no_server(self, _, value):
+        async with standin.opened(nodes=1) as site:
+            site.store.put(names.SERVERS_PREFIX + "odd", value)
+            await trio.sleep(1)
+            self.assertNotIn("odd", site.nodes[0].runtime.roster.servers)
+            response = await self._send(site, standin.CALL_PATH + "1")
+            self.assertEqual(response.status, 200)
+
+    @virtual.on_virtual_time
+    async def test_entry_lapsed_with_the_store_away_keeps_its_server(self):
+        async with standin.opened(nodes=1) as site:
+            site.store.is_down = True
+            await trio.sleep(4)
+            for name in ("p1", "p2"):
+                site.store.remove(names.SERVERS_PREFIX + name)
+            site.store.is_down = False
+            await trio.sleep(1)
+            response = await self._send(site, standin.CALL_PATH + "1")
+            self.assertEqual(response.status, 200)
+            site.servers["p1"].enter()
+            await trio.sleep(3)
+            servers = site.nodes[0].runtime.roster.servers
+            self.assertIn("p1", servers)
+            self.assertNotIn("p2", servers)
--- /dev/null
+++ b/tests/platform/test_configurations.py
@@ -0,0 +1,118 @@
+"""Configurations and keys on several nodes, under faults."""
+
+import unittest
+
+import trio
+
+from kingcupscale.platform import names
+from tests import virtual
+from tests.platform import standin
+
+
+class ConfigurationTest(unittest.TestCase):
+    async def _quote(self, site, node, key=standin.KEY):
+        return await site.call(
+            node,
+            "POST",
+            standin.CALL_PATH + "1",
+            b"?",
+            **{
+                names.REQUEST_ID: "q1",
+                names.DEADLINE_MS: "2000",
+                names.KEY: key,
+            },
+        )
+
+    @virtual.on_virtual_time
+    async def test_withdrawn_key_stops_on_a_node_the_store_turns_away(self):
+        async with standin.opened(nodes=3) as site:
+            for node in site.nodes:
+                response = await self._quote(site, node)
+                self.assertEqual(response.status, 200)
+            for cut in (site.holder(), site.other(site.holder())):
+                site.network.cut(cut.name, "store")
+            site.write_configuration(standin.make_configuration(2, ["new"]))
+            await trio.sleep(4)
+            for node in site.nodes:
+                self.assertEqual((await self._quote(site, node)).status, 401)
+                response = await self._quote(site, node, "new")
+                self.assertEqual(response.status, 200)
+
+    @virtual.on_virtual_time
+    async def test_node_that_hears_nobody_stops_admitting(self):
+        async with standin.opened(nodes=3) as site:
+            alone = site.nodes[2]
+            site.network.cut_off(alone.name)
+            for server in site.servers:
+                site.network.cuts.discard(frozenset((alone.name, server)))
+            await trio.sleep(10)
+            self.assertEqual((await self._quote(site, alone)).status, 503)
+            self.assertFalse(alone.runtime.is_ready())
+            site.network.heal()
+            await trio.sleep(2)
+            self.assertEqual((await self._quote(site, alone)).status, 200)
+
+    @virtual.on_virtual_time
+    async def test_outage_for_all_nodes_stops_nobody(self):
+        async with standin.opened(nodes=3) as site:
+            site.store.is_down = True
+            await trio.sleep(30)
+            for node in site.nodes:
+                self.assertEqual((await self._quote(site, node)).status, 200)
+
+    @virtual.on_virtual_time
+    async def test_mirrors_stay_current_when_several_nodes_hold_duties(self):
+        async with standin.opened(nodes=10) as site:
+            oldest = 0.0
+            for _ in range(200):
+                await trio.sleep(0.1)
+                ages = [n.runtime.feed.age_s() for n in site.nodes]
+                oldest = max(oldest, *ages)
+            self.assertLess(oldest, 2.0)
+
+    @virtual.on_virtual_time
+    async def test_older_or_unreadable_configuration_changes_nothing(self):
+        async with standin.opened() as site:
+            site.write_configuration(standin.make_configuration(5, ["k5"]))
+            await trio.sleep(1)
+            site.write_configuration(standin.make_configuration(4, ["k4"]))
+            site.store.put(names.CONFIGURATION_KEY, b'{"version":')
+            await trio.sleep(1)
+            for node in site.nodes:
+                response = await self._quote(site, node, "k5")
+                self.assertEqual(response.status, 200)
+
+    @virtual.on_virtual_time
+    async def test_models_without_slots_end_no_node(self):
+        async with standin.opened(nodes=1, is_started=False) as site:
+            configuration = standin.make_configuration()
+            configuration["services"].append(
+                {
+                    "name": "idle",
+                    "healthPath": "/h",
+                    "maxConnections": 1,
+                    "engine": {"slots": 0, "models": [{"name": "beta"}]},
+                }
+            )
+            site.write_configuration(configuration)
+            await site.start()
+            (node,) = site.nodes
+            self.assertEqual((await site.submit(node)).status, 202)
+            self.assertEqual(len(await site.read_all(node)), 4)
+
+    @virtual.on_virtual_time
+    async def test_forgotten_history_is_read_anew(self):
+        async with standin.opened() as site:
+            for node in site.nodes:
+                site.network.cut(node.name, "store")
+            await trio.sleep(2)
+            site.write_configuration(standin.make_configuration(2, ["k2"]))
+            site.store.remove(names.SERVERS_PREFIX + "p1")
+            site.store.forget_history()
+            site.network.heal()
+            await trio.sleep(5)
+            for node in site.nodes:
+                self.assertEqual(
+                    (await self._quote(site, node, "k2")).status, 200
+                )
+                self.assertNotIn("p1", node.runtime.roster.servers)
--- /dev/null
+++ b/tests/platform/test_lifecycle.py
@@ -0,0 +1,79 @@
+"""Usage windows, planned stops and VMs that are taken away."""
+
+import unittest
+
+import orjson
+import trio
+
+from kingcupscale.platform import names
+from tests import virtual
+from tests.platform import standin
+
+
+class UsageTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_windows_are_reported_once_with_all_counts(self):
+        async with standin.opened(nodes=3) as site:
+            sent = 0
+            for number in range(40):
+                node = site.nodes[number % 3]
+                response = await site.call(
+                    node,
+                    "POST",
+                    standin.CALL_PATH + "1",
+                    **{names.REQUEST_ID: f"q{number}"},
+                )
+                sent += response.status == 200
+                await trio.sleep(0.4)
+                if number == 20:
+                    holder = site.holder("usage")
+                    site.network.cut(holder.name, "store")
+                if number == 30:
+                    site.network.heal()
+            await trio.sleep(15)
+            total = 0
+            for reports in site.cloud.reports.values():
+                figures = [counts for _, _, counts in reports]
+                self.assertEqual(figures, figures[:1] * len(figures))
+                total += sum(figures[0].values())
+            self.assertGreaterEqual(total, 0.9 * sent)
+            self.assertLessEqual(total, sent)
+            by_fence = {}
+            for reports in site.cloud.reports.values():
+                for holder, fence, _ in reports:
+                    self.assertEqual(by_fence.setdefault(fence, holder), holder)
+
+
+class StopTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_planned_stop_hands_over_and_cuts_nothing(self):
+        async with standin.opened() as site:
+            leader = site.holder()
+            other = site.other(leader)
+            await site.submit(leader, items=8)
+            leader.runtime.drain_asked.set()
+            await trio.sleep(0.1)
+            self.assertFalse(leader.runtime.is_ready())
+            response = await site.call(
+                leader,
+                "POST",
+                standin.CALL_PATH + "1",
+                **{names.REQUEST_ID: "q1"},
+            )
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.headers["connection"], "close")
+            self.assertEqual(len(await site.read_all(other)), 8)
+            await trio.sleep(5)
+            self.assertTrue(leader.runtime.stopped.is_set())
+
+
+class RetirementTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_vm_with_a_disk_is_answered_to_be_empty(self):
+        async with standin.opened() as site:
+            site.store.put(
+                names.RETIREMENTS_PREFIX + "disk-1", b'{"durationS":8}'
+            )
+            await trio.sleep(3)
+            value = site.store.value(names.RETIREMENT_STATES_PREFIX + "disk-1")
+            self.assertEqual(orjson.loads(value), {"state": "done"})
--- /dev/null
+++ b/tests/platform/test_versions.py
@@ -0,0 +1,74 @@
+"""Weight versions on the engines, and what runs under them."""
+
+import unittest
+
+import trio
+
+from kingcupscale.batches import batch
+from kingcupscale.peering import handover
+from tests import virtual
+from tests.platform import standin
+
+
+class VersionTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_result_of_an_ended_batch_is_not_listed_in_another(self):
+        async with standin.opened() as site:
+            site.name_version(2)
+            await trio.sleep(4)
+            old = batch.Result(
+                "b1-i0", batch.ResultState.DONE, "old", [1], "old score"
+            )
+            text = handover.Text("b1-i0", [], old, "b0")
+            for node in site.nodes:
+                duty = node.runtime.services["engines"]
+                duty.coordinator.take_copy(handover.Copy("engines", [text]))
+            await site.submit(site.nodes[0], "b1", minimum=2)
+            for result in await site.read_all(site.nodes[0], "b1"):
+                self.assertEqual(result["versions"], [2])
+                self.assertEqual(result["text"], standin.text_of(10))
+
+    @virtual.on_virtual_time
+    async def test_version_that_a_node_was_not_told_is_asked_for(self):
+        async with standin.opened() as site:
+            for server in site.servers.values():
+                if server.versions:
+                    server.versions[standin.MODEL] = 2
+            await site.submit(site.nodes[0])
+            results = await site.read_all(site.nodes[1])
+            versions = [result["versions"] for result in results]
+            self.assertEqual(versions, 4 * [[2]])
+
+    @virtual.on_virtual_time
+    async def test_engines_alternate_and_no_text_is_too_old(self):
+        async with standin.opened() as site:
+            node = site.nodes[0]
+            for step in range(6):
+                if step >= 2:
+                    site.name_version(step)
+                batch_id = f"b{step}"
+                minimum = max(1, step - 1)
+                await site.submit(node, batch_id, minimum=minimum, step=step)
+                results = await site.read_all(node, batch_id)
+                self.assertEqual(len(results), 4)
+                for result in results:
+                    self.assertGreaterEqual(min(result["versions"]), minimum)
+                await trio.sleep(2)
+            self.assertLessEqual(len(site.orders), 6)
+            fences = [order["fence"] for _, order, _ in site.orders]
+            self.assertEqual(fences, sorted(fences))
+            self.assertEqual(
+                {o["holder"] for _, o, _ in site.orders}, {site.holder().name}
+            )
+
+    @virtual.on_virtual_time
+    async def test_paused_holder_gives_no_order_after_its_lease(self):
+        async with standin.opened(nodes=3) as site:
+            leader = site.holder()
+            site.network.cut(leader.name, "store")
+            await trio.sleep(4)
+            site.name_version(2)
+            await trio.sleep(3)
+            holders = {o["holder"] for _, o, _ in site.orders}
+            self.assertTrue(holders)
+            self.assertNotIn(leader.name, holders)
