--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -1,5 +1,6 @@
 """Books of several nodes that follow each other, by random schedules."""
 
+import contextlib
 import random
 import unittest
 
@@ -280,14 +281,23 @@
         return len(await self.follower.book.read(record, 0, 0.0))
 
 
+@contextlib.asynccontextmanager
+async def opened_pair(items=4):
+    """Yields a leader and a follower that know of a batch, if it has items."""
+    async with trio.open_nursery() as nursery:
+        pair = Pair(nursery)
+        await trio.sleep(1)
+        if items:
+            await pair.accept(items)
+            await trio.sleep(1)
+        yield pair
+        nursery.cancel_scope.cancel()
+
+
 class BookTest(unittest.TestCase):
     @virtual.on_virtual_time
     async def test_reader_hears_of_results_without_the_store(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
-            await trio.sleep(1)
+        async with opened_pair() as pair:
             self.assertEqual(await pair.read(), 0)
             scans = pair.store.scans
             for count in (1, 2, 3):
@@ -295,15 +305,10 @@
                 await trio.sleep(0.1)
                 self.assertEqual(await pair.read(), count)
             self.assertEqual(pair.store.scans, scans)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_copy_older_than_the_mirror_is_not_taken(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
-            await trio.sleep(1)
+        async with opened_pair() as pair:
             record = pair.leader.book.records["b"]
             old = record.copy(pair.follower.feed.revision)
             await pair.list_one()
@@ -314,15 +319,10 @@
 
             pair.follower.book.source.fetch_copy = fetch_old
             self.assertEqual(await pair.read(), 1)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_result_that_comes_during_a_load_is_shown(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
-            await trio.sleep(1)
+        async with opened_pair() as pair:
             copy = pair.leader.book.records["b"].copy(10**6)
 
             async def fetch_slowly(batch_id):
@@ -332,15 +332,10 @@
 
             pair.follower.book.source.fetch_copy = fetch_slowly
             self.assertEqual(await pair.read(), 1)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_results_of_lost_history_are_read(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
-            await trio.sleep(1)
+        async with opened_pair() as pair:
             await pair.read()
             pair.follower.is_leader = True
             await trio.sleep(1)
@@ -360,28 +355,19 @@
             changed.set()
             await trio.sleep(1)
             self.assertEqual(await pair.read(), 1)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_closed_batch_is_read_from_the_store_by_one_node(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept(items=1)
+        async with opened_pair(items=1) as pair:
             await pair.list_one()
             await trio.sleep(1)
             pair.leader.book.records.clear()
             self.assertEqual(await pair.read(), 1)
             self.assertIn("b", pair.leader.book.records)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_two_writers_get_two_positions(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
-            await trio.sleep(1)
+        async with opened_pair() as pair:
             await pair.read()
             listed = []
 
@@ -397,14 +383,10 @@
             self.assertEqual(sorted(listed), [False, True])
             await trio.sleep(1)
             self.assertEqual(await pair.read(), 1)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_old_closed_batch_is_removed_from_the_store(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept(items=1)
+        async with opened_pair(items=1) as pair:
             keeper = retention.Retention(pair.leader.book, pair.leader.clock)
             await trio.sleep(20)
             await keeper.forget_older_than(10.0)
@@ -413,29 +395,20 @@
             await trio.sleep(1)
             await keeper.forget_older_than(10.0)
             self.assertEqual(pair.store.entries, {})
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_old_open_batch_stays_though_it_is_not_known_yet(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
+        async with opened_pair() as pair:
             await trio.sleep(20)
             # As on a node that has just come to lead the service.
             pair.leader.book.records.clear()
             keeper = retention.Retention(pair.leader.book, pair.leader.clock)
             await keeper.forget_older_than(10.0)
             self.assertEqual(len(pair.store.entries), 1)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_batch_whose_end_is_known_is_not_opened_by_an_old_copy(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
-            await pair.accept()
-            await trio.sleep(1)
+        async with opened_pair() as pair:
             open_copy = pair.leader.book.records["b"].copy(10**6)
 
             async def fetch_old(batch_id):
@@ -446,18 +419,14 @@
             await trio.sleep(1)
             record = await pair.follower.book.find("b", "o")
             self.assertTrue(record.is_ended)
-            nursery.cancel_scope.cancel()
 
     @virtual.on_virtual_time
     async def test_readers_of_unknown_batches_do_not_make_the_mirror_old(self):
-        async with trio.open_nursery() as nursery:
-            pair = Pair(nursery)
-            await trio.sleep(1)
+        async with opened_pair(items=0) as pair:
             for number in range(60):
                 await pair.follower.book.load(f"none-{number}", is_read=True)
                 await trio.sleep(0.1)
                 self.assertLess(pair.follower.feed.age_s(), 2.5)
-            nursery.cancel_scope.cancel()
 
 
 class RecordTest(unittest.TestCase):
