--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -142,6 +142,19 @@
             self.assertEqual(mesh.views(), {tuple(mesh.names)})
             nursery.cancel_scope.cancel()
 
+    @virtual.on_virtual_time
+    async def test_paused_node_is_soon_alive_again_for_everyone(self):
+        async with trio.open_nursery() as nursery:
+            mesh = Mesh(nursery, 4)
+            await trio.sleep(20)
+            mesh.network.pause("node-3", 8)
+            await trio.sleep(7.5)
+            rest = mesh.names[:3]
+            self.assertEqual(mesh.views(*rest), {tuple(rest)})
+            await trio.sleep(3.5)
+            self.assertEqual(mesh.views(), {tuple(mesh.names)})
+            nursery.cancel_scope.cancel()
+
     @virtual.on_virtual_time
     async def test_one_bad_link_makes_nobody_dead(self):
         async with trio.open_nursery() as nursery:
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -55,6 +55,18 @@
             self.assertIn("node-3", alarms)
             self.assertIn("customer-2-key", report["half_done"][0])
 
+    @virtual.on_virtual_time
+    async def test_handover_names_a_paused_node_as_long_as_it_is_away(self):
+        async with clusters.running(SMALL) as cluster:
+            cluster.network.pause("node-3", 9)
+            await trio.sleep(8)
+            _, body = await read(cluster, "/handover")
+            alarms = "\n".join(orjson.loads(body)["alarms"])
+            self.assertRegex(alarms, "node node-3 in .* is (suspect|dead)")
+            await trio.sleep(8)
+            _, body = await read(cluster, "/handover")
+            self.assertEqual(orjson.loads(body)["alarms"], [])
+
     @virtual.on_virtual_time
     async def test_status_has_histograms_and_leases(self):
         async with clusters.running(SMALL) as cluster:
