Send a chat's stream in pieces, with an event of its own for its end

Pieces had 16 tokens; now a short answer comes in four or more, long ones as before; the first names the role, the end is an event without text, as clients of this interface expect. The test failed before.

--- a/src/kingcupscale/serving/completion.py
+++ b/src/kingcupscale/serving/completion.py
@@ -21,7 +21,9 @@
 MAX_TOKENS_LIMIT = 8192
 MAX_TOKENS_DEFAULT = codec.PositiveInt(256)
 WHOLE_CHUNK_TOKENS = 64
+# Tokens of a streamed piece; a short answer comes in this many pieces or more.
 STREAM_CHUNK_TOKENS = 16
+STREAM_PIECES_LEAST = 4
 
 
 @attrs.frozen
@@ -106,13 +108,21 @@
             },
         )
 
-    def piece(self, text: str, done: bool) -> bytes:
-        """Returns one server-sent event."""
-        choice = {"index": 0, "finish_reason": "stop" if done else None}
-        if self.is_chat:
-            choice["delta"] = {"content": text}
-        else:
-            choice["text"] = text
+    def piece(self, text: str, is_first: bool) -> bytes:
+        """Returns the server-sent event of some text."""
+        if not self.is_chat:
+            return self._event({"text": text}, None)
+        role = {"role": "assistant"} if is_first else {}
+        return self._event({"delta": {**role, "content": text}}, None)
+
+    def end(self) -> bytes:
+        """Returns the server-sent event that says that the text is whole."""
+        return self._event(
+            {"delta": {}} if self.is_chat else {"text": ""}, "stop"
+        )
+
+    def _event(self, content: dict[str, object], reason: str | None) -> bytes:
+        choice = {"index": 0, "finish_reason": reason, **content}
         kind = "chat.completion.chunk" if self.is_chat else "text_completion"
         return b"data: " + self._dump(kind, choice, None) + b"\n\n"
 
@@ -186,7 +196,10 @@
         service, _, adapter = body.model.partition("/")
         pools = self.generator.pools
         pools.get(service, document.ServiceKind.ENGINE)
-        chunk = STREAM_CHUNK_TOKENS if body.stream else WHOLE_CHUNK_TOKENS
+        chunk = WHOLE_CHUNK_TOKENS
+        if body.stream:
+            least = max(1, body.max_tokens // STREAM_PIECES_LEAST)
+            chunk = min(STREAM_CHUNK_TOKENS, least)
         return generation.Job(
             service,
             grant.label,
@@ -245,8 +258,9 @@
                         )
                     text = " ".join(piece.tokens)
                     text = text if is_first else " " + text
+                    yield shape.piece(text, is_first)
                     is_first = False
-                    yield shape.piece(text, piece.done)
+        yield shape.end()
         self._record(job, metric.Measure.TOTAL_MS, started_at)
         yield b"data: [DONE]\n\n"
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -159,6 +159,37 @@
             labels = {e.organisation for e in executions(cluster)}
             self.assertEqual(labels, {"org-customer-2"})
 
+    @virtual.on_virtual_time
+    async def test_chat_stream_comes_in_pieces_with_an_end_of_its_own(self):
+        async with clusters.running(ONE_NODE) as cluster:
+            body = {
+                "model": "plume-llm",
+                "messages": [{"role": "user", "content": "price of oak"}],
+                "max_tokens": 12,
+            }
+            answers = []
+            for is_stream in (False, True):
+                request = message.json_request(
+                    "/v1/chat/completions", {**body, "stream": is_stream}
+                )
+                key = cluster.issued[0].text
+                answers.append((await ask(cluster, request, key)).body)
+            *events, done = answers[1].removesuffix(b"\n\n").split(b"\n\n")
+            self.assertEqual(done, b"data: [DONE]")
+            choices = [
+                orjson.loads(event.removeprefix(b"data: "))["choices"][0]
+                for event in events
+            ]
+            deltas = [choice["delta"] for choice in choices]
+            self.assertGreaterEqual(len(deltas), 4)
+            self.assertEqual(deltas[0]["role"], "assistant")
+            self.assertEqual(deltas[-1], {})
+            reasons = [choice["finish_reason"] for choice in choices]
+            self.assertEqual(reasons, [None] * (len(reasons) - 1) + ["stop"])
+            whole = orjson.loads(answers[0])["choices"][0]["message"]
+            text = "".join(delta.get("content", "") for delta in deltas)
+            self.assertEqual(text, whole["content"])
+
     @virtual.on_virtual_time
     async def test_streams_of_an_organisation_are_limited(self):
         size = clusters.ClusterSettings(nodes=1, trainers=0)
