Keep the lease of duties only while a node has one, and its entry by a longer one

And an entry written late, under a lease that was given up, was taken away with that lease for good, since nobody wrote it again: followers then could not find a node that leads.

A session is kept while something uses it; the node's entry has a session of its own of four times the length and is written again once it is gone; a copy that cannot be sent makes its target be passed over for 3 s, as a dead node stays entered longer. Tests that failed before: entry written again, fewer than one renewal a second a node with 12 nodes, copies pass over a successor that is gone.

--- a/src/kingcupscale/batches/copying.py
+++ b/src/kingcupscale/batches/copying.py
@@ -24,6 +24,7 @@
         clock: Tells the time.
         find_target: Returns the name and the address of the node to send to;
             None if there is none.
+        note_failure: Told which node a copy could not be sent to.
     """
 
     def __init__(
@@ -33,12 +34,14 @@
         client: handover.CopyClient,
         clock: clocks.Clock,
         find_target: Callable[[], tuple[str, str] | None],
+        note_failure: Callable[[str], None],
     ) -> None:
         self.coordinator = coordinator
         self.model = model
         self.client = client
         self.clock = clock
         self.find_target = find_target
+        self.note_failure = note_failure
         self.target = ""
         self.sent: dict[str, int] = {}
         self.sent_results: set[str] = set()
@@ -66,6 +69,7 @@
             await self.client.send(address, copy)
         except calls.PeerError as e:
             self._forget()
+            self.note_failure(name)
             events.log(
                 events.Event.COPY_FAILED,
                 peer=name,
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -23,6 +23,8 @@
 # A node that does not answer for this long is taken for dead by those who are
 # to run its batches meanwhile; running them twice does no harm.
 SILENT_S = 0.7
+# A node that a copy could not be sent to gets none for this long.
+FAILED_S = 3.0
 # Nodes that are asked to write for this one before it gives up.
 DETOURS_MOST = 2
 
@@ -63,6 +65,7 @@
         self.feed: feeds.Feed | None = None
         self.silent_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
+        self.failed_until: dict[str, float] = {}
 
     def addresses(self) -> dict[str, str]:
         """Returns the other nodes' addresses by name."""
@@ -177,11 +180,21 @@
     def successor(self, ranking: list[str]) -> tuple[str, str] | None:
         """Returns the first other node of a ranking that answers."""
         addresses = self.addresses()
+        now = self.clock.monotonic()
         for name in ranking:
-            if name in addresses and not self.is_silent(name):
+            has_failed = self.failed_until.get(name, 0.0) > now
+            if (
+                name in addresses
+                and not has_failed
+                and not self.is_silent(name)
+            ):
                 return name, addresses[name]
         return None
 
+    def note_failure(self, node: str) -> None:
+        """Notes that nothing could be sent to a node, which may be gone."""
+        self.failed_until[node] = self.clock.monotonic() + FAILED_S
+
     async def _ask(
         self,
         name: str,
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -160,6 +160,7 @@
             around.copies,
             around.clock,
             self._find_successor,
+            runtime.peers.note_failure,
         )
 
     def wants_batches(self) -> bool:
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -46,6 +46,9 @@
 # Share of the time within which holders must not take turns; a shorter lease
 # is sooner taken over.
 LEASE_SHARE = 0.7
+# A node that holds nothing may stay entered for this many leases after its
+# end: whoever asks it notices sooner.
+PRESENCE_LEASES = 4
 SWEEP_PAUSE_S = 0.25
 WANT_PAUSE_S = 0.1
 USAGE_PAUSE_S = 0.5
@@ -118,12 +121,18 @@
         )
         self.book.on_change = self._wake_coordinators
         self.relay = relay.RelayHandler(self.feed, self.book)
-        announcement = orjson.dumps({"peers": settings.peers})
         ttl_s = max(
             settings.least_lease_s, LEASE_SHARE * settings.bounds.lease_s
         )
         self.session = tenures.Session(
-            around.store, self.clock, settings.node, ttl_s, announcement
+            around.store, self.clock, settings.node, ttl_s
+        )
+        self.presence = tenures.Presence(
+            around.store,
+            self.clock,
+            settings.node,
+            PRESENCE_LEASES * ttl_s,
+            orjson.dumps({"peers": settings.peers}),
         )
         self.feed.subscribe(tenures.NODES_PREFIX, self._take_node)
         self.directives = directives.Directives(
@@ -305,8 +314,11 @@
         ]
 
     def _take_node(self, entry: stores.Entry) -> None:
-        """Has the candidates ranked anew."""
+        """Has the candidates ranked anew, with this node among them."""
         self.rankings.clear()
+        is_own = entry.key == tenures.NODES_PREFIX + self.settings.node
+        if is_own and entry.value is None:
+            self.presence.note_removed()
 
     def rank(self, duty: str) -> int:
         """Returns this node's place among the candidates for a duty."""
@@ -322,6 +334,7 @@
                 keeper.Keeper(self.book, self.clock).run,
                 self._keep_batches,
                 self.session.run,
+                self.presence.run,
                 self._sweep_forever,
                 self._lead_services,
                 self._share_usage,
@@ -339,6 +352,7 @@
         for duty in self.models.values():
             await duty.hand_over()
         await self.session.close()
+        await self.presence.close()
         with trio.move_on_after(1.0):
             try:
                 await self.usage.share(is_last=True)
--- a/src/kingcupscale/storage/tenure.py
+++ b/src/kingcupscale/storage/tenure.py
@@ -21,18 +21,21 @@
 
 
 class Session:
-    """A node's lease, which its entry and its duties are bound to.
+    """A node's lease, which entries in the store are bound to.
 
     The lease's end counts from before its renewal was sent, on a clock that
     goes on while the VM is suspended, so the node is always first to think it
-    over.
+    over. A lease that nothing needs is neither granted nor renewed.
 
     Args:
         store: The shared store.
-        clock: Tells the time, suspended time included.
+        clock: Tells the time.
         node: The node's name.
         ttl_s: Seconds that the lease lasts.
-        announcement: Value of the node's own entry.
+
+    Attributes:
+        lease: The lease; ``NO_LEASE`` for none.
+        users: What needs the lease to be kept.
     """
 
     def __init__(
@@ -41,16 +44,16 @@
         clock: clocks.Clock,
         node: str,
         ttl_s: float,
-        announcement: bytes,
     ) -> None:
         self.store = store
         self.clock = clock
         self.node = node
         self.ttl_s = ttl_s
-        self.announcement = announcement
         self.lease = stores.NO_LEASE
         self.ends_at = 0.0
         self.is_closed = False
+        self.users: set[object] = set()
+        self.keeping = trio.Lock()
 
     def is_held(self) -> bool:
         """Tells whether the lease surely holds right now."""
@@ -60,13 +63,11 @@
         return self.clock.monotonic() < self.ends_at - safety_s
 
     async def run(self) -> None:
-        """Keeps a lease until closed or cancelled."""
+        """Keeps a lease while it is needed, until closed or cancelled."""
         while not self.is_closed:
             try:
-                await self._keep()
-            except stores.LeaseEndedError:
-                self._end("the store has ended it")
-                continue
+                if self.users:
+                    await self._keep()
             except stores.StoreError as e:
                 events.log(
                     events.Event.LEASE_UNRENEWED,
@@ -76,23 +77,52 @@
                 )
             await self.clock.rest(self.ttl_s / RENEWALS_PER_TTL)
 
+    async def open(self) -> None:
+        """Has the lease held, if the store allows it.
+
+        Raises:
+            StoreError: If the store cannot be reached.
+        """
+        if not self.is_held() and not self.is_closed:
+            await self._keep()
+
     async def _keep(self) -> None:
-        sent_at = self.clock.monotonic()
+        """Renews the lease; one that has ended is followed by another."""
+        async with self.keeping:
+            try:
+                await self._renew_or_grant()
+            except stores.LeaseEndedError:
+                self._end("the store has ended it")
+                await self._grant()
+
+    async def _renew_or_grant(self) -> None:
         if self.lease == stores.NO_LEASE:
-            lease = await self.store.grant(self.ttl_s)
-            await self._announce(lease)
-            if self.is_closed:
-                await self.store.revoke(lease)
-                return
-            self.lease = lease
-            events.log(events.Event.SESSION_OPENED, node=self.node, lease=lease)
-        else:
-            await self.store.renew(self.lease)
+            await self._grant()
+            return
+        sent_at = self.clock.monotonic()
+        await self._renew(self.lease)
         self.ends_at = sent_at + self.ttl_s
 
-    async def _announce(self, lease: int) -> None:
-        put = stores.Put(NODES_PREFIX + self.node, self.announcement, lease)
-        await self.store.commit(stores.Transaction(puts=[put]))
+    async def _renew(self, lease: int) -> None:
+        await self.store.renew(lease)
+
+    async def _grant(self) -> None:
+        if self.is_closed:
+            return
+        sent_at = self.clock.monotonic()
+        lease = await self.store.grant(self.ttl_s)
+        if not await self._prepare(lease):
+            return
+        if self.is_closed:
+            await self.store.revoke(lease)
+            return
+        self.lease = lease
+        self.ends_at = sent_at + self.ttl_s
+        events.log(events.Event.SESSION_OPENED, node=self.node, lease=lease)
+
+    async def _prepare(self, lease: int) -> bool:
+        """Does what a new lease is for; whether it is still there."""
+        return True
 
     def _end(self, reason: str) -> None:
         events.log(
@@ -117,6 +147,56 @@
             events.log(events.Event.STORE_FAILED, node=self.node, reason=str(e))
 
 
+class Presence(Session):
+    """A session that keeps the node's own entry in the store.
+
+    Args:
+        store: The shared store.
+        clock: Tells the time.
+        node: The node's name.
+        ttl_s: Seconds that the lease lasts.
+        announcement: Value of the node's own entry.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        clock: clocks.Clock,
+        node: str,
+        ttl_s: float,
+        announcement: bytes,
+    ) -> None:
+        super().__init__(store, clock, node, ttl_s)
+        self.announcement = announcement
+        self.is_announced = False
+        self.users.add(self)
+
+    def note_removed(self) -> None:
+        """Notes that the node's entry is gone: it is written once more.
+
+        An earlier entry may be written late, under a lease that ends then.
+        """
+        self.is_announced = False
+
+    async def _renew(self, lease: int) -> None:
+        await super()._renew(lease)
+        if not self.is_announced:
+            await self._announce(lease)
+
+    async def _prepare(self, lease: int) -> bool:
+        try:
+            await self._announce(lease)
+        except stores.LeaseEndedError:
+            self._end("ended before the node was entered")
+            return False
+        return True
+
+    async def _announce(self, lease: int) -> None:
+        put = stores.Put(NODES_PREFIX + self.node, self.announcement, lease)
+        await self.store.commit(stores.Transaction(puts=[put]))
+        self.is_announced = True
+
+
 class Tenure:
     """One duty as seen by one node.
 
@@ -163,13 +243,16 @@
         Raises:
             StoreError: If the store cannot be reached.
         """
-        if self.is_held() or not self.session.is_held():
+        if self.is_held():
             return
         if self.fence and self.lease != self.session.lease:
             self._lose()
         known = self.feed.entries.get(self.key)
         if known is not None and not self._is_own(known):
             return
+        await self.session.open()
+        if not self.session.is_held():
+            return
         if known is None:
             known = await self._create()
         if known is not None and self._is_own(known):
@@ -210,6 +293,7 @@
     def _gain(self, fence: int) -> None:
         self.fence = fence
         self.lease = self.session.lease
+        self.session.users.add(self)
         events.log(
             events.Event.DUTY_TAKEN,
             node=self.session.node,
@@ -225,6 +309,7 @@
             fence=self.fence,
         )
         self.fence = 0
+        self.session.users.discard(self)
 
 
 async def hold(
--- a/tests/platform/test_lifecycle.py
+++ b/tests/platform/test_lifecycle.py
@@ -6,6 +6,7 @@
 import trio
 
 from kingcupscale.platform import names
+from kingcupscale.storage import tenure as tenures
 from tests import virtual
 from tests.platform import standin
 
@@ -67,6 +68,48 @@
             self.assertTrue(leader.runtime.stopped.is_set())
 
 
+class PresenceTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_entry_that_was_removed_is_written_again(self):
+        async with standin.opened() as site:
+            key = tenures.NODES_PREFIX + "n1"
+            # As if an earlier entry came late, under a lease that then ended.
+            site.store.remove(key)
+            await trio.sleep(5)
+            self.assertIsNotNone(site.store.value(key))
+            renewals = site.store.calls["kv-keep"]
+            await trio.sleep(20)
+            self.assertIsNotNone(site.store.value(key))
+            self.assertGreater(site.store.calls["kv-keep"], renewals)
+
+    @virtual.on_virtual_time
+    async def test_nodes_without_duty_seldom_renew_their_lease(self):
+        async with standin.opened(nodes=12) as site:
+            await trio.sleep(5)
+            renewals = site.store.calls["kv-keep"]
+            await trio.sleep(40)
+            renewals = site.store.calls["kv-keep"] - renewals
+            # One a second would already be a node's usual heartbeat.
+            self.assertLess(renewals / 40 / 12, 1.0)
+
+
+class SuccessionTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_copies_pass_over_a_successor_that_is_gone(self):
+        async with standin.opened(nodes=3) as site:
+            holder = site.holder()
+            runtime = holder.runtime
+            name, _ = runtime.peers.successor(runtime.ranking("engines"))
+            site.network.crash(name)
+            (third,) = (n for n in site.nodes if n.name != name and n != holder)
+            for server in site.servers.values():
+                server.length = 400
+            await site.submit(third, items=6)
+            await trio.sleep(2)
+            coordinator = third.runtime.services["engines"].coordinator
+            self.assertEqual(len(coordinator.texts), 6)
+
+
 class RetirementTest(unittest.TestCase):
     @virtual.on_virtual_time
     async def test_vm_with_a_disk_is_answered_to_be_empty(self):
--- a/tests/storage/test_session.py
+++ b/tests/storage/test_session.py
@@ -19,6 +19,8 @@
     def __init__(self):
         self.leases = set()
         self.granted = 0
+        self.renewals = 0
+        self.commits = []
 
     async def grant(self, ttl_s):
         self.granted += 1
@@ -28,6 +30,7 @@
         return lease
 
     async def renew(self, lease):
+        self.renewals += 1
         await trio.sleep(0.3)
         if lease not in self.leases:
             raise stores.LeaseEndedError
@@ -36,18 +39,32 @@
         self.leases.discard(lease)
 
     async def commit(self, transaction):
+        self.commits += [put.key for put in transaction.puts]
         return 1
 
 
+def make_session(store, kind):
+    """Returns a session that something needs."""
+    clock = virtualtime.VirtualClock()
+    if kind == "presence":
+        return tenures.Presence(store, clock, "n1", TTL_S, b"{}")
+    session = tenures.Session(store, clock, "n1", TTL_S)
+    session.users.add("duty")
+    return session
+
+
 class SessionTest(unittest.TestCase):
     @parameterized.parameterized.expand(
-        [(f"after_{ms}_ms", ms / 1000) for ms in range(100, 2000, 150)]
+        [
+            (f"{kind}_after_{ms}_ms", kind, ms / 1000)
+            for kind in ("duties", "presence")
+            for ms in range(100, 2000, 150)
+        ]
     )
     @virtual.on_virtual_time
-    async def test_closed_session_holds_and_keeps_nothing(self, _, after_s):
+    async def test_closed_session_holds_nothing(self, _, kind, after_s):
         store = SlowStore()
-        clock = virtualtime.VirtualClock()
-        session = tenures.Session(store, clock, "n1", TTL_S, b"{}")
+        session = make_session(store, kind)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(session.run)
             await trio.sleep(after_s)
@@ -57,3 +74,44 @@
                 self.assertFalse(session.is_held())
             self.assertEqual(store.leases, set())
             nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_lease_that_nothing_needs_is_not_renewed(self):
+        store = SlowStore()
+        session = make_session(store, "duties")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.run)
+            await trio.sleep(10)
+            self.assertTrue(session.is_held())
+            session.users.clear()
+            await trio.sleep(1)
+            renewals = store.renewals
+            await trio.sleep(10)
+            self.assertEqual(store.renewals, renewals)
+            self.assertFalse(session.is_held())
+            await session.open()
+            self.assertTrue(session.is_held())
+            nursery.cancel_scope.cancel()
+
+    @virtual.on_virtual_time
+    async def test_two_who_open_a_session_get_one_lease(self):
+        store = SlowStore()
+        session = make_session(store, "duties")
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(session.open)
+        self.assertEqual(store.granted, 1)
+
+    @virtual.on_virtual_time
+    async def test_lease_that_the_store_has_ended_is_followed_by_another(self):
+        store = SlowStore()
+        session = make_session(store, "presence")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.run)
+            await trio.sleep(1)
+            store.leases.clear()
+            await trio.sleep(2)
+            self.assertTrue(session.is_held())
+            self.assertEqual(store.leases, {session.lease})
+            self.assertEqual(store.commits, 2 * ["kingcupscale/nodes/n1"])
+            nursery.cancel_scope.cancel()
