Withdraw an abandoned request from the network by resetting its connection

Likely cause, by DEPLOY: bytes that a partition holds up are lost only if their sender resets the channel, and a node closed the connection of a run that it gave up in order, so they were delivered afterwards.

Every close by the client is a reset now (SO_LINGER 0). The test, which saw an orderly end, failed before.

--- a/src/kingcupscale/web/exchange.py
+++ b/src/kingcupscale/web/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import socket
+import struct
 from typing import Any
 from typing import Protocol
 
@@ -84,7 +85,11 @@
 SILENCE_MS = 1500
 PROBE_AFTER_S = 1
 PROBES = 2
+# Every close is a reset: bytes of an abandoned request that a partition holds
+# up must not reach the peer once it ends, when nobody wants them any more.
+_RESET = struct.pack("ii", 1, 0)
 _SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_LINGER, _RESET),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -98,7 +103,8 @@
     """Sends requests over HTTP/1.1 with pooled connections.
 
     A peer that goes silent is noticed by the kernel: unacknowledged bytes and
-    unanswered keep-alive probes end the connection.
+    unanswered keep-alive probes end the connection. An exchange that is given
+    up resets its connection, so that nothing of it arrives later.
 
     Args:
         max_connections: The most connections open at a time.
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -188,6 +188,23 @@
 
         trio.run(main)
 
+    def test_abandoned_request_is_withdrawn_from_the_network(self):
+        async def main():
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            host, port = listener.socket.getsockname()
+            exchanger = exchange.HttpExchanger()
+            request = message.Request("POST", "/", body=b"late")
+            with self.assertRaises(exchange.ExchangeError):
+                await exchange.fetch(exchanger, f"{host}:{port}", request, 0.2)
+            stream = await listener.accept()
+            # A reset, not an orderly end: what is held up is not sent later.
+            with self.assertRaises(trio.BrokenResourceError):
+                await _read_all(stream)
+            await stream.aclose()
+            await listener.aclose()
+
+        trio.run(main)
+
     @on_sockets
     async def test_guard_keeps_a_request_from_leaving(
         self, address, handler, stop
