Take no answer for a request's that does not name it

Engines echo the request's id and may send an extra answer where the next one is expected; an answer without an id was taken as genuine. The test of lost answers failed for an answer without an id (200 to a call that may run once).

--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -50,12 +50,16 @@
             async with self.exchanger.open(
                 server.entry.address, request, call.time_left_s
             ) as response:
+                answer = _decode_answer(response)
                 echoed = response.headers.get(names.REQUEST_ID)
-                if echoed != call.request_id and echoed is not None:
+                # Refusals need not name the request; all else does, and an
+                # answer that does not may belong to an earlier request.
+                is_nameless_refusal = echoed is None and answer.not_run
+                if echoed != call.request_id and not is_nameless_refusal:
                     raise serverclient.ServerError(
                         f"answer to another request, {echoed}", True
                     )
-                yield _decode_answer(response)
+                yield answer
         except exchange.ExchangeError as e:
             raise serverclient.ServerError(e.reason, e.request_left) from e
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -22,12 +22,19 @@
 
     @parameterized.parameterized.expand(
         [
-            ("idempotent", standin.CALL_PATH, ["p1"], 200),
-            ("once_only", "/once/", ["p1", "p2"], 502),
+            (f"{kind}_{name}", path, losing, status, field)
+            for kind, path, losing, status in (
+                ("idempotent", standin.CALL_PATH, ["p1"], 200),
+                ("once_only", "/once/", ["p1", "p2"], 502),
+            )
+            for name, field in (
+                ("signature", names.SIGNATURE),
+                ("id", names.REQUEST_ID),
+            )
         ]
     )
     @virtual.on_virtual_time
-    async def test_lost_answer(self, _, path, losing, status):
+    async def test_lost_answer(self, _, path, losing, status, field):
         async with standin.opened(nodes=1) as site:
             for name in ("p1", "p2"):
                 server = site.servers[name]
@@ -36,7 +43,7 @@
                 async def lose(request, answer=answer, name=name):
                     response = await answer(request)
                     if name in losing:
-                        del response.headers[names.SIGNATURE]
+                        del response.headers[field]
                     return response
 
                 server.run = lose
