End no node by a lease that is gone as it is given back

A session that was closed while a lease was granted anew, after the store had ended the one before, gave it back; if that one was gone as well, the error ended the node. Seen on reading the session again; the test failed before.

--- a/src/kingcupscale/storage/tenure.py
+++ b/src/kingcupscale/storage/tenure.py
@@ -114,7 +114,7 @@
         if not await self._prepare(lease):
             return
         if self.is_closed:
-            await self.store.revoke(lease)
+            await self._give_back(lease)
             return
         self.lease = lease
         self.ends_at = sent_at + self.ttl_s
@@ -141,6 +141,9 @@
         if lease == stores.NO_LEASE:
             return
         self._end("the node is stopping")
+        await self._give_back(lease)
+
+    async def _give_back(self, lease: int) -> None:
         try:
             await self.store.revoke(lease)
         except (stores.StoreError, stores.LeaseEndedError) as e:
--- a/tests/storage/test_session.py
+++ b/tests/storage/test_session.py
@@ -20,12 +20,14 @@
         self.leases = set()
         self.granted = 0
         self.renewals = 0
+        self.is_forgetful = False
         self.commits = []
 
     async def grant(self, ttl_s):
         self.granted += 1
-        self.leases.add(self.granted)
         lease = self.granted
+        if not self.is_forgetful:
+            self.leases.add(lease)
         await trio.sleep(0.3)
         return lease
 
@@ -36,6 +38,8 @@
             raise stores.LeaseEndedError
 
     async def revoke(self, lease):
+        if lease not in self.leases:
+            raise stores.LeaseEndedError
         self.leases.discard(lease)
 
     async def commit(self, transaction):
@@ -75,6 +79,23 @@
             self.assertEqual(store.leases, set())
             nursery.cancel_scope.cancel()
 
+    @parameterized.parameterized.expand([("duties",), ("presence",)])
+    @virtual.on_virtual_time
+    async def test_lease_that_ends_as_its_session_is_closed(self, kind):
+        store = SlowStore()
+        session = make_session(store, kind)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.run)
+            await trio.sleep(0.5)
+            store.leases.clear()
+            # The next one is gone before it can be given back.
+            store.is_forgetful = True
+            while store.granted < 2:
+                await trio.sleep(0.05)
+            await session.close()
+            await trio.sleep(1)
+            self.assertFalse(session.is_held())
+
     @virtual.on_virtual_time
     async def test_lease_that_nothing_needs_is_not_renewed(self):
         store = SlowStore()
