--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -5,10 +5,12 @@
 
 import parameterized
 
+from bench import sitebreaks
 from kingcupscale import errors
 from kingcupscale import events
 
-DOCS = pathlib.Path(__file__).parent.parent / "docs"
+ROOT = pathlib.Path(__file__).parent.parent
+DOCS = ROOT / "docs"
 
 
 class TablesTest(unittest.TestCase):
@@ -40,3 +42,13 @@
     def test_numbers_are_unique(self, table):
         numbers = [member.number for member in table]
         self.assertEqual(len(numbers), len(set(numbers)))
+
+    def test_breaks_are_listed_and_fit_the_code(self):
+        listed = (DOCS / "PROMISES.md").read_text(encoding="utf-8").splitlines()
+        for broken in sitebreaks.BREAKS:
+            test = broken.test.removeprefix("tests.")
+            row = f"| {broken.promise} | `{broken.file}` | {test} |"
+            self.assertIn(row, listed)
+            source = ROOT / "src" / "kingcupscale" / broken.file
+            text = source.read_text(encoding="utf-8")
+            self.assertEqual(text.count(broken.old), 1, broken.promise)
