Hand over the last of all texts at a planned stop

Cause: a node that stops let its samples go first and then sent their texts, but samples that were let go are no longer among those that are sent, so that the next node went on from the last copy, up to 0.3 s old. The same when a holder came back to whom a stand-in gives its samples. And while a stop handed over one model after the other, the loop that watches holders could take one up again.

Now the texts go first, and nothing is taken up while a node drains.

--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -176,9 +176,9 @@
         )
 
     async def hand_over(self) -> None:
-        """Stops running samples and sends their texts to the next node."""
-        self.coordinator.set_active(self.model, False)
+        """Sends the samples' texts to the next node and stops running them."""
         await self.copier.send()
+        self.coordinator.set_active(self.model, False)
 
     def _find_successor(self) -> tuple[str, str] | None:
         """Returns the node that runs the samples next, if not this one."""
@@ -221,23 +221,23 @@
         return self.runtime.ranking(duty)
 
     async def _watch_holder(self) -> None:
-        """Runs samples while holding the duty, or for a silent holder."""
-        while True:
+        """Runs samples while holding the duty, or for a silent holder.
+
+        A planned stop hands them over, and none are taken up from then on.
+        """
+        while not self.runtime.is_draining:
             holder = self.runtime.peers.holder(self.tenure.name)
             if self.tenure.is_held():
                 self.coordinator.set_active(self.model, True)
-            elif self.runtime.is_draining:
-                self.coordinator.set_active(self.model, False)
             elif holder and holder != self.runtime.settings.node:
                 await self._follow_holder(holder)
             await self.runtime.clock.rest(HOLDER_PAUSE_S)
 
     async def _follow_holder(self, holder: str) -> None:
-        was_active = self.coordinator.is_active(self.model)
-        is_active = self._stands_in_for(holder)
-        self.coordinator.set_active(self.model, is_active)
-        if was_active and not is_active:
-            await self.copier.send()
+        if self._stands_in_for(holder):
+            self.coordinator.set_active(self.model, True)
+        elif self.coordinator.is_active(self.model):
+            await self.hand_over()
 
     def _stands_in_for(self, holder: str) -> bool:
         """Tells whether this node runs the samples of a silent holder.
--- a/tests/platform/test_lifecycle.py
+++ b/tests/platform/test_lifecycle.py
@@ -67,6 +67,33 @@
             await trio.sleep(5)
             self.assertTrue(leader.runtime.stopped.is_set())
 
+    @virtual.on_virtual_time
+    async def test_planned_stop_hands_over_the_last_of_all_texts(self):
+        async with standin.opened(nodes=3) as site:
+            leader = site.holder()
+            for server in site.servers.values():
+                server.length = 200
+            await site.submit(site.other(leader), items=6)
+            await trio.sleep(2.15)
+            made = {
+                run.request: (run.resumed_after or 0) + run.events
+                for run in site.runs
+                if "-i" in run.request
+            }
+            leader.runtime.drain_asked.set()
+            stopped_at = trio.current_time()
+            await site.read_all(site.other(leader))
+            again = [
+                run
+                for run in site.runs
+                if run.at > stopped_at and run.request in made
+            ]
+            self.assertEqual({run.request for run in again}, made.keys())
+            for run in again:
+                self.assertGreaterEqual(
+                    run.resumed_after or 0, made[run.request] - 1
+                )
+
 
 class PresenceTest(unittest.TestCase):
     @virtual.on_virtual_time
