--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -229,4 +229,108 @@
         "            del report\n",
         SITE + "test_versions.VersionTest",
     ),
+    Break(
+        "figures of a window are fixed before they are sent",
+        "usage/windows.py",
+        "stores.Transaction([condition], [put], removals)",
+        "stores.Transaction([], [put], removals)",
+        "tests.test_windows",
+    ),
+    Break(
+        "a window that was taken is not reported again",
+        "usage/windows.py",
+        "        self.taken.add(window)\n"
+        "        events.log(\n"
+        "            events.Event.USAGE_REPORTED",
+        "        events.log(\n            events.Event.USAGE_REPORTED",
+        "tests.test_windows",
+    ),
+    Break(
+        'a refusal that says "not run" is true',
+        "gateway/forwarder.py",
+        "        if attempts.sent:\n            code = (",
+        "        if False:\n            code = (",
+        SITE + "test_calls",
+    ),
+    Break(
+        "no server sees a caller's key",
+        "platform/frontend.py",
+        "dropped = names.CONNECTION_HEADERS | names.OWN_REQUEST_HEADERS",
+        "dropped = names.CONNECTION_HEADERS",
+        SITE + "test_calls",
+    ),
+    Break(
+        "no text is made by weights that are too old",
+        "batches/placement.py",
+        "return is_open and version >= batch.minimum_version",
+        "return is_open",
+        SITE + "test_versions",
+    ),
+    Break(
+        "a text has no gap",
+        "batches/sample.py",
+        "        if event.number != len(self.events) + 1:\n"
+        "            return False\n",
+        "",
+        SITE + "test_batches",
+    ),
+    Break(
+        "a score is the signature of a success",
+        "batches/scoring.py",
+        'score = answer.signature if answer.status < 300 else ""',
+        "score = answer.signature",
+        SITE + "test_batches",
+    ),
+    Break(
+        "a batch is shown to its organisation only",
+        "batches/book.py",
+        "if record is None or record.batch.organisation != organisation:",
+        "if record is None:",
+        SITE + "test_submissions",
+    ),
+    Break(
+        "an accepted batch is in the store",
+        "batches/acceptance.py",
+        "            revision = await store.commit(transaction)\n"
+        "            return revision is not None",
+        "            return True",
+        SITE + "test_submissions",
+    ),
+    Break(
+        "an ended batch runs nothing more",
+        "batches/coordinator.py",
+        "        for sample in progress.samples.values():\n"
+        "            sample.scope.cancel()\n",
+        "        for sample in progress.samples.values():\n",
+        SITE + "test_batches",
+    ),
+    Break(
+        "a batch that may be there is not said to be unknown",
+        "batches/source.py",
+        "        except stores.StoreError as e:\n"
+        "            reason = e.reason\n"
+        "        if asks_nodes and await",
+        "        except stores.StoreError as e:\n"
+        "            return None\n"
+        "        if asks_nodes and await",
+        SITE + "test_submissions",
+    ),
+    Break(
+        "a withdrawn key is refused",
+        "gateway/admission.py",
+        "        if organisation is None:\n"
+        "            raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)"
+        "\n",
+        "",
+        SITE + "test_configurations",
+    ),
+    Break(
+        "a planned stop hands over the last of all texts",
+        "leading.py",
+        "        await self.copier.send()\n"
+        "        self.coordinator.set_active(self.model, False)\n",
+        "        self.coordinator.set_active(self.model, False)\n"
+        "        await self.copier.send()\n",
+        SITE + "test_lifecycle",
+    ),
 )
--- a/tests/platform/test_batches.py
+++ b/tests/platform/test_batches.py
@@ -171,6 +171,34 @@
             self.assertTrue(resumed)
             self.assertEqual({r.server for r in resumed}, {"e2"})
 
+    @virtual.on_virtual_time
+    async def test_text_with_a_gap_goes_on_before_the_gap(self):
+        async with standin.opened() as site:
+            whole = site.servers["e1"].stream
+
+            async def skip(run):
+                number = run.resumed_after or 0
+                async for piece in whole(run):
+                    number += 1
+                    if number != 3:
+                        yield piece
+
+            site.servers["e1"].stream = skip
+            await site.submit(site.nodes[0], items=6)
+            results = await site.read_all(site.nodes[0])
+            self.assertEqual(
+                [r["text"] for r in results], [standin.text_of(10)] * 6
+            )
+
+    @virtual.on_virtual_time
+    async def test_score_is_no_signature_of_a_failure(self):
+        async with standin.opened() as site:
+            for name in ("p1", "p2"):
+                site.servers[name].statuses = [500] * 50
+            await site.submit(site.nodes[0], items=1)
+            (result,) = await site.read_all(site.nodes[0])
+            self.assertEqual(result["state"], "errored")
+
     @virtual.on_virtual_time
     async def test_slow_engine_is_left_for_a_faster_one(self):
         async with standin.opened() as site:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -52,6 +52,31 @@
             if path == "/once/":
                 self.assertEqual(len(site.runs), 1)
 
+    @virtual.on_virtual_time
+    async def test_servers_see_the_organisation_and_no_key(self):
+        async with standin.opened(nodes=1) as site:
+            seen = []
+            for name in ("p1", "p2"):
+                server = site.servers[name]
+                answer = server.run
+
+                async def note(request, answer=answer):
+                    seen.append(request.headers)
+                    return await answer(request)
+
+                server.run = note
+            response = await site.call(
+                site.nodes[0],
+                "POST",
+                standin.CALL_PATH + "1",
+                **{names.REQUEST_ID: "q1", names.ORGANISATION: "two"},
+            )
+            self.assertEqual(response.status, 200)
+            (headers,) = seen
+            self.assertEqual(headers[names.ORGANISATION], standin.ORGANISATION)
+            self.assertNotIn(standin.KEY, headers.values())
+            self.assertEqual(site.broken, [])
+
     @virtual.on_virtual_time
     async def test_full_servers_are_a_true_refusal(self):
         async with standin.opened(nodes=1) as site:
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -7,6 +7,7 @@
 import trio
 
 from kingcupscale.fakes import virtualtime
+from kingcupscale.storage import store as stores
 from kingcupscale.usage import windows
 from tests import virtual
 
@@ -53,3 +54,92 @@
         writes = store.writes
         await counter.share()
         self.assertEqual(store.writes, writes)
+
+
+WINDOW_S = 5.0
+
+
+class SharedStore:
+    """Keeps entries, each written on its condition."""
+
+    def __init__(self):
+        self.entries = {}
+
+    async def commit(self, transaction):
+        if any(c.key in self.entries for c in transaction.conditions):
+            return None
+        for put in transaction.puts:
+            self.entries[put.key] = stores.Entry(put.key, put.value, 1, 1)
+        return 1
+
+    async def get(self, key):
+        return self.entries.get(key)
+
+
+class Mirror:
+    """What one node has heard of the store."""
+
+    def __init__(self, store):
+        self.store = store
+        self.entries = {}
+
+    def hear_counts(self, window, node, counts):
+        key = f"{windows.COUNTS_PREFIX}{window}/{node}"
+        value = orjson.dumps(counts)
+        self.entries[key] = stores.Entry(key, value, 1, 1)
+
+    def under(self, prefix):
+        return [e for k, e in self.entries.items() if k.startswith(prefix)]
+
+
+class Intake:
+    """Notes the reports."""
+
+    def __init__(self):
+        self.reports = []
+
+    async def report(self, window, counts, holder, fence):
+        self.reports.append((window, counts))
+
+
+class WindowReporterTest(unittest.TestCase):
+    def _make(self, mirror, intake, node):
+        session = types.SimpleNamespace(node=node)
+        tenure = types.SimpleNamespace(
+            session=session, fence=1, is_held=lambda: True
+        )
+        clock = virtualtime.VirtualClock()
+        return windows.WindowReporter(
+            tenure, mirror, intake, clock, WINDOW_S, 4.0
+        )
+
+    @virtual.on_virtual_time
+    async def test_window_has_the_figures_that_were_fixed_first(self):
+        store, intake = SharedStore(), Intake()
+        clock = virtualtime.VirtualClock()
+        window = int(clock.now().timestamp() // WINDOW_S)
+        first, second = Mirror(store), Mirror(store)
+        first.hear_counts(window, "n1", {"one": 1})
+        # Hears more counts, and nothing of the first one's figures.
+        second.hear_counts(window, "n1", {"one": 1})
+        second.hear_counts(window, "n2", {"one": 5})
+        await trio.sleep(2 * WINDOW_S)
+        for mirror, node in ((first, "n1"), (second, "n2")):
+            await self._make(mirror, intake, node).step()
+        figures = [counts for w, counts in intake.reports if w == window]
+        self.assertEqual(figures, [{"one": 1}, {"one": 1}])
+
+    @virtual.on_virtual_time
+    async def test_window_that_was_taken_is_not_reported_again(self):
+        intake = Intake()
+        mirror = Mirror(SharedStore())
+        clock = virtualtime.VirtualClock()
+        window = int(clock.now().timestamp() // WINDOW_S)
+        mirror.hear_counts(window, "n1", {"one": 1})
+        reporter = self._make(mirror, intake, "n1")
+        for _ in range(30):
+            await trio.sleep(1)
+            await reporter.step()
+        reported = [w for w, _ in intake.reports]
+        self.assertIn(window, reported)
+        self.assertEqual(len(reported), len(set(reported)))
