--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -94,7 +94,7 @@
     ),
     Break(
         "a withdrawn key ends on a node that hears nobody",
-        "runtime.py",
+        "readiness.py",
         "return is_alone and bool(self.peers.addresses())",
         "return False",
         SITE + "test_configurations.ConfigurationTest"
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -91,7 +91,7 @@
             await tenures.hold(
                 self.tenure,
                 work,
-                lambda: self.runtime.rank(self.tenure.name),
+                lambda: self.runtime.candidates.rank(self.tenure.name),
                 DUTY_PAUSE_S,
             )
 
@@ -122,7 +122,7 @@
 
 def is_small_fleet(runtime: "runtimes.Runtime") -> bool:
     """Tells whether one node can run all models of a service."""
-    return len(runtime.node_names()) < SPREAD_FROM_NODES
+    return len(runtime.candidates.names()) < SPREAD_FROM_NODES
 
 
 def model_duty(service: str, model: str) -> str:
@@ -218,7 +218,7 @@
         """Returns the candidates, the preferred one first."""
         is_small = is_small_fleet(self.runtime)
         duty = self.service if is_small else self.tenure.name
-        return self.runtime.ranking(duty)
+        return self.runtime.candidates.ranking(duty)
 
     async def _watch_holder(self) -> None:
         """Runs samples while holding the duty, or for a silent holder.
--- /dev/null
+++ b/src/kingcupscale/readiness.py
@@ -0,0 +1,62 @@
+"""Whether a node may take work, by what it knows."""
+
+from collections.abc import Callable
+
+from kingcupscale import clock as clocks
+from kingcupscale import deployment
+from kingcupscale import errors
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import peers
+from kingcupscale.storage import feed as feeds
+
+# Other nodes are likely to take what this one refuses.
+RETRY_AFTER_S = 0.5
+
+
+class Readiness:
+    """Tells why a node takes nothing, if it does not.
+
+    Args:
+        feed: The mirror of the store.
+        others: The other nodes.
+        clock: Tells the time.
+        bounds: Within which time a change is in force.
+        catalogue_now: Returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        feed: feeds.Feed,
+        others: peers.Peers,
+        clock: clocks.Clock,
+        bounds: deployment.Bounds,
+        catalogue_now: Callable[[], catalogue.Catalogue | None],
+    ) -> None:
+        self.feed = feed
+        self.peers = others
+        self.clock = clock
+        self.bounds = bounds
+        self.catalogue_now = catalogue_now
+
+    def find_refusal(self) -> errors.ServiceError | None:
+        """Returns why the node takes nothing now, or None."""
+        if self.catalogue_now() is None:
+            code = errors.ResultCode.NOT_READY
+        elif self.is_isolated():
+            code = errors.ResultCode.ISOLATED
+        else:
+            return None
+        return errors.ServiceError(code, retry_after_s=RETRY_AFTER_S)
+
+    def is_isolated(self) -> bool:
+        """Tells whether a withdrawn key might still be taken for good here.
+
+        While no node reaches the store, nothing changes there either; a node
+        that hears from no other one can't know that.
+        """
+        in_force_s = self.bounds.apply_s + self.bounds.apply_stretch_s
+        if self.feed.age_s() <= in_force_s:
+            return False
+        silent_s = self.clock.monotonic() - self.peers.answered_at
+        is_alone = silent_s > self.bounds.contact_s
+        return is_alone and bool(self.peers.addresses())
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -5,13 +5,13 @@
 import orjson
 import trio
 
+from kingcupscale import candidates
 from kingcupscale import deployment
 from kingcupscale import directives
-from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale import leading
 from kingcupscale import metrics
-from kingcupscale import rendezvous
+from kingcupscale import readiness
 from kingcupscale import retirements
 from kingcupscale import surroundings
 from kingcupscale.batches import book as books
@@ -65,7 +65,9 @@
         around: What it reaches the world by.
 
     Attributes:
+        candidates: Which node is preferred for a duty.
         directives: What operators and trainers have written.
+        readiness: Whether the node may take work.
         callers: Answers callers.
         is_draining: Whether a planned stop has begun.
         stopped: Set when the listeners are to close.
@@ -85,7 +87,6 @@
         self.stopped = trio.Event()
         self.services: dict[str, leading.ServiceDuty] = {}
         self.models: dict[str, leading.ModelDuty] = {}
-        self.rankings: dict[str, list[str]] = {}
         self._make_storage()
         self._make_serving()
 
@@ -134,10 +135,18 @@
             PRESENCE_LEASES * ttl_s,
             orjson.dumps({"peers": settings.peers}),
         )
+        self.candidates = candidates.Candidates(self.feed, settings.node)
         self.feed.subscribe(tenures.NODES_PREFIX, self._take_node)
         self.directives = directives.Directives(
             self.feed, self.roster, around.keys, around.decoders
         )
+        self.readiness = readiness.Readiness(
+            self.feed,
+            self.peers,
+            self.clock,
+            settings.bounds,
+            self.catalogue_now,
+        )
 
     def _make_serving(self) -> None:
         settings, around = self.settings, self.surroundings
@@ -160,7 +169,7 @@
             self.forwarder,
             self.book,
             self.clock,
-            self.find_refusal,
+            self.readiness.find_refusal,
         )
         self.reporter = windows.WindowReporter(
             tenures.Tenure(windows.DUTY, self.session, self.feed, self.clock),
@@ -271,61 +280,17 @@
             return NEEDED_PAUSE_S
         return FOLLOWER_PAUSE_S
 
-    def find_refusal(self) -> errors.ServiceError | None:
-        """Returns why the node takes nothing now, or None."""
-        if self.catalogue_now() is None:
-            return errors.ServiceError(
-                errors.ResultCode.NOT_READY, retry_after_s=0.5
-            )
-        if self.is_isolated():
-            return errors.ServiceError(
-                errors.ResultCode.ISOLATED, retry_after_s=0.5
-            )
-        return None
-
-    def is_isolated(self) -> bool:
-        """Tells whether a withdrawn key might still be taken for good here.
-
-        While no node reaches the store, nothing changes there either; a node
-        that hears from no other one can't know that.
-        """
-        bounds = self.settings.bounds
-        if self.feed.age_s() <= bounds.apply_s + bounds.apply_stretch_s:
-            return False
-        now = self.clock.monotonic()
-        is_alone = now - self.peers.answered_at > bounds.contact_s
-        return is_alone and bool(self.peers.addresses())
-
     def is_ready(self) -> bool:
         """Tells whether callers should be sent here."""
-        return not self.is_draining and self.find_refusal() is None
-
-    def ranking(self, duty: str) -> list[str]:
-        """Returns the candidates for a duty, the preferred one first."""
-        if duty not in self.rankings:
-            self.rankings[duty] = rendezvous.rank(duty, self.node_names())
-        return self.rankings[duty]
-
-    def node_names(self) -> list[str]:
-        """Returns the nodes that take part, this one included."""
-        return [
-            entry.key.removeprefix(tenures.NODES_PREFIX)
-            for entry in self.feed.under(tenures.NODES_PREFIX)
-        ]
+        is_refusing = self.readiness.find_refusal() is not None
+        return not self.is_draining and not is_refusing
 
     def _take_node(self, entry: stores.Entry) -> None:
-        """Has the candidates ranked anew, with this node among them."""
-        self.rankings.clear()
+        """Has this node's own entry written again once it is gone."""
         is_own = entry.key == tenures.NODES_PREFIX + self.settings.node
         if is_own and entry.value is None:
             self.presence.note_removed()
 
-    def rank(self, duty: str) -> int:
-        """Returns this node's place among the candidates for a duty."""
-        ranking = self.ranking(duty)
-        node = self.settings.node
-        return ranking.index(node) if node in ranking else len(ranking)
-
     async def run(self) -> None:
         """Runs until a planned stop has ended."""
         async with trio.open_nursery() as nursery:
@@ -410,7 +375,7 @@
         await tenures.hold(
             self.reporter.tenure,
             self._look_after_store,
-            lambda: self.rank(windows.DUTY),
+            lambda: self.candidates.rank(windows.DUTY),
             USAGE_PAUSE_S,
         )
 
--- /dev/null
+++ b/tests/batches/fleets.py
@@ -0,0 +1,259 @@
+"""Mirrors and books of several nodes before one store, in memory."""
+
+import contextlib
+import random
+
+import trio
+
+from kingcupscale.batches import batch
+from kingcupscale.batches import book as books
+from kingcupscale.batches import keeper
+from kingcupscale.batches import record as records
+from kingcupscale.fakes import virtualtime
+from kingcupscale.peering import calls
+from kingcupscale.peering import relay
+from kingcupscale.storage import detour
+from kingcupscale.storage import feed as feeds
+from kingcupscale.storage import store as stores
+from tests.storage import test_relay
+
+MODELS = ("alpha", "beta")
+ITEMS = 30
+
+
+class Store:
+    """The shared store, with answers that take their time."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.entries = {}
+        self.history = []
+        self.revision = 1
+        self.changed = trio.Event()
+        self.scans = 0
+        self.lost_at = 0
+
+    async def lag(self):
+        await trio.sleep(self.rng.choice([0.001, 0.01, 0.1, 0.3]))
+
+    async def get(self, key):
+        await self.lag()
+        return self.entries.get(key)
+
+    async def scan(self, prefix, after=""):
+        self.scans += 1
+        await self.lag()
+        keys = [k for k in sorted(self.entries) if k.startswith(prefix)]
+        keys = [key for key in keys if key > after]
+        page = [self.entries[key] for key in keys[:3]]
+        result = stores.Page(page, self.revision, len(keys) > 3)
+        await self.lag()
+        return result
+
+    async def watch(self, prefix, after, wait_s):
+        await self.lag()
+        with trio.move_on_after(wait_s):
+            while self.revision <= after:
+                await self.changed.wait()
+        if after < self.lost_at:
+            raise stores.HistoryLostError
+        found = [e for e in self.history if e.revision > after]
+        result = stores.Page(found, self.revision, False)
+        await self.lag()
+        return result
+
+    async def commit(self, transaction):
+        await self.lag()
+        for condition in transaction.conditions:
+            if condition.key in self.entries:
+                return None
+        self.revision += 1
+        for put in transaction.puts:
+            entry = stores.Entry(
+                put.key, put.value, self.revision, self.revision
+            )
+            self.entries[put.key] = entry
+            self.history.append(entry)
+        for key in transaction.removals:
+            del self.entries[key]
+            self.history.append(stores.Entry(key, None, self.revision))
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+        revision = self.revision
+        await self.lag()
+        return revision
+
+
+class LaggingExchanger(test_relay.HandlerExchanger):
+    """Carries calls to a handler that is near or far at the moment."""
+
+    def __init__(self, handler, rng):
+        super().__init__(handler)
+        self.rng = rng
+
+    @relay.exchange.contextlib.asynccontextmanager
+    async def _open(self, request):
+        await trio.sleep(self.rng.choice([0.001, 0.01, 0.1]))
+        response = await self.handler(request)
+        await trio.sleep(self.rng.choice([0.001, 0.01, 0.1]))
+        yield response
+
+
+class Node:
+    """A mirror and a book; leaders watch the store, others follow them."""
+
+    def __init__(self, fleet, name, is_leader):
+        self.fleet = fleet
+        self.is_leader = is_leader
+        clock = self.clock = virtualtime.VirtualClock()
+        self.feed = feeds.Feed(
+            fleet.store, clock, name, self._pause_s, self._follow
+        )
+        self.book = books.Book(
+            self.feed,
+            detour.DetourStore(fleet.store, self._commit_elsewhere),
+            clock,
+            1 << 16,
+            self._fetch_copy,
+        )
+        self.handler = relay.RelayHandler(self.feed, self.book)
+
+    def _pause_s(self):
+        return self.fleet.rng.choice([0.0, 0.05, 0.3])
+
+    async def _commit_elsewhere(self, transaction):
+        return None
+
+    def _client(self):
+        others = [n for n in self.fleet.leaders() if n is not self]
+        target = self.fleet.rng.choice(others)
+        return relay.HttpRelayClient(
+            LaggingExchanger(target.handler, self.fleet.rng)
+        )
+
+    async def _follow(self, position):
+        if self.is_leader:
+            return None
+        try:
+            return await self._client().follow(
+                "n", position, self.book.interest
+            )
+        except relay.RelayError:
+            return None
+
+    async def _fetch_copy(self, batch_id):
+        if self.fleet.leaders() == [self]:
+            return None
+        try:
+            return await self._client().copy("n", batch_id)
+        except calls.PeerError:
+            return None
+
+
+class Fleet:
+    """Nodes before one store, writers and readers."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.store = Store(self.rng)
+        self.nodes = [Node(self, f"n{i}", i < 2) for i in range(6)]
+
+    def leaders(self):
+        return [node for node in self.nodes if node.is_leader]
+
+    async def change_roles(self):
+        while True:
+            await trio.sleep(self.rng.uniform(0.5, 2.0))
+            chosen = self.rng.sample(self.nodes, 2)
+            for node in self.nodes:
+                node.is_leader = node in chosen
+                self.set_interest(node)
+
+    def set_interest(self, node):
+        models = frozenset(m for m in MODELS if self.rng.random() < 0.3)
+        node.book.want(node.is_leader, models)
+
+    async def write(self, batch_id):
+        """Has a batch accepted by one node and its results listed by others."""
+        items = [
+            batch.Item(f"{batch_id}-{i}", "/", {}, b"body", 1, "g", None)
+            for i in range(ITEMS)
+        ]
+        model = self.rng.choice(MODELS)
+        new = batch.Batch(batch_id, "o", "r", "h", 0, model, 1, 1, items)
+        await self.rng.choice(self.nodes).book.accept(new, 10.0)
+        await trio.sleep(self.rng.uniform(0.0, 0.5))
+        while True:
+            book = self.rng.choice(self.nodes).book
+            record = await book.find(batch_id, "o")
+            left = [i for i in items if not record.is_listed(i.id)]
+            if not left:
+                return
+            chosen = left[: self.rng.randint(1, 4)]
+            state = batch.ResultState.DONE
+            results = [batch.Result(i.id, state, i.id) for i in chosen]
+            await book.append([(record, records.Chunk(results))])
+            await trio.sleep(self.rng.choice([0.0, 0.02, 0.3]))
+
+    async def read(self, batch_ids):
+        while True:
+            await trio.sleep(self.rng.uniform(0.0, 0.3))
+            node = self.rng.choice(self.nodes)
+            key = records.key_of(self.rng.choice(batch_ids), "specification/0")
+            if key in self.store.entries:
+                batch_id = key.split("/")[-3]
+                record = await node.book.find(batch_id, "o")
+                await node.book.read(record, 0, 0.2)
+
+
+class Pair:
+    """A leader that watches the store, and a node that follows it."""
+
+    def __init__(self, nursery):
+        fleet = Fleet(1)
+        fleet.rng = random.Random(1)
+        fleet.rng.choice = lambda choices: choices[0]
+        fleet.nodes = fleet.nodes[1:3]
+        self.store = fleet.store
+        self.store.rng = fleet.rng
+        self.leader, self.follower = fleet.nodes
+        self.leader.book.want(True, frozenset())
+        self.follower.book.want(False, frozenset())
+        for node in fleet.nodes:
+            nursery.start_soon(node.feed.run)
+            nursery.start_soon(keeper.Keeper(node.book, node.clock).run)
+
+    async def accept(self, items=4):
+        """Has the leader accept a batch."""
+        made = [
+            batch.Item(f"i{n}", "/", {}, b"", 1, "g", None)
+            for n in range(items)
+        ]
+        new = batch.Batch("b", "o", "r", "h", 0, "alpha", 1, 1, made)
+        await self.leader.book.accept(new, 5.0)
+
+    async def list_one(self):
+        """Has the leader list one more result."""
+        record = self.leader.book.records["b"]
+        item = f"i{len(record.results)}"
+        result = batch.Result(item, batch.ResultState.DONE, item)
+        chunk = records.Chunk([result])
+        await self.leader.book.append([(record, chunk)])
+
+    async def read(self):
+        """Returns how many results the follower shows."""
+        record = await self.follower.book.find("b", "o")
+        return len(await self.follower.book.read(record, 0, 0.0))
+
+
+@contextlib.asynccontextmanager
+async def opened_pair(items=4):
+    """Yields a leader and a follower that know of a batch, if it has items."""
+    async with trio.open_nursery() as nursery:
+        pair = Pair(nursery)
+        await trio.sleep(1)
+        if items:
+            await pair.accept(items)
+            await trio.sleep(1)
+        yield pair
+        nursery.cancel_scope.cancel()
--- a/tests/platform/test_batches.py
+++ b/tests/platform/test_batches.py
@@ -1,5 +1,6 @@
 """Batches before the platform's stand-in, under faults."""
 
+import contextlib
 import unittest
 
 import parameterized
@@ -178,10 +179,11 @@
 
             async def skip(run):
                 number = run.resumed_after or 0
-                async for piece in whole(run):
-                    number += 1
-                    if number != 3:
-                        yield piece
+                async with contextlib.aclosing(whole(run)) as pieces:
+                    async for piece in pieces:
+                        number += 1
+                        if number != 3:
+                            yield piece
 
             site.servers["e1"].stream = skip
             await site.submit(site.nodes[0], items=6)
--- a/tests/platform/test_lifecycle.py
+++ b/tests/platform/test_lifecycle.py
@@ -126,7 +126,9 @@
         async with standin.opened(nodes=3) as site:
             holder = site.holder()
             runtime = holder.runtime
-            name, _ = runtime.peers.successor(runtime.ranking("engines"))
+            name, _ = runtime.peers.successor(
+                runtime.candidates.ranking("engines")
+            )
             site.network.crash(name)
             (third,) = (n for n in site.nodes if n.name != name and n != holder)
             for server in site.servers.values():
