Keep a pool of connections for each address

Ruled out: a stack of httpcore's single connections of our own; a pool of six connections is cheap enough, and waits for a free place by itself.

--- a/src/kingcupscale/web/exchange.py
+++ b/src/kingcupscale/web/exchange.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import Protocol
 
+import attrs
 import httpcore
 import trio
 
@@ -102,52 +103,138 @@
 class HttpExchanger:
     """Sends requests over HTTP/1.1 with pooled connections.
 
-    A peer that goes silent is noticed by the kernel: unacknowledged bytes and
-    unanswered keep-alive probes end the connection. An exchange that is given
-    up resets its connection, so that nothing of it arrives later.
+    Each address has a pool of its own, as a pool looks at all of its
+    connections at each request. A peer that goes silent is noticed by the
+    kernel: unacknowledged bytes and unanswered keep-alive probes end the
+    connection. An exchange that is given up resets its connection, so that
+    nothing of it arrives later.
 
     Args:
-        max_connections: The most connections open at a time.
-        idle_s: Seconds after which an idle connection is not used again.
+        max_connections: The most connections to one address at a time.
+        idle_s: Seconds after which an idle connection is not used again, and
+            the pool of an address that nothing is sent to is closed.
+        backend: Opens connections; None for the one of the event loop.
+
+    Attributes:
+        pools: The pool of each address that was of use lately.
     """
 
     def __init__(
-        self, max_connections: int = 1024, idle_s: float = 30.0
+        self,
+        max_connections: int = 1024,
+        idle_s: float = 30.0,
+        backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=idle_s,
-            socket_options=_SOCKET_OPTIONS,
-        )
+        self.max_connections = max_connections
+        self.idle_s = idle_s
+        self.backend = backend
+        self.pools: dict[str, AddressPool] = {}
+        self.swept_at = 0.0
 
     async def aclose(self) -> None:
         """Closes all connections."""
-        await self.pool.aclose()
+        pools, self.pools = self.pools, {}
+        for kept in pools.values():
+            await kept.pool.aclose()
 
     @contextlib.asynccontextmanager
     async def open(
         self, address: str, request: message.Request, timeout_s: float
     ) -> AsyncIterator[message.Response]:
         """Sends a request over a pooled connection."""
-        stream = self.pool.stream(
-            request.method,
-            _url(address, request),
-            headers=list(request.headers.items()),
-            content=request.body,
-            extensions=_extensions(request, timeout_s),
-        )
+        await self._sweep()
+        kept = self.pools.get(address)
+        if kept is None:
+            kept = self.pools[address] = AddressPool(
+                make_pool(self.max_connections, self.idle_s, self.backend)
+            )
+        kept.exchanges += 1
         try:
-            async with stream as answer:
-                yield message.Response(
-                    answer.status,
-                    _decode_headers(answer.headers),
-                    chunks=answer.aiter_stream(),
-                )
-        except _NOT_SENT as e:
-            raise ExchangeError(repr(e), request_left=False) from e
-        except _HTTP_ERRORS as e:
-            raise ExchangeError(repr(e), request_left=True) from e
+            async with send(kept.pool, address, request, timeout_s) as response:
+                yield response
+        finally:
+            kept.exchanges -= 1
+            kept.used_at = trio.current_time()
+
+    async def _sweep(self) -> None:
+        """Closes pools of addresses that nothing was sent to for long."""
+        now = trio.current_time()
+        if now - self.swept_at < self.idle_s:
+            return
+        self.swept_at = now
+        for address, kept in list(self.pools.items()):
+            is_idle = now - kept.used_at > self.idle_s
+            if is_idle and not kept.exchanges:
+                del self.pools[address]
+                await kept.pool.aclose()
+
+
+@attrs.define
+class AddressPool:
+    """The connections to one address.
+
+    Attributes:
+        pool: Keeps them.
+        exchanges: Exchanges under way.
+        used_at: Time of the event loop at which the last one ended.
+    """
+
+    pool: httpcore.AsyncConnectionPool
+    exchanges: int = 0
+    used_at: float = 0.0
+
+
+def make_pool(
+    max_connections: int,
+    idle_s: float,
+    backend: httpcore.AsyncNetworkBackend | None = None,
+) -> httpcore.AsyncConnectionPool:
+    """Returns a pool whose connections notice silent peers.
+
+    Args:
+        max_connections: The most connections open at a time.
+        idle_s: Seconds after which an idle connection is not used again.
+        backend: Opens connections; None for the one of the event loop.
+    """
+    return httpcore.AsyncConnectionPool(
+        max_connections=max_connections,
+        max_keepalive_connections=max_connections,
+        keepalive_expiry=idle_s,
+        socket_options=_SOCKET_OPTIONS,
+        network_backend=backend,
+    )
+
+
+@contextlib.asynccontextmanager
+async def send(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    request: message.Request,
+    timeout_s: float,
+) -> AsyncIterator[message.Response]:
+    """Sends a request over a connection of a pool.
+
+    Raises:
+        ExchangeError: If no answer comes, or it breaks off.
+    """
+    stream = pool.stream(
+        request.method,
+        _url(address, request),
+        headers=list(request.headers.items()),
+        content=request.body,
+        extensions=_extensions(request, timeout_s),
+    )
+    try:
+        async with stream as answer:
+            yield message.Response(
+                answer.status,
+                _decode_headers(answer.headers),
+                chunks=answer.aiter_stream(),
+            )
+    except _NOT_SENT as e:
+        raise ExchangeError(repr(e), request_left=False) from e
+    except _HTTP_ERRORS as e:
+        raise ExchangeError(repr(e), request_left=True) from e
 
 
 def _url(address: str, request: message.Request) -> str:
