Give no new work to a server whose answer says that it leaves

The adapter reads the header in every answer: to calls, samples, scoring calls, orders and reports, with any status. The server gets nothing new from then on, also when its entry goes and comes again; another start under the same id does. An answer 421 of another server at the address says nothing. An answer to an order or a report that bears a signature is a late copy of another answer, and settles nothing any more.

The notice is not passed on to other nodes: each learns by its own next answer.

--- a/src/kingcupscale/fleet/roster.py
+++ b/src/kingcupscale/fleet/roster.py
@@ -18,6 +18,8 @@
 PACE_WEIGHT = 0.15
 # What an answer told of other nodes' requests fades within this time.
 LOAD_VALID_S = 1.0
+# Servers that are remembered to be leaving, by their start.
+LEAVING_KEPT = 1000
 
 
 class ServerState(enum.Enum):
@@ -75,6 +77,8 @@
             the model, because it is loading weights for it.
         loading_until: Monotonic time until which runs may have to wait,
             because it is loading weights.
+        is_leaving: Whether an answer said that it is about to end; what its
+            entry says later does not change that.
         is_gone: Whether its entry has been removed.
         removed_at: Monotonic time at which the entry went missing.
     """
@@ -90,6 +94,7 @@
     pace: float = 1.0
     closed: dict[str, float] = attrs.field(factory=dict)
     loading_until: float = 0.0
+    is_leaving: bool = False
     is_gone: bool = False
     removed_at: float | None = None
 
@@ -102,6 +107,7 @@
         """Tells whether it may get work at a monotonic time."""
         return (
             not self.is_gone
+            and not self.is_leaving
             and self.entry.state is ServerState.READY
             and now >= self.ejected_until
         )
@@ -125,6 +131,15 @@
         self.failures = 0
         self.ejected_until = 0.0
 
+    def note_leaving(self) -> None:
+        """Gives the server no more work, as an answer said that it leaves.
+
+        A restart under the same id is another server and takes work again.
+        """
+        if not self.is_leaving:
+            self.is_leaving = True
+            events.log(events.Event.SERVER_LEAVING, server=self.id)
+
     def note_failure(self, now: float) -> None:
         """Leaves the server alone for a while, longer each time."""
         self.failures += 1
@@ -145,6 +160,10 @@
         clock: Tells the time.
         regained_at: Tells when the store last came back, monotonic.
         is_store_lost: Tells whether the store is out of reach.
+
+    Attributes:
+        servers: The servers by id.
+        leaving: Starts of dropped servers that were leaving, by id.
     """
 
     def __init__(
@@ -157,6 +176,7 @@
         self.regained_at = regained_at
         self.is_store_lost = is_store_lost
         self.servers: dict[str, Server] = {}
+        self.leaving: dict[str, int] = {}
 
     def enter(self, entry: ServerEntry) -> None:
         """Takes over what a server says of itself."""
@@ -165,7 +185,9 @@
             if known is not None:
                 known.is_gone = True
             self.servers[entry.id] = Server(
-                entry, versions=dict(entry.versions)
+                entry,
+                versions=dict(entry.versions),
+                is_leaving=self.leaving.get(entry.id) == entry.born,
             )
             events.log(
                 events.Event.SERVER_ENTERED,
@@ -211,9 +233,17 @@
 
     def _drop(self, server: Server) -> None:
         server.is_gone = True
+        if server.is_leaving:
+            self._remember_leaving(server)
         self.servers.pop(server.id, None)
         events.log(events.Event.SERVER_GONE, server=server.id)
 
+    def _remember_leaving(self, server: Server) -> None:
+        """Keeps a leaving server's start, as its entry may come again."""
+        self.leaving[server.id] = server.entry.born
+        while len(self.leaving) > LEAVING_KEPT:
+            del self.leaving[next(iter(self.leaving))]
+
     def of_service(self, service: str) -> list[Server]:
         """Returns the servers of a service, usable or not."""
         return [s for s in self.servers.values() if s.entry.service == service]
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -50,6 +50,7 @@
             async with self.exchanger.open(
                 server.entry.address, request, call.time_left_s
             ) as response:
+                _note_leaving(server, response)
                 answer = _decode_answer(response)
                 echoed = response.headers.get(names.REQUEST_ID)
                 # Refusals need not name the request; all else does, and an
@@ -125,11 +126,28 @@
     ) -> message.Response:
         request.headers["host"] = server.entry.address
         try:
-            return await exchange.fetch(
+            response = await exchange.fetch(
                 self.exchanger, server.entry.address, request, ORDER_TIMEOUT_S
             )
         except exchange.ExchangeError as e:
             raise serverclient.ServerError(e.reason, e.request_left) from e
+        if names.SIGNATURE in response.headers:
+            # Only answers to requests are signed: a late copy of one of them.
+            raise serverclient.ServerError("answer to another request", True)
+        _note_leaving(server, response)
+        return response
+
+
+def _note_leaving(server: roster.Server, response: message.Response) -> None:
+    """Tells a server that it leaves, if this answer is its own.
+
+    Another server may have got the address; it answers 421 with its own id.
+    """
+    if response.headers.get(names.LEAVING, "").strip() != "1":
+        return
+    answered_by = response.headers.get(names.SERVER_ID)
+    if response.status != 421 or answered_by == server.id:
+        server.note_leaving()
 
 
 def _encode_headers(
--- a/tests/platform/serverstandin.py
+++ b/tests/platform/serverstandin.py
@@ -47,6 +47,7 @@
         self.begun = []
         self.running = set()
         self.drop_after = None
+        self.is_leaving = False
         self.born = 1
 
     def enter(self):
@@ -72,6 +73,12 @@
         ]
 
     async def __call__(self, request):
+        response = await self.answer(request)
+        if self.is_leaving:
+            response.headers[names.LEAVING] = "1"
+        return response
+
+    async def answer(self, request):
         expected = request.headers.get(names.EXPECT_SERVER, self.id)
         if expected != self.id:
             return message.Response(421, {names.SERVER_ID: self.id})
--- /dev/null
+++ b/tests/platform/test_leaving.py
@@ -0,0 +1,174 @@
+"""Servers whose answers say that they leave, while their entries do not."""
+
+import contextlib
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.fleet import serverclient
+from kingcupscale.platform import names
+from kingcupscale.web import message
+from tests import virtual
+from tests.platform import standin
+
+PLAIN = ("p1", "p2")
+ENGINES = ("e1", "e2")
+
+
+async def _send(site, path, request_id):
+    return await site.call(
+        site.nodes[0],
+        "POST",
+        path,
+        b"?",
+        **{names.REQUEST_ID: request_id, names.DEADLINE_MS: "2000"},
+    )
+
+
+async def _call(site):
+    for number in range(8):
+        await _send(site, standin.CALL_PATH + "1", f"q{number}")
+
+
+async def _call_once(site):
+    for number in range(8):
+        await _send(site, "/once/1", f"q{number}")
+
+
+async def _run_batch(site):
+    await site.submit(site.nodes[0])
+    await site.read_all(site.nodes[0])
+
+
+async def _order(site):
+    site.name_version(2)
+    await trio.sleep(3)
+
+
+async def _report(site):
+    node = site.nodes[0].runtime
+    for name in (*PLAIN, *ENGINES):
+        with contextlib.suppress(serverclient.ServerError):
+            await node.surroundings.servers.report(node.roster.servers[name])
+
+
+class LeavingTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("call", PLAIN, _call, 200),
+            ("call_that_fails", PLAIN, _call, 500),
+            ("refused_call", PLAIN, _call, 503),
+            ("once_only_call", PLAIN, _call_once, 200),
+            ("failed_once_only_call", PLAIN, _call_once, 500),
+            ("scoring_call", PLAIN, _run_batch, 200),
+            ("sample", ENGINES, _run_batch, 200),
+            ("failed_sample", ENGINES, _run_batch, 500),
+            ("refused_sample", ENGINES, _run_batch, 503),
+            ("report", ENGINES, _report, 200),
+            ("order", ENGINES[::-1], _order, 200),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_nothing_new_reaches_it(self, _, leaving, use, status):
+        async with standin.opened(nodes=1) as site:
+            server = site.servers[leaving[1]]
+            server.is_leaving = True
+            server.is_full = status == 503
+            server.statuses = [status]
+            roster = site.nodes[0].runtime.roster.servers
+            await use(site)
+            self.assertTrue(roster[server.id].is_leaving)
+            begun, orders = len(server.begun), server.orders
+            self.assertLessEqual(begun, server.slots)
+            site.name_version(3)
+            for number in range(8):
+                await _send(site, standin.CALL_PATH + "1", f"r{number}")
+            await site.submit(site.nodes[0], "b9")
+            await site.read_all(site.nodes[0], "b9", seconds=5)
+            self.assertEqual(len(server.begun), begun)
+            self.assertEqual(server.orders, orders)
+
+    @parameterized.parameterized.expand(
+        [
+            ("entry_comes_again", False, True),
+            ("entry_goes_and_comes_again", True, True),
+            ("restart", False, False),
+            ("restart_later", True, False),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_until_it_starts_again(self, _, goes, is_leaving):
+        async with standin.opened(nodes=1) as site:
+            server = site.servers["p2"]
+            server.is_leaving = True
+            await _call(site)
+            server.is_leaving = False
+            if goes:
+                site.store.remove(names.SERVERS_PREFIX + server.id)
+                await trio.sleep(1)
+                roster = site.nodes[0].runtime.roster.servers
+                self.assertNotIn(server.id, roster)
+            if not is_leaving:
+                server.born += 1
+            server.enter()
+            await trio.sleep(1)
+            begun = len(server.begun)
+            await _call(site)
+            self.assertEqual(len(server.begun) == begun, is_leaving)
+
+    @virtual.on_virtual_time
+    async def test_another_server_at_the_address_says_it_of_itself(self):
+        async with standin.opened(nodes=1) as site:
+            server = site.servers["p2"]
+
+            async def answer_as_another(request):
+                headers = {names.SERVER_ID: "px", names.LEAVING: "1"}
+                return message.Response(421, headers)
+
+            server.answer = answer_as_another
+            await _call(site)
+            known = site.nodes[0].runtime.roster.servers["p2"]
+            self.assertFalse(known.is_leaving)
+            self.assertFalse(known.is_usable(site.clock.monotonic()))
+
+    @virtual.on_virtual_time
+    async def test_late_copy_of_an_answer_settles_no_order(self):
+        async with standin.opened(nodes=1) as site:
+            node = site.nodes[0].runtime
+            server = site.servers["e1"]
+
+            async def answer_with_a_copy(_):
+                headers = {names.SIGNATURE: "x", names.REQUEST_ID: "earlier"}
+                return message.Response(200, headers, b"{}")
+
+            server.answer = answer_with_a_copy
+            order = serverclient.VersionOrder(
+                standin.MODEL, 2, True, "n1", 1, 0
+            )
+            with self.assertRaises(serverclient.ServerError) as caught:
+                await node.surroundings.servers.order(
+                    node.roster.servers["e1"], order
+                )
+            self.assertTrue(caught.exception.may_have_run)
+
+    @virtual.on_virtual_time
+    async def test_each_node_stops_by_its_own_answers(self):
+        """Each of several nodes sends at most what it has under way."""
+        async with standin.opened(nodes=6) as site:
+            server = site.servers["p2"]
+            server.is_leaving = True
+            for node in site.nodes:
+                for number in range(4):
+                    await site.call(
+                        node,
+                        "POST",
+                        standin.CALL_PATH + "1",
+                        b"?",
+                        **{
+                            names.REQUEST_ID: f"{node.name}-{number}",
+                            names.DEADLINE_MS: "2000",
+                        },
+                    )
+            senders = [run.request.split("-")[0] for run in server.begun]
+            self.assertEqual(len(senders), len(set(senders)))
