Bound what a server that sends without end can take

Cause: a call's body was gathered without a bound, an event's bytes too, and heads that never end (1xx after 1xx) had a time for each read only. Fifty such answers at a time took 16 to 30 MB more, a sample before endless heads 30 s.

A head has a time of its own; a body up to 64 KiB is held back, a longer one is passed on as it comes and broken off at the call's time limit; an event is 64 KiB at the most, a text 512 KiB and no more events than tokens; reports and answers to orders 256 KiB. The server is counted against, the connection reset, and a call that was sent is answered 502 or 504, never 503.

--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -1,5 +1,6 @@
 """One run of a sample on an engine, and what it teaches."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
 
@@ -15,10 +16,15 @@
 # Time that an engine gets for the connection and for the whole run.
 CONNECT_S = 0.3
 RUN_LIMIT_S = 30.0
+# An engine begins its answer with the first token; before that, a run waits
+# for a place and for weights that are being loaded.
+HEAD_S = 5.0
 # An engine that sends nothing for this long is given up for another one; one
 # that loads weights keeps its runs waiting meanwhile.
 SILENCE_S = 0.8
 LOADING_SILENCE_S = 3.0
+# A result has to fit into a value of the store with others beside it.
+TEXT_BYTES_MOST = 512 * 1024
 # Tokens of an event before any has been counted.
 EVENT_TOKENS = 30.0
 # Pause before an engine that turned a model's item away gets another one.
@@ -69,7 +75,7 @@
         outcome = "whole"
         try:
             with sample.run_scope:
-                async with self.client.run(server, call, CONNECT_S) as answer:
+                async with self._begun(server, call) as answer:
                     outcome = await self._take_answer(sample, server, answer)
             if sample.run_scope.cancelled_caught:
                 outcome = "moved"
@@ -85,6 +91,20 @@
         self._learn(sample, server, began_at, before)
         return True
 
+    @contextlib.asynccontextmanager
+    async def _begun(
+        self, server: roster.Server, call: serverclient.Call
+    ) -> AsyncIterator[serverclient.Answer]:
+        """Sends a request whose answer has to begin in time."""
+        async with contextlib.AsyncExitStack() as stack:
+            with trio.move_on_after(HEAD_S) as scope:
+                answer = await stack.enter_async_context(
+                    self.client.run(server, call, CONNECT_S)
+                )
+            if scope.cancelled_caught:
+                raise serverclient.ServerError("no head in time", True)
+            yield answer
+
     def _make_call(
         self, sample: samples.Sample, version: int
     ) -> serverclient.Call:
@@ -159,6 +179,7 @@
         answer: serverclient.Answer,
     ) -> str:
         stream = self.client.events(answer)
+        size = sum(len(event.data) for event in sample.events)
         async with contextlib.aclosing(stream):
             while True:
                 event = None
@@ -173,6 +194,10 @@
                         f"event {event.number} after {len(sample.events)}",
                         True,
                     )
+                size += len(event.data)
+                if size > TEXT_BYTES_MOST or sample.is_overlong():
+                    sample.events.clear()
+                    raise serverclient.ServerError("text without end", True)
 
     def _silence_s(self, server: roster.Server) -> float:
         is_loading = server.loading_until > self.clock.monotonic()
--- a/src/kingcupscale/batches/sample.py
+++ b/src/kingcupscale/batches/sample.py
@@ -112,6 +112,10 @@
         self.run_events += 1
         return True
 
+    def is_overlong(self) -> bool:
+        """Tells whether its text has more events than it may have tokens."""
+        return 0 < self.item.tokens < len(self.events)
+
     def event_s(self, now: float) -> float:
         """Returns seconds that an event takes of late; 0 if unknown.
 
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -31,6 +31,10 @@
 # of the wanted latency.
 ROOM_POLL_S = 0.02
 ROOM_PATIENCE = 1.0
+# Bodies up to this size are held back until they are whole, so that a call
+# whose answer breaks off can be repeated; longer ones are passed on as they
+# come, so that memory is bounded whatever a server sends.
+HELD_BYTES_MOST = 64 * 1024
 # Weight of the newest answer in a service's mean latency.
 LATENCY_WEIGHT = 0.05
 
@@ -263,17 +267,56 @@
         began_at = self.clock.monotonic()
         if attempts.route.is_streaming:
             return await self._open_stream(attempts, server, call)
-        async with self.client.run(server, call, CONNECT_S) as answer:
+        stack = contextlib.AsyncExitStack()
+        async with contextlib.AsyncExitStack() as opening:
+            answer = await opening.enter_async_context(
+                self.client.run(server, call, CONNECT_S)
+            )
             if self._was_turned_away(attempts, server, answer):
                 return None
-            body = b"".join([piece async for piece in answer.body])
-        self._check(answer)
+            response = message.Response(
+                answer.status,
+                answer.headers,
+                chunks=answer.body,
+                signature=answer.signature,
+            )
+            is_whole = await response.read_within(HELD_BYTES_MOST)
+            self._check(answer)
+            if not is_whole:
+                stack = opening.pop_all()
         attempts.sent += 1
         attempts.tried.add(server.id)
         self._learn(attempts, server, began_at)
-        return message.Response(
-            answer.status, answer.headers, body, signature=answer.signature
-        )
+        if not is_whole:
+            response.chunks = self._relay_rest(
+                stack, response.body, answer, attempts.deadline
+            )
+        return response
+
+    async def _relay_rest(
+        self,
+        stack: contextlib.AsyncExitStack,
+        start: bytes,
+        answer: serverclient.Answer,
+        deadline: float,
+    ) -> AsyncIterator[bytes]:
+        """Passes a long body on until it ends or its time is up.
+
+        Raises:
+            ServerError: If it is not whole by then, so that it is broken off.
+        """
+        async with stack:
+            yield start
+            while True:
+                piece = None
+                left_s = deadline - self.clock.monotonic()
+                with trio.move_on_after(max(0.0, left_s)) as scope:
+                    piece = await anext(answer.body, None)
+                if scope.cancelled_caught or left_s <= 0:
+                    raise serverclient.ServerError("body without end", True)
+                if piece is None:
+                    return
+                yield piece
 
     def _was_turned_away(
         self,
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -14,6 +14,10 @@
 
 # An order is acknowledged before it is carried out, so its answer is short.
 ORDER_TIMEOUT_S = 0.8
+# Reports name models and runs, in some ten bytes each.
+REPORT_BYTES_MOST = 256 * 1024
+# An event holds a few tokens; a longer one never ends.
+EVENT_BYTES_MOST = 64 * 1024
 
 _ORDER_OUTCOMES = {
     202: serverclient.OrderOutcome.ACCEPTED,
@@ -77,6 +81,8 @@
                 event = _decode_event(block, version)
                 version = event.version
                 yield event
+            if len(pending) > EVENT_BYTES_MOST:
+                raise serverclient.ServerError("an event without end", True)
         if pending.strip():
             raise serverclient.ServerError("stream ends inside an event", True)
 
@@ -127,7 +133,11 @@
         request.headers["host"] = server.entry.address
         try:
             response = await exchange.fetch(
-                self.exchanger, server.entry.address, request, ORDER_TIMEOUT_S
+                self.exchanger,
+                server.entry.address,
+                request,
+                ORDER_TIMEOUT_S,
+                REPORT_BYTES_MOST,
             )
         except exchange.ExchangeError as e:
             raise serverclient.ServerError(e.reason, e.request_left) from e
--- a/src/kingcupscale/web/exchange.py
+++ b/src/kingcupscale/web/exchange.py
@@ -52,6 +52,7 @@
     address: str,
     request: message.Request,
     timeout_s: float,
+    most_bytes: int | None = None,
 ) -> message.Response:
     """Sends a request and returns the whole answer.
 
@@ -60,13 +61,15 @@
         address: ``host:port``.
         request: What to send.
         timeout_s: Seconds for the whole exchange.
+        most_bytes: Longest body that makes sense; None for any.
 
     Raises:
         ExchangeError: If no whole answer comes in time.
     """
     with trio.move_on_after(timeout_s):
         async with exchanger.open(address, request, timeout_s) as response:
-            await response.read()
+            if not await response.read_within(most_bytes):
+                raise ExchangeError("body too long", request_left=True)
             return response
     raise ExchangeError("no whole answer in time", request_left=True)
 
@@ -224,8 +227,14 @@
         content=request.body,
         extensions=_extensions(request, timeout_s),
     )
+    connect_s = request.connect_timeout_s or timeout_s
     try:
-        async with stream as answer:
+        async with contextlib.AsyncExitStack() as stack:
+            # Each read has its time; heads that never end need one as well.
+            with trio.move_on_after(connect_s + timeout_s) as scope:
+                answer = await stack.enter_async_context(stream)
+            if scope.cancelled_caught:
+                raise ExchangeError("no head in time", request_left=True)
             yield message.Response(
                 answer.status,
                 _decode_headers(answer.headers),
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -81,11 +81,29 @@
 
     async def read(self) -> bytes:
         """Returns the whole body, waiting for the last piece."""
-        if self.chunks is not None:
-            self.body = b"".join([chunk async for chunk in self.chunks])
-            self.chunks = None
+        await self.read_within(None)
         return self.body
 
+    async def read_within(self, most_bytes: int | None) -> bool:
+        """Reads the body as far as it may go; whether that is all of it.
+
+        Args:
+            most_bytes: Bytes after which no more is read; None for no bound.
+        """
+        if self.chunks is None:
+            return True
+        pieces = [self.body]
+        size = len(self.body)
+        async for piece in self.chunks:
+            pieces.append(piece)
+            size += len(piece)
+            if most_bytes is not None and size > most_bytes:
+                self.body = b"".join(pieces)
+                return False
+        self.body = b"".join(pieces)
+        self.chunks = None
+        return True
+
 
 class Handler(Protocol):
     """Answers requests."""
--- /dev/null
+++ b/tests/platform/endlessserver.py
@@ -0,0 +1,93 @@
+"""A server on a real socket whose answers never end."""
+
+import re
+
+import trio
+
+PIECE = b"x" * 16_384
+EVENTS_AT_ONCE = 50
+# Bytes without end stop here, so that a client that reads on fails the test
+# instead of filling the machine's memory.
+GUARD_BYTES = 4_000_000_000
+
+SIGNED = (
+    b"X-Kingcupscale-Request-Id: %(id)s\r\n"
+    b"X-Kingcupscale-Server-Stamp: signed\r\n"
+    b"X-Kingcupscale-Weight-Versions: 1\r\n"
+)
+OK = b"HTTP/1.1 200 OK\r\n" + SIGNED
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+WHOLE = OK + b"Content-Length: 4\r\n\r\nfine"
+
+
+def _chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+# What comes first, and what comes again and again.
+KINDS = {
+    "head": (b"HTTP/1.1 200 OK\r\nX-Long: ", PIECE),
+    "head_lines": (b"HTTP/1.1 200 OK\r\n", b"X-Line: y\r\n" * 1000),
+    "other_heads": (b"", EARLY_HINTS * 100),
+    "no_http": (b"", b"\x00\xff" * 8_000),
+    "chunk_size": (CHUNKED, b"0" * 16_384),
+    "chunk_extension": (CHUNKED + b"4;", PIECE),
+    "trailer": (CHUNKED + b"0\r\nX-Trailer: ", PIECE),
+    "body_of_a_length": (OK + b"Content-Length: 99999999999\r\n\r\n", PIECE),
+    "body_in_chunks": (CHUNKED, _chunk(PIECE)),
+    "body_in_small_chunks": (CHUNKED, _chunk(b"x") * 2000),
+    "body_until_the_end": (OK + b"Connection: close\r\n\r\n", PIECE),
+    "event": (CHUNKED + _chunk(b"id: 1\ndata: "), _chunk(PIECE)),
+    "events": (CHUNKED, None),
+    "behind_an_answer": (WHOLE, PIECE),
+    "copies_of_an_answer": (WHOLE, WHOLE * 50),
+}
+
+
+class Server:
+    """Answers every request with bytes that never end."""
+
+    def __init__(self, kind):
+        self.first, self.piece = KINDS[kind]
+        self.sent = 0
+        self.connections = 0
+        self.closed = 0
+        self.address = ""
+
+    async def serve(self, *, task_status):
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listener.socket.getsockname()
+        self.address = f"{host}:{port}"
+        await trio.serve_listeners(
+            self._answer, [listener], task_status=task_status
+        )
+
+    async def _answer(self, stream):
+        self.connections += 1
+        request = b""
+        try:
+            while b"\r\n\r\n" not in request:
+                request += await stream.receive_some()
+            found = re.search(rb"(?i)request-id: (\S+)", request)
+            names = {b"id": found[1] if found else b""}
+            await stream.send_all(self.first % names if names else self.first)
+            number = 0
+            while self.sent < GUARD_BYTES:
+                piece = self.piece
+                if piece is None:
+                    piece = b"".join(
+                        _chunk(
+                            b"id: %d\ndata: %s\n\n" % (number + n, b"y" * 99)
+                        )
+                        for n in range(1, EVENTS_AT_ONCE + 1)
+                    )
+                    number += EVENTS_AT_ONCE
+                elif b"%(id)s" in piece:
+                    piece = piece % names
+                await stream.send_all(piece)
+                self.sent += len(piece)
+        except trio.BrokenResourceError:
+            self.closed += 1
+        finally:
+            await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/tests/platform/test_endless.py
@@ -0,0 +1,234 @@
+"""Servers that send bytes without end, on real sockets."""
+
+import contextlib
+import random
+import tracemalloc
+import unittest
+from unittest import mock
+
+import orjson
+import parameterized
+import trio
+
+from kingcupscale import clock as clocks
+from kingcupscale import errors
+from kingcupscale import metrics
+from kingcupscale.batches import batch as batches
+from kingcupscale.batches import generation
+from kingcupscale.batches import record as records
+from kingcupscale.batches import sample as samples
+from kingcupscale.fleet import roster
+from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import admission as admissions
+from kingcupscale.gateway import forwarder
+from kingcupscale.gateway import inbound as inbounds
+from kingcupscale.platform import documents
+from kingcupscale.platform import names
+from kingcupscale.platform import servers
+from kingcupscale.web import exchange
+from tests.platform import endlessserver
+from tests.platform import standin
+
+GUARD_S = 30.0
+PATIENCE_S = 0.6
+HEAD_S = 0.8
+SLACK_S = 0.7
+CALLS_AT_ONCE = 50
+MEMORY_BYTES = 10_000_000
+KINDS = tuple(endlessserver.KINDS)
+
+
+class Usage:
+    def note_begun(self, organisation):
+        """Counts nothing."""
+
+
+class World:
+    """A forwarder and a generator before one endless server."""
+
+    def __init__(self, server):
+        self.clock = clocks.SystemClock()
+        self.exchanger = exchange.HttpExchanger()
+        self.client = servers.PlatformServers(self.exchanger)
+        self.roster = roster.Roster(self.clock, lambda: 0.0, lambda: False)
+        for service in ("plain", "engines"):
+            self.roster.enter(
+                roster.ServerEntry(
+                    service,
+                    service,
+                    server.address,
+                    "a",
+                    roster.ServerState.READY,
+                    2 * CALLS_AT_ONCE,
+                    1,
+                    {standin.MODEL: 1},
+                )
+            )
+        configured = documents.decode_catalogue(
+            orjson.dumps(standin.make_configuration())
+        )
+        self.catalogue = configured
+        self.forwarder = forwarder.Forwarder(
+            admissions.Admission(lambda: configured),
+            self.roster,
+            self.client,
+            Usage(),
+            metrics.Metrics(),
+            self.clock,
+            random.Random(1),
+            "a",
+        )
+        self.generator = generation.Generator(
+            self.client, self.clock, lambda *_: None
+        )
+
+    async def call(self, number, path):
+        """Sends one call; returns its failure, or None for an answer."""
+        inbound = inbounds.Inbound(
+            request_id=f"r{number}",
+            method="POST",
+            host=standin.HOST,
+            path=f"{path}{number}",
+            query="",
+            headers={},
+            body=b"?",
+            key=standin.KEY,
+            patience_s=PATIENCE_S,
+            received_at=self.clock.monotonic(),
+        )
+        try:
+            response = await self.forwarder.forward(inbound)
+            if response.chunks is not None:
+                async with contextlib.aclosing(response.chunks) as pieces:
+                    async for _ in pieces:
+                        pass
+        except (errors.ServiceError, serverclient.ServerError) as e:
+            return e
+        return None
+
+    async def run_sample(self, number):
+        """Runs one sample; whether its text is whole."""
+        item = batches.Item(
+            f"i{number}", "/x", {}, b"?", 300, "g", None, length_hint=200
+        )
+        batch = batches.Batch(
+            "b", "", "route", standin.HOST, 0, standin.MODEL, 1, 1, [item]
+        )
+        route = self.catalogue.find_route(standin.HOST, standin.BATCH_PATH)
+        sample = samples.Sample(item, records.Record(batch, 0), route)
+        return await self.generator.run(sample, self.roster.servers["engines"])
+
+
+def before(kind, use):
+    """Runs an async function with an endless server."""
+
+    async def main():
+        with trio.fail_after(GUARD_S):
+            async with trio.open_nursery() as nursery:
+                server = endlessserver.Server(kind)
+                await nursery.start(server.serve)
+                world = World(server)
+                await use(server, world)
+                await world.exchanger.aclose()
+                nursery.cancel_scope.cancel()
+
+    with mock.patch.object(generation, "HEAD_S", HEAD_S):
+        trio.run(main)
+
+
+class EndlessTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{name}", kind, path)
+            for kind in KINDS
+            for name, path in (
+                ("idempotent", standin.CALL_PATH),
+                ("once_only", "/once/"),
+            )
+        ]
+    )
+    def test_call_ends_in_time_with_a_true_word(self, _, kind, path):
+        async def use(server, world):
+            began_at = trio.current_time()
+            failure = await world.call(1, path)
+            elapsed_s = trio.current_time() - began_at
+            self.assertLess(elapsed_s, PATIENCE_S + SLACK_S)
+            if isinstance(failure, errors.ServiceError):
+                # It was sent, so nobody may say that it has not run.
+                self.assertIn(failure.code.status, (502, 504))
+            if kind in ("behind_an_answer", "copies_of_an_answer"):
+                self.assertIsNone(failure)
+            else:
+                self.assertIsNotNone(failure)
+            # Whatever comes next is not taken from the same connection.
+            world.roster.servers["plain"].note_success()
+            await world.call(2, path)
+            await trio.sleep(0.05)
+            await world.exchanger.aclose()
+            self.assertGreaterEqual(server.connections, 2)
+            with trio.move_on_after(2):
+                while server.closed < server.connections:
+                    await trio.sleep(0.02)
+            self.assertEqual(server.closed, server.connections)
+
+        before(kind, use)
+
+    @parameterized.parameterized.expand([(kind,) for kind in KINDS])
+    def test_sample_ends_in_time(self, kind):
+        async def use(server, world):
+            with trio.fail_after(HEAD_S + SLACK_S):
+                is_whole = await world.run_sample(1)
+            self.assertFalse(is_whole)
+            engine = world.roster.servers["engines"]
+            self.assertGreater(engine.failures, 0)
+
+        before(kind, use)
+
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{name}", kind, is_sample)
+            for kind in KINDS
+            for name, is_sample in (("calls", False), ("samples", True))
+        ]
+    )
+    def test_memory_of_many_at_a_time(self, _, kind, is_sample):
+        async def use(server, world):
+            async def one(number):
+                if is_sample:
+                    await world.run_sample(number)
+                else:
+                    await world.call(number, "/once/")
+
+            tracemalloc.start()
+            try:
+                began, _ = tracemalloc.get_traced_memory()
+                async with trio.open_nursery() as nursery:
+                    for number in range(CALLS_AT_ONCE):
+                        nursery.start_soon(one, number)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            self.assertLess(peak - began, MEMORY_BYTES)
+
+        before(kind, use)
+
+    @parameterized.parameterized.expand([(kind,) for kind in KINDS])
+    def test_report_and_order_end_in_time(self, kind):
+        async def use(server, world):
+            engine = world.roster.servers["engines"]
+            order = serverclient.VersionOrder(
+                standin.MODEL, 2, True, "n1", 1, 0
+            )
+            with trio.fail_after(2 * servers.ORDER_TIMEOUT_S + SLACK_S):
+                with self.assertRaises(serverclient.ServerError):
+                    await world.client.report(engine)
+                with self.assertRaises(serverclient.ServerError):
+                    await world.client.order(engine, order)
+
+        before(kind, use)
+
+
+class NamesTest(unittest.TestCase):
+    def test_stand_in_speaks_of_the_wire_as_the_product_does(self):
+        for name in (names.REQUEST_ID, names.SIGNATURE, names.WEIGHT_VERSION):
+            self.assertIn(name.encode(), endlessserver.SIGNED.lower())
