End stalled streams with their time, and let slow ones finish

Cause: a sample's run was ended after 0.8 s without an event, each time, so engines that take longer for an event never finished a text; a caller's stream had no end of its own, so one whose server sends a byte now and then lasted for ever.

A sample that met silence waits twice as long the next time (10 s at the most); a stream ends with its call's time limit, whatever trickles in, and no sooner for silence.

--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -23,6 +23,9 @@
 # that loads weights keeps its runs waiting meanwhile.
 SILENCE_S = 0.8
 LOADING_SILENCE_S = 3.0
+# A sample that met silence waits twice as long the next time, up to this, so
+# that engines which are slow but sound finish it.
+LONGEST_SILENCE_S = 10.0
 # A result has to fit into a value of the store with others beside it.
 TEXT_BYTES_MOST = 512 * 1024
 # Tokens of an event before any has been counted.
@@ -183,9 +186,11 @@
         async with contextlib.aclosing(stream):
             while True:
                 event = None
-                with trio.move_on_after(self._silence_s(server)) as scope:
+                silence_s = self._silence_s(sample, server)
+                with trio.move_on_after(silence_s) as scope:
                     event = await anext(stream, None)
                 if scope.cancelled_caught:
+                    sample.silences += 1
                     raise serverclient.ServerError("silent in a stream", True)
                 if event is None:
                     return "whole"
@@ -199,9 +204,12 @@
                     sample.events.clear()
                     raise serverclient.ServerError("text without end", True)
 
-    def _silence_s(self, server: roster.Server) -> float:
+    def _silence_s(
+        self, sample: samples.Sample, server: roster.Server
+    ) -> float:
         is_loading = server.loading_until > self.clock.monotonic()
-        return LOADING_SILENCE_S if is_loading else SILENCE_S
+        usual_s = LOADING_SILENCE_S if is_loading else SILENCE_S
+        return min(LONGEST_SILENCE_S, usual_s * 2**sample.silences)
 
     def _postpone(self, sample: samples.Sample, seconds: float) -> None:
         sample.not_before = self.clock.monotonic() + seconds
--- a/src/kingcupscale/batches/sample.py
+++ b/src/kingcupscale/batches/sample.py
@@ -47,6 +47,7 @@
         moves: How often it has left an engine for another one.
         event_times: Monotonic times of the latest events of its run.
         run_events: Events that its present run has made.
+        silences: Runs that ended because an engine sent nothing for long.
     """
 
     item: batch.Item
@@ -67,6 +68,7 @@
         factory=lambda: collections.deque(maxlen=PACE_EVENTS)
     )
     run_events: int = 0
+    silences: int = 0
 
     @property
     def id(self) -> str:
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -35,6 +35,9 @@
 # whose answer breaks off can be repeated; longer ones are passed on as they
 # come, so that memory is bounded whatever a server sends.
 HELD_BYTES_MOST = 64 * 1024
+# A sound server ends its stream at the time limit by itself; this is for the
+# way back.
+STREAM_MARGIN_S = 0.1
 # Weight of the newest answer in a service's mean latency.
 LATENCY_WEIGHT = 0.05
 
@@ -288,36 +291,11 @@
         attempts.tried.add(server.id)
         self._learn(attempts, server, began_at)
         if not is_whole:
-            response.chunks = self._relay_rest(
+            response.chunks = self._pass_on(
                 stack, response.body, answer, attempts.deadline
             )
         return response
 
-    async def _relay_rest(
-        self,
-        stack: contextlib.AsyncExitStack,
-        start: bytes,
-        answer: serverclient.Answer,
-        deadline: float,
-    ) -> AsyncIterator[bytes]:
-        """Passes a long body on until it ends or its time is up.
-
-        Raises:
-            ServerError: If it is not whole by then, so that it is broken off.
-        """
-        async with stack:
-            yield start
-            while True:
-                piece = None
-                left_s = deadline - self.clock.monotonic()
-                with trio.move_on_after(max(0.0, left_s)) as scope:
-                    piece = await anext(answer.body, None)
-                if scope.cancelled_caught or left_s <= 0:
-                    raise serverclient.ServerError("body without end", True)
-                if piece is None:
-                    return
-                yield piece
-
     def _was_turned_away(
         self,
         attempts: tries.Attempts,
@@ -373,14 +351,37 @@
         attempts.tried.add(server.id)
         if attempts.organisation is not None:
             self.usage.note_begun(attempts.organisation.name)
-        pieces = self._relay(stack, answer)
+        until = attempts.deadline + STREAM_MARGIN_S
+        pieces = self._pass_on(stack, b"", answer, until)
         return message.Response(answer.status, answer.headers, chunks=pieces)
 
-    async def _relay(
-        self, stack: contextlib.AsyncExitStack, answer: serverclient.Answer
+    async def _pass_on(
+        self,
+        stack: contextlib.AsyncExitStack,
+        start: bytes,
+        answer: serverclient.Answer,
+        until: float,
     ) -> AsyncIterator[bytes]:
+        """Passes a body on until it ends or its time is up.
+
+        Silence ends nothing sooner: a slow server may be sound. One that
+        sends a byte now and then has no more time than others.
+
+        Raises:
+            ServerError: If it is not whole by then, so that it is broken off.
+        """
         async with stack:
-            async for piece in answer.body:
+            if start:
+                yield start
+            while True:
+                piece = None
+                left_s = max(0.0, until - self.clock.monotonic())
+                with trio.move_on_after(left_s) as scope:
+                    piece = await anext(answer.body, None)
+                if scope.cancelled_caught:
+                    raise serverclient.ServerError("body without end", True)
+                if piece is None:
+                    return
                 yield piece
 
     def _failure(
