Order waiting samples once for all free places

Samples that run well were compared with every free engine at every look.

The choices are the same: a place that is taken only makes others fewer.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -285,14 +285,9 @@
         usable = [
             s for s in self.servers.of_service(self.service) if s.is_usable(now)
         ]
-        token_s = self.generator.token_s
-        while waiting:
-            choice = placement.choose(
-                waiting, usable, self.prompts, now, now_ms, token_s
-            )
-            if choice is None:
-                return
-            waiting.remove(choice.sample)
+        for choice in placement.choose_each(
+            waiting, usable, self.prompts, now, now_ms, self.generator.token_s
+        ):
             choice.sample.stage = samples.Stage.GENERATING
             choice.sample.server = choice.server.id
             choice.server.in_flight += 1
@@ -308,10 +303,25 @@
             for s in self.servers.of_service(self.service)
             if s.is_usable(now) and s.load(now) < s.entry.slots
         ]
+        if not free:
+            return
         taken = len(waiting)
+        event_s = self.generator.event_s
+        least_s = event_s * min(
+            placement.finish_cost(s, now, False) for s in free
+        )
         for sample in self.open_samples():
             if sample.stage is not samples.Stage.GENERATING:
                 continue
+            pace = moving.Pace(
+                sample.run_events,
+                len(sample.events),
+                sample.event_s(now),
+                sample.moves,
+            )
+            expected = sample.expected_tokens() / self.generator.event_tokens
+            if not moving.is_worth_moving(pace, least_s, expected):
+                continue
             here = self.servers.servers.get(sample.server)
             others = [
                 s
@@ -322,18 +332,10 @@
             if not others or here is None or room <= taken:
                 continue
             best = min(placement.finish_cost(s, now, False) for s in others)
-            pace = moving.Pace(
-                sample.run_events,
-                len(sample.events),
-                sample.event_s(now),
-                sample.moves,
-            )
-            expected = sample.expected_tokens() / self.generator.event_tokens
-            other_s = best * self.generator.event_s
-            if moving.is_worth_moving(pace, other_s, expected):
+            if moving.is_worth_moving(pace, best * event_s, expected):
                 sample.moves += 1
                 taken += 1
-                here.note_pace(pace.event_s / max(1e-6, self.generator.event_s))
+                here.note_pace(pace.event_s / max(1e-6, event_s))
                 sample.run_scope.cancel()
 
     def _note_prompt(self, choice: placement.Choice) -> None:
--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 import attrs
 
@@ -65,15 +66,18 @@
     return cost
 
 
-def choose(
+def choose_each(
     waiting: Iterable[sample.Sample],
     servers: list[roster.Server],
     prompts: dict[str, set[str]],
     now: float,
     now_ms: int,
     token_s: float,
-) -> Choice | None:
-    """Returns the next sample to send and where, or None if none can go.
+) -> Iterator[Choice]:
+    """Yields which samples to send and where, the next one first.
+
+    Whoever takes a choice notes it at the server before asking for the next
+    one. The samples are ordered once, as a batch brings hundreds at a time.
 
     Args:
         waiting: Samples that wait.
@@ -85,22 +89,35 @@
     """
     free = [s for s in servers if s.load(now) < s.entry.slots]
     if not free:
-        return None
+        return
     ready = [w for w in waiting if w.not_before <= now]
     ready.sort(key=lambda w: slack_s(w, now_ms, token_s))
     for candidate in ready:
         able = [s for s in free if can_run(candidate, s, now)]
-        if able:
-            known = prompts.get(candidate.item.group, set())
-            server = min(
-                able,
-                key=lambda s: (
-                    finish_cost(s, now, s.id in known),
-                    s.id,
-                ),
-            )
-            return Choice(candidate, server)
-    return None
+        if not able:
+            continue
+        known = prompts.get(candidate.item.group, set())
+        server = min(
+            able, key=lambda s: (finish_cost(s, now, s.id in known), s.id)
+        )
+        yield Choice(candidate, server)
+        if server.load(now) >= server.entry.slots:
+            free.remove(server)
+            if not free:
+                return
+
+
+def choose(
+    waiting: Iterable[sample.Sample],
+    servers: list[roster.Server],
+    prompts: dict[str, set[str]],
+    now: float,
+    now_ms: int,
+    token_s: float,
+) -> Choice | None:
+    """Returns the first choice of ``choose_each``, or None if none can go."""
+    each = choose_each(waiting, servers, prompts, now, now_ms, token_s)
+    return next(each, None)
 
 
 def choose_first(
