Read first what calls need at a start, and drop an ended batch's bodies

Batches are read last when everything is read; a node takes calls once it knows all else. The write that ends a batch replaces its items by ones without bodies, which nobody may ask for any more.

Test: a herd of 12 nodes behind a store with a narrow link, and one node, are answered within 0.7 s (red before: not within 0.7 s), and batches are read within 2.5 s. An ended batch of 430 kB takes less than 10 kB.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -410,4 +410,18 @@
         "if False:",
         SITE + "test_leaving",
     ),
+    Break(
+        "a node that starts reads first what calls need",
+        "batches/book.py",
+        "        feed.defer(records.PREFIX)\n",
+        "",
+        SITE + "test_herd",
+    ),
+    Break(
+        "an ended batch takes little",
+        "batches/acceptance.py",
+        "for number in range(parts):",
+        "for number in range(0):",
+        SITE + "test_herd",
+    ),
 )
--- a/src/kingcupscale/batches/acceptance.py
+++ b/src/kingcupscale/batches/acceptance.py
@@ -39,6 +39,30 @@
     )
 
 
+def make_end(record: records.Record, parts: int) -> stores.Transaction:
+    """Returns the write that ends a batch, unless it is ended already.
+
+    The bodies go with it: nobody may ask for them any more, and a node that
+    starts reads all batches.
+
+    Args:
+        record: The batch.
+        parts: Values that its items are spread over; 0 to leave them.
+    """
+    key = records.key_of(record.batch.id, records.END)
+    puts = [stores.Put(key, b"1")]
+    slim = records.without_bodies(record.batch)
+    for number in range(parts):
+        value: object = records.Items([])
+        if number == 0:
+            value = records.Specification(record.submitted_ms, parts, slim)
+        name = records.key_of(
+            record.batch.id, records.SPECIFICATION, str(number)
+        )
+        puts.append(stores.Put(name, records.encode(value)))
+    return stores.Transaction([stores.Condition(key, stores.ABSENT)], puts)
+
+
 async def commit_for_sure(
     store: detour.DetourStore,
     clock: clocks.Clock,
--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -92,6 +92,7 @@
         self.asked_anew_at = -ASK_ANEW_S
         self.on_change: Callable[[], None] = _ignore
         feed.leave_out(records.RESULTS_PREFIX)
+        feed.defer(records.PREFIX)
         feed.subscribe(records.PREFIX, self._take_head)
         feed.subscribe(records.RESULTS_PREFIX, self._take_results)
         feed.on_reloaded = self._note_reloaded
@@ -360,16 +361,20 @@
         """
         if record.is_ended:
             return
-        key = records.key_of(record.batch.id, records.END)
-        transaction = stores.Transaction(
-            [stores.Condition(key, stores.ABSENT)], [stores.Put(key, b"1")]
-        )
+        transaction = acceptance.make_end(record, self._parts_of(record))
         await acceptance.commit_for_sure(
             self.store, self.clock, transaction, patience_s, record.batch.id
         )
         record.note_ended()
         self.feed.hurry()
 
+    def _parts_of(self, record: records.Record) -> int:
+        """Returns over how many values a batch is spread; 0 if unknown."""
+        if self.feed.is_loading:
+            return 0
+        prefix = records.key_of(record.batch.id, records.SPECIFICATION)
+        return len(self.feed.under(prefix + "/"))
+
     async def append(
         self, additions: list[tuple[records.Record, records.Chunk]]
     ) -> bool:
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -129,11 +129,7 @@
         if self.is_ended:
             return
         self.is_ended = True
-        items = [
-            attrs.evolve(item, body=b"", headers={}, scorer=None)
-            for item in self.batch.items
-        ]
-        self.batch = attrs.evolve(self.batch, items=items)
+        self.batch = without_bodies(self.batch)
 
     def is_open(self) -> bool:
         """Tells whether items are still to be run."""
@@ -169,6 +165,15 @@
         )
 
 
+def without_bodies(whole: batch.Batch) -> batch.Batch:
+    """Returns what is still shown of a batch that has been ended."""
+    items = [
+        attrs.evolve(item, body=b"", headers={}, scorer=None)
+        for item in whole.items
+    ]
+    return attrs.evolve(whole, items=items)
+
+
 def from_copy(copy: RecordCopy) -> Record:
     """Returns a batch as another node knows it."""
     record = Record(copy.batch, copy.submitted_ms)
--- a/src/kingcupscale/readiness.py
+++ b/src/kingcupscale/readiness.py
@@ -55,7 +55,7 @@
         that hears from no other one can't know that.
         """
         in_force_s = self.bounds.apply_s + self.bounds.apply_stretch_s
-        if self.feed.age_s() <= in_force_s:
+        if self.feed.head_age_s() <= in_force_s:
             return False
         silent_s = self.clock.monotonic() - self.peers.answered_at
         is_alone = silent_s > self.bounds.contact_s
--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -48,6 +48,8 @@
         revision: The store's revision up to which nothing is missing.
         current_at: Monotonic time at which the last good answer was asked for;
             negative before the first.
+        head_at: Monotonic time at which all keys but the deferred ones were
+            asked for; negative before the first answer.
         regained_at: Monotonic time at which the store last came back.
         is_following: Whether another node's mirror is followed.
         is_lost: Whether neither the store nor another node answers.
@@ -84,6 +86,8 @@
         self.is_loading = False
         self.on_reloaded: Callable[[], None] = _ignore
         self.left_out = ""
+        self.deferred = ""
+        self.head_at = -1.0
         self.checksum = 0
         self.differs_since: float | None = None
         self.follow_scope = trio.CancelScope()
@@ -103,6 +107,14 @@
         """
         self.left_out = prefix
 
+    def defer(self, prefix: str) -> None:
+        """Has the keys under a prefix read last when everything is read.
+
+        What is large and not needed at once would hold up all else when many
+        nodes start together.
+        """
+        self.deferred = prefix
+
     def ask_anew(self) -> None:
         """Drops a question to another node and asks it anew."""
         self.follow_scope.cancel()
@@ -114,6 +126,13 @@
             return float("inf")
         return self.clock.monotonic() - self.current_at
 
+    def head_age_s(self) -> float:
+        """Returns seconds since all but the deferred keys were current."""
+        newest = max(self.current_at, self.head_at)
+        if newest < 0:
+            return float("inf")
+        return self.clock.monotonic() - newest
+
     def under(self, prefix: str) -> list[stores.Entry]:
         """Returns the present entries under a prefix, in key order."""
         found = []
@@ -203,21 +222,42 @@
 
     async def _scan_all(self) -> tuple[int, set[str]]:
         """Returns the revision of the first page, and the keys found."""
+        asked_at = self.clock.monotonic()
         found: set[str] = set()
+        first = await self._scan("", found)
+        self.head_at = asked_at
+        if self.deferred:
+            await self._scan(self.deferred, found)
+        return first, found
+
+    async def _scan(self, prefix: str, found: set[str]) -> int:
+        """Reads the keys under a prefix; returns the first page's revision.
+
+        Keys that are left out or deferred are passed over, but for those
+        under the prefix itself.
+        """
         first = 0
         after, has_more = "", True
         while has_more:
-            page = await self.store.scan("", after)
+            page = await self.store.scan(prefix, after)
             first = first or page.revision
             has_more = page.has_more
             for entry in page.entries:
-                if self._is_left_out(entry.key):
-                    after, has_more = _past(self.left_out), True
+                passed = self._passed_over(entry.key, prefix)
+                if passed:
+                    after, has_more = _past(passed), True
                     break
                 after = entry.key
                 found.add(entry.key)
                 self.apply(entry)
-        return first, found
+        return first
+
+    def _passed_over(self, key: str, prefix: str) -> str:
+        """Returns the prefix that a scan leaves out a key by, if any."""
+        for skipped in (self.left_out, self.deferred):
+            if skipped and skipped != prefix and key.startswith(skipped):
+                return skipped
+        return ""
 
     def _is_left_out(self, key: str) -> bool:
         return bool(self.left_out) and key.startswith(self.left_out)
--- a/tests/platform/storestandin.py
+++ b/tests/platform/storestandin.py
@@ -26,6 +26,8 @@
         self.revision = 10
         self.leases = {}
         self.lag_s = 0.004
+        self.link_bytes_per_s = 0.0
+        self.link_free_at = 0.0
         self.is_down = False
         self.loses_answers = False
         self.changed = trio.Event()
@@ -44,8 +46,16 @@
         response = await handler(request, query)
         if self.loses_answers and name == "kv-txn":
             await trio.sleep_forever()
+        await self.send(len(response.body))
         return response
 
+    async def send(self, size):
+        """Waits until an answer has gone over the link that all share."""
+        if self.link_bytes_per_s:
+            begin = max(trio.current_time(), self.link_free_at)
+            self.link_free_at = begin + size / self.link_bytes_per_s
+            await trio.sleep_until(self.link_free_at)
+
     def expire(self):
         now = trio.current_time()
         for lease, (ends_at, _) in list(self.leases.items()):
--- /dev/null
+++ b/tests/platform/test_herd.py
@@ -0,0 +1,119 @@
+"""Many nodes that start at the same moment, as after a loss of power."""
+
+import base64
+import unittest
+
+import orjson
+import parameterized
+import trio
+
+from kingcupscale.batches import record as records
+from kingcupscale.platform import names
+from tests import virtual
+from tests.platform import standin
+
+NODES = 12
+ITEMS = 16
+BODY = base64.b64encode(20_000 * b"x").decode()
+# A twelfth of what a store's link carries on a large deployment.
+LINK_BYTES_PER_S = 12e6
+# A caller's usual time limit is 2 s, and it comes again within that.
+READY_S = 0.7
+READABLE_S = 2.5
+
+
+async def _submit(site, batch_id):
+    document = orjson.loads(standin.make_batch(batch_id, items=ITEMS))
+    for item in document["items"]:
+        item["body"] = BODY
+    return await site.call(
+        site.nodes[0],
+        "POST",
+        standin.BATCH_PATH + batch_id,
+        orjson.dumps(document),
+        **{names.REQUEST_ID: batch_id, names.DEADLINE_MS: "12000"},
+    )
+
+
+async def _end(site, batch_id):
+    return await site.call(
+        site.nodes[0], "DELETE", names.BATCHES_PATH + batch_id
+    )
+
+
+def _start(site, name):
+    node = standin.Node(site, name, "a")
+    site.nodes.append(node)
+    site.nursery.start_soon(node.run)
+    return node
+
+
+class HerdTest(unittest.TestCase):
+    @parameterized.parameterized.expand([("one", 1), ("herd", NODES)])
+    @virtual.on_virtual_time
+    async def test_calls_are_answered_soon_after_a_start(self, _, count):
+        async with standin.opened(nodes=1) as site:
+            for number in range(20):
+                await _submit(site, f"b{number}")
+                await site.read_all(site.nodes[0], f"b{number}")
+                if number < 18:
+                    await _end(site, f"b{number}")
+            await trio.sleep(1)
+            site.store.link_bytes_per_s = LINK_BYTES_PER_S
+            began_at = trio.current_time()
+            nodes = [_start(site, f"m{n}") for n in range(count)]
+            for node in nodes:
+                await self._answers(site, node, began_at + READY_S)
+            for node in nodes:
+                with trio.fail_at(began_at + READABLE_S):
+                    for batch_id in ("b3", "b19"):
+                        results = await site.read_all(node, batch_id)
+                        self.assertEqual(len(results), ITEMS)
+
+    async def _answers(self, site, node, until):
+        number = 0
+        while trio.current_time() < until:
+            number += 1
+            response = await site.call(
+                node,
+                "POST",
+                standin.CALL_PATH + "1",
+                b"?",
+                **{
+                    names.REQUEST_ID: f"{node.name}-{number}",
+                    names.DEADLINE_MS: "1000",
+                },
+            )
+            if response.status == 200:
+                return
+            await trio.sleep(0.05)
+        self.fail(f"{node.name} has no answer yet")
+
+
+class EndedTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [("one_value", 1 << 20), ("several_values", 100_000)]
+    )
+    @virtual.on_virtual_time
+    async def test_ended_batch_takes_little_and_is_read_all_the_same(
+        self, _, value_bytes
+    ):
+        async with standin.opened(nodes=1) as site:
+            book = site.nodes[0].runtime.book
+            book.part_bytes = value_bytes
+            await _submit(site, "b1")
+            before = await site.read_all(site.nodes[0], "b1")
+            prefix = records.key_of("b1", records.SPECIFICATION)
+            values = [k for k in site.store.items if k.startswith(prefix)]
+            response = await _end(site, "b1")
+            self.assertEqual(response.status, 200)
+            for key in values:
+                self.assertLess(len(site.store.value(key)), 10_000)
+            node = _start(site, "m1")
+            await trio.sleep(2)
+            status, page = await site.read(node, "b1")
+            self.assertEqual((status, page["total"]), (200, ITEMS))
+            self.assertEqual(page["results"], before)
+            again = await _submit(site, "b1")
+            self.assertEqual(again.status, 202)
+            self.assertEqual((await _end(site, "b1")).status, 200)
