Tell usage counts to the node that reports them

Cause: each node wrote its counts of each window into the store, which was most of a large fleet's writes (its probes alone give every node something to count), and each write woke all nodes that follow the store.

Counts go to the holder of the duty, told apart by its lease; again to the next one if it changes; into the store if nobody is there, and at a stop. A node that begins to report waits 2 s for them. Figures are fixed in the store before they are sent, as before.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -168,8 +168,24 @@
     Break(
         "usage counts are whole",
         "usage/windows.py",
-        "            self.shared[window] = counts\n",
-        "            self.shared[window] = self.counts[window]\n",
+        "            self.shared[window] = counts\n"
+        "            self.shared_with[window] = IN_STORE\n",
+        "            self.shared[window] = self.counts[window]\n"
+        "            self.shared_with[window] = IN_STORE\n",
+        "tests.test_windows",
+    ),
+    Break(
+        "counts reach the next node that reports",
+        "usage/windows.py",
+        "is_whole and self.shared_with[window] in (IN_STORE, holder)",
+        "is_whole",
+        "tests.test_windows",
+    ),
+    Break(
+        "who begins to report waits for what others told before",
+        "usage/windows.py",
+        "return now - self.gained_at >= RESEND_S",
+        "return True",
         "tests.test_windows",
     ),
     Break(
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -81,12 +81,16 @@
 
     def holder(self, duty: str) -> str:
         """Returns the node that holds a duty; empty for none."""
+        return self.holding(duty).partition(" ")[0]
+
+    def holding(self, duty: str) -> str:
+        """Returns the node that holds a duty and its lease; empty for none."""
         entry = (
             self.feed.entries.get(tenures.DUTIES_PREFIX + duty)
             if self.feed
             else None
         )
-        return (entry.value or b"").decode().partition(" ")[0] if entry else ""
+        return (entry.value or b"").decode() if entry else ""
 
     def leaders(self) -> list[str]:
         """Returns the other nodes that watch the store, in a fixed order.
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -17,6 +17,7 @@
 from kingcupscale import surroundings
 from kingcupscale.operating import exposition
 from kingcupscale.peering import commits
+from kingcupscale.peering import counts
 from kingcupscale.peering import handover
 from kingcupscale.peering import loads
 from kingcupscale.peering import relay
@@ -91,6 +92,7 @@
             commits.HttpCommitClient(exchangers.peers),
             handover.HttpCopyClient(exchangers.peers),
             loads.HttpLoadClient(exchangers.peers),
+            counts.HttpCountsClient(exchangers.peers),
             KEYS,
             DECODERS,
         ),
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -24,6 +24,7 @@
 from kingcupscale.gateway import callers
 from kingcupscale.gateway import forwarder
 from kingcupscale.peering import commits
+from kingcupscale.peering import counts
 from kingcupscale.peering import handover
 from kingcupscale.peering import loads
 from kingcupscale.peering import relay
@@ -32,6 +33,7 @@
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
+from kingcupscale.usage import telling
 from kingcupscale.usage import windows
 from kingcupscale.web import message
 
@@ -150,8 +152,21 @@
 
     def _make_serving(self) -> None:
         settings, around = self.settings, self.surroundings
+        self.reporter = windows.WindowReporter(
+            tenures.Tenure(windows.DUTY, self.session, self.feed, self.clock),
+            self.feed,
+            around.intake,
+            self.clock,
+            settings.bounds.window_s,
+            settings.bounds.late_s,
+        )
+        self.telling = telling.Telling(self.peers, self.reporter, around.counts)
         self.usage = windows.WindowCounter(
-            self.feed, self.clock, settings.node, settings.bounds.window_s
+            self.feed,
+            self.clock,
+            settings.node,
+            settings.bounds.window_s,
+            self.telling,
         )
         admission = admissions.Admission(self.catalogue_now)
         self.forwarder = forwarder.Forwarder(
@@ -171,14 +186,6 @@
             self.clock,
             self.readiness.find_refusal,
         )
-        self.reporter = windows.WindowReporter(
-            tenures.Tenure(windows.DUTY, self.session, self.feed, self.clock),
-            self.feed,
-            around.intake,
-            self.clock,
-            settings.bounds.window_s,
-            settings.bounds.late_s,
-        )
         self.retirements = retirements.Retirements(
             self.feed, around.keys, around.decoders.retirement_state
         )
@@ -189,6 +196,8 @@
             return await commits.answer(self.surroundings.store, request)
         if request.path == handover.PATH:
             return self._take_copy(handover.decode(request.body))
+        if request.path == counts.PATH:
+            return self.telling.answer(request)
         if request.path == loads.PATH:
             self.take_load(loads.decode(request.body))
             return message.Response(200)
--- a/src/kingcupscale/surroundings.py
+++ b/src/kingcupscale/surroundings.py
@@ -11,6 +11,7 @@
 from kingcupscale.fleet import roster
 from kingcupscale.fleet import serverclient
 from kingcupscale.peering import commits
+from kingcupscale.peering import counts
 from kingcupscale.peering import handover
 from kingcupscale.peering import loads
 from kingcupscale.peering import relay
@@ -62,6 +63,7 @@
         commits: Has other nodes write to the store.
         copies: Sends texts on their way to other nodes.
         loads: Tells other nodes what engines load.
+        counts: Tells the node that reports usage what was counted.
         keys: Where operators and servers write.
         decoders: How that is read.
     """
@@ -76,5 +78,6 @@
     commits: commits.CommitClient
     copies: handover.CopyClient
     loads: loads.LoadClient
+    counts: counts.CountsClient
     keys: Keys
     decoders: Decoders
--- a/src/kingcupscale/usage/windows.py
+++ b/src/kingcupscale/usage/windows.py
@@ -22,6 +22,11 @@
 # Share of the time until a report is late after which it is put together,
 # whoever's counts are missing.
 COLLECT_SHARE = 0.4
+# A node that begins to report waits so long for what the others told the one
+# before it.
+RESEND_S = 2.0
+# Stands for the store where it is noted who was told.
+IN_STORE = "store"
 # Windows that are kept in the store and looked after, the newest ones.
 WINDOWS_KEPT = 12
 
@@ -54,25 +59,53 @@
         ...
 
 
+class Teller(Protocol):
+    """Tells the node that reports usage what this one has counted."""
+
+    def holder(self) -> str:
+        """Returns who reports, told apart by lease; empty for nobody."""
+        ...
+
+    async def tell(self, counted: dict[int, dict[str, int]]) -> bool:
+        """Tells whole counts by window; whether they were taken."""
+        ...
+
+
 class WindowCounter:
     """What one node's organisations began, by window.
 
+    Counts go to the node that reports them, and again to the next one if that
+    changes; without one, and at a stop, they go into the store.
+
     Args:
         feed: Where the counts are shared.
         clock: Tells the time.
         node: The node's name.
         window_s: Length of a window in seconds.
+        teller: Tells the node that reports.
+
+    Attributes:
+        counts: Requests by organisation, by window.
+        shared: What has been shared, by window.
+        shared_with: Whom it was told, by window; ``IN_STORE`` for the store.
     """
 
     def __init__(
-        self, feed: feeds.Feed, clock: clocks.Clock, node: str, window_s: float
+        self,
+        feed: feeds.Feed,
+        clock: clocks.Clock,
+        node: str,
+        window_s: float,
+        teller: Teller,
     ) -> None:
         self.feed = feed
         self.clock = clock
         self.node = node
         self.window_s = window_s
+        self.teller = teller
         self.counts: dict[int, dict[str, int]] = {}
         self.shared: dict[int, dict[str, int]] = {}
+        self.shared_with: dict[int, str] = {}
 
     def window_at(self, seconds: float) -> int:
         """Returns the window of a time in seconds since 1970."""
@@ -85,29 +118,49 @@
         counts[organisation] = counts.get(organisation, 0) + 1
 
     async def share(self, is_last: bool = False) -> None:
-        """Writes the counts of ended windows, or of all at the last.
+        """Shares the counts of ended windows, or of all at the last.
 
-        What is written is always a window's whole count, so that it does no
-        harm to write it again, also while another write is under way.
+        What is shared is always a window's whole count, so that it does no
+        harm to share it again, also while another write is under way.
 
         Raises:
             StoreError: If the store cannot be reached; they are kept.
         """
         now_s = self.clock.now().timestamp()
         ended = self.window_at(now_s - COUNT_DELAY_S)
-        for window in sorted(self.counts):
-            if window >= ended and not is_last:
-                continue
-            counts = dict(self.counts[window])
-            if self.shared.get(window) == counts:
-                continue
+        holder = "" if is_last else self.teller.holder()
+        due = {
+            window: dict(self.counts[window])
+            for window in sorted(self.counts)
+            if (is_last or window < ended)
+            and not self._is_shared(window, holder)
+        }
+        if due and not (holder and await self._tell(due, holder)):
+            await self._write(due)
+        for window in [w for w in self.counts if w < ended - WINDOWS_KEPT]:
+            del self.counts[window]
+            self.shared.pop(window, None)
+            self.shared_with.pop(window, None)
+
+    def _is_shared(self, window: int, holder: str) -> bool:
+        is_whole = self.shared.get(window) == self.counts[window]
+        return is_whole and self.shared_with[window] in (IN_STORE, holder)
+
+    async def _tell(self, due: dict[int, dict[str, int]], holder: str) -> bool:
+        if not await self.teller.tell(due):
+            return False
+        for window, counts in due.items():
+            self.shared[window] = counts
+            self.shared_with[window] = holder
+        return True
+
+    async def _write(self, due: dict[int, dict[str, int]]) -> None:
+        for window, counts in due.items():
             key = f"{COUNTS_PREFIX}{window}/{self.node}"
             put = stores.Put(key, orjson.dumps(counts))
             await self.feed.store.commit(stores.Transaction(puts=[put]))
             self.shared[window] = counts
-        for window in [w for w in self.shared if w < ended - WINDOWS_KEPT]:
-            del self.shared[window]
-            self.counts.pop(window, None)
+            self.shared_with[window] = IN_STORE
 
 
 class WindowReporter:
@@ -142,6 +195,22 @@
         self.late_s = late_s
         self.taken: set[int] = set()
         self.first: int | None = None
+        self.received: dict[int, dict[str, dict[str, int]]] = {}
+        self.fence = 0
+        self.gained_at = 0.0
+
+    def take(self, node: str, counted: dict[int, dict[str, int]]) -> None:
+        """Takes over a node's whole counts by window."""
+        for window, counts in counted.items():
+            self.received.setdefault(window, {})[node] = counts
+
+    def _has_heard_all(self) -> bool:
+        """Tells whether the others had the time to tell this node."""
+        now = self.clock.monotonic()
+        if self.fence != self.tenure.fence:
+            self.fence = self.tenure.fence
+            self.gained_at = now
+        return now - self.gained_at >= RESEND_S
 
     async def step(self) -> None:
         """Reports the windows that are due.
@@ -149,6 +218,8 @@
         Raises:
             StoreError: If the store cannot be reached.
         """
+        if not self._has_heard_all():
+            return
         now_s = self.clock.now().timestamp()
         due = int((now_s - self.late_s * COLLECT_SHARE) // self.window_s) - 1
         if self.first is None:
@@ -156,7 +227,10 @@
         for window in range(max(self.first, due - WINDOWS_KEPT), due + 1):
             if window not in self.taken:
                 await self._report(window)
-        self.taken = {w for w in self.taken if w > due - 2 * WINDOWS_KEPT}
+        oldest = due - 2 * WINDOWS_KEPT
+        self.taken = {w for w in self.taken if w > oldest}
+        for window in [w for w in self.received if w <= oldest]:
+            del self.received[window]
 
     def _first_window(self, due: int) -> int:
         """Returns the oldest window of which anything is known."""
@@ -165,7 +239,7 @@
             for prefix in (COUNTS_PREFIX, FIGURES_PREFIX)
             for entry in self.feed.under(prefix)
         ]
-        return min([*windows, due + 1])
+        return min([*windows, *self.received, due + 1])
 
     async def _report(self, window: int) -> None:
         figures = await self._settle_figures(window)
@@ -217,9 +291,17 @@
         return orjson.loads(entry.value)
 
     def _add_up(self, window: int) -> dict[str, int]:
-        totals: dict[str, int] = {}
-        for entry in self.feed.under(f"{COUNTS_PREFIX}{window}/"):
+        """Returns the sum over all nodes, told or written."""
+        prefix = f"{COUNTS_PREFIX}{window}/"
+        by_node = dict(self.received.get(window, {}))
+        for entry in self.feed.under(prefix):
             counts = entries.read(entry, _decode_counts) or {}
+            node = entry.key.removeprefix(prefix)
+            # Both are the node's whole count; the larger one is the later.
+            told = by_node.get(node, {})
+            by_node[node] = max(told, counts, key=lambda c: sum(c.values()))
+        totals: dict[str, int] = {}
+        for counts in by_node.values():
             for organisation, number in counts.items():
                 totals[organisation] = totals.get(organisation, 0) + number
         return totals
