Notice a lost node that runs samples by its missing copies

Cause: on fleets of 8 nodes and more, nobody polls the node that runs a model's samples, so its loss was known only when its lease had ended: 3.0 s without a runner (stand-in, 12 nodes, virtual time; 1.5 s with 3 nodes).

A sender that lives keeps its samples, whatever becomes of its copies.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -440,4 +440,18 @@
         "for number in range(0):",
         SITE + "test_herd",
     ),
+    Break(
+        "a lost node's samples go on soon",
+        "leading.py",
+        "if self._is_overdue(holder):",
+        "if False:",
+        SITE + "test_lifecycle.LostHolderTest",
+    ),
+    Break(
+        "a node that lives keeps its samples",
+        "fleet/peers.py",
+        "            await self.client.probe(address)\n",
+        '            raise calls.PeerError("", True)\n',
+        SITE + "test_lifecycle.LostHolderTest",
+    ),
 )
--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -102,6 +102,13 @@
             for sample in progress.samples.values()
         ]
 
+    def has_open_batches(self, model: str) -> bool:
+        """Tells whether this node runs a batch of a model now."""
+        return any(
+            progress.record.batch.model == model
+            for progress in self.progress.values()
+        )
+
     def unlisted_samples(self, model: str) -> list[samples.Sample]:
         """Returns a model's samples that would be lost with this node."""
         return [
--- a/src/kingcupscale/batches/copying.py
+++ b/src/kingcupscale/batches/copying.py
@@ -58,9 +58,11 @@
             await self.send()
 
     async def send(self) -> None:
-        """Sends what is new, if anything is."""
+        """Sends what is new; nothing new tells that this node lives."""
+        if not self.coordinator.has_open_batches(self.model):
+            return
         target = self.find_target()
-        if target is not None and self.coordinator.unlisted_samples(self.model):
+        if target is not None:
             await self._send_to(target, is_last=False)
 
     async def hand_over(self) -> None:
@@ -80,13 +82,12 @@
             self.target = name
             self._forget()
         texts = self._collect()
-        if not texts and not is_last:
-            return True
         copy = handover.Copy(
             self.coordinator.service,
             texts,
-            self.model if is_last else "",
+            self.model,
             self.node,
+            is_last,
         )
         try:
             await self.client.send(address, copy)
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -181,6 +181,23 @@
             raise failure
         return None
 
+    async def probe(self, node: str) -> None:
+        """Finds out whether a node that was expected to be heard of lives."""
+        address = self.addresses().get(node)
+        if address is None:
+            return
+        try:
+            await self.client.probe(address)
+        except calls.PeerError as e:
+            if node not in self.silent_since:
+                events.log(events.Event.PEER_SILENT, peer=node, reason=e.reason)
+            # It has not been heard of for a while before it was asked.
+            since = self.clock.monotonic() - 2 * SILENT_S
+            self.silent_since.setdefault(node, since)
+            return
+        if self.silent_since.pop(node, None) is not None:
+            events.log(events.Event.PEER_BACK, peer=node)
+
     def successor(self, ranking: list[str]) -> tuple[str, str] | None:
         """Returns the first other node of a ranking that answers."""
         addresses = self.addresses()
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -31,6 +31,10 @@
 # A node that has stopped running samples gives its lease back within this
 # time, also to a slow store.
 TAKEOVER_S = 3.0
+# The node that runs samples sends a copy every 0.3 s; one that missed two is
+# asked whether it lives, and this often again.
+OVERDUE_S = 0.8
+PROBE_PAUSE_S = 0.3
 
 
 class ServiceDuty:
@@ -153,6 +157,9 @@
         self.coordinator = leader.coordinator
         self.taken_from = ""
         self.taken_until = 0.0
+        self.heard_from = ""
+        self.heard_at = 0.0
+        self.probed_at = 0.0
         self.tenure = tenures.Tenure(
             model_duty(leader.service, model),
             runtime.session,
@@ -196,6 +203,21 @@
         self.taken_until = self.runtime.clock.monotonic() + TAKEOVER_S
         self.coordinator.set_active(self.model, True)
 
+    def note_heard(self, sender: str) -> None:
+        """Notes that the node that runs the samples has sent a copy."""
+        self.heard_from = sender
+        self.heard_at = self.runtime.clock.monotonic()
+
+    def _is_overdue(self, holder: str) -> bool:
+        """Tells whether a copy of the samples' texts should have come."""
+        now = self.runtime.clock.monotonic()
+        if holder != self.heard_from or now - self.heard_at <= OVERDUE_S:
+            return False
+        return now - self.probed_at > PROBE_PAUSE_S and any(
+            record.is_open() and record.batch.model == self.model
+            for record in self.runtime.book.records.values()
+        )
+
     def _find_successor(self) -> tuple[str, str] | None:
         """Returns the node that runs the samples next, if not this one."""
         peers_known = self.runtime.peers
@@ -244,6 +266,9 @@
             if self.tenure.is_held():
                 self.coordinator.set_active(self.model, True)
             elif holder and holder != self.runtime.settings.node:
+                if self._is_overdue(holder):
+                    await self.runtime.peers.probe(holder)
+                    self.probed_at = self.runtime.clock.monotonic()
                 await self._follow_holder(holder)
             await self.runtime.clock.rest(HOLDER_PAUSE_S)
 
--- a/src/kingcupscale/peering/handover.py
+++ b/src/kingcupscale/peering/handover.py
@@ -43,15 +43,17 @@
     Attributes:
         service: The service.
         texts: The texts.
-        stops: Model whose samples the sender stops running with this copy, so
-            that its receiver goes on with them at once; empty for none.
+        model: Model whose samples the sender runs.
         sender: The node that sends it.
+        is_last: Whether the sender stops running them, so that its receiver
+            goes on with them at once.
     """
 
     service: str
     texts: list[Text]
-    stops: str = ""
+    model: str = ""
     sender: str = ""
+    is_last: bool = False
 
 
 class CopyClient(Protocol):
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -25,12 +25,15 @@
 
 PATH = "/relay"
 COPY_PATH = "/relay-copy"
+PROBE_PATH = "/alive"
 # A follower waits this long for news; an answer that takes longer than this
 # and the margin means that the other node is gone.
 WAIT_S = 0.5
 MARGIN_S = 0.3
 # A whole batch with its texts takes a while on a narrow link.
 COPY_TIMEOUT_S = 1.0
+# A node that lives answers at once.
+PROBE_TIMEOUT_S = 0.5
 STATUS_UNKNOWN = 404
 STATUS_BEHIND = 410
 # Encoded changes kept; all followers ask for the latest ones.
@@ -85,6 +88,11 @@
     batch: str
 
 
+@attrs.frozen
+class Probe:
+    """Asks whether a node lives."""
+
+
 class RelayClient(Protocol):
     """Asks other nodes for changes."""
 
@@ -111,6 +119,14 @@
         """
         ...
 
+    async def probe(self, address: str) -> None:
+        """Asks a node whether it lives.
+
+        Raises:
+            PeerError: If it does not answer.
+        """
+        ...
+
 
 class HttpRelayClient:
     """A ``RelayClient`` over HTTP.
@@ -169,6 +185,12 @@
             raise
         return calls.decode_answer(body, records.RecordCopy)
 
+    async def probe(self, address: str) -> None:
+        """Asks a node whether it lives."""
+        await calls.post(
+            self.exchanger, address, PROBE_PATH, Probe(), PROBE_TIMEOUT_S
+        )
+
 
 class BatchesKnown(Protocol):
     """What a node knows of the batches that followers ask for."""
@@ -205,6 +227,8 @@
 
     async def __call__(self, request: message.Request) -> message.Response:
         """Answers a follower."""
+        if request.path == PROBE_PATH:
+            return message.Response(200)
         if request.path == COPY_PATH:
             return await self._copy(calls.decode(request.body, CopyQuestion))
         question = calls.decode(request.body, Question)
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -208,9 +208,11 @@
         duty = self.services.get(copy.service)
         if duty is not None:
             duty.coordinator.take_copy(copy)
-        if not copy.stops:
+        model = self.models.get(leading.model_duty(copy.service, copy.model))
+        if model is not None:
+            model.note_heard(copy.sender)
+        if not copy.is_last:
             return message.Response(200)
-        model = self.models.get(leading.model_duty(copy.service, copy.stops))
         if model is None or self.is_draining:
             return message.Response(503)
         model.take_over(copy.sender)
--- a/tests/platform/test_lifecycle.py
+++ b/tests/platform/test_lifecycle.py
@@ -124,6 +124,48 @@
             self.assertLessEqual(len(later), 6)
 
 
+class LostHolderTest(unittest.TestCase):
+    """Load pattern: the node that runs samples is killed."""
+
+    @parameterized.parameterized.expand([("few_nodes", 3), ("many_nodes", 12)])
+    @virtual.on_virtual_time
+    async def test_samples_go_on_soon_elsewhere(self, _, nodes):
+        async with standin.opened(nodes=nodes) as site:
+            holder = site.holder(f"engines/{standin.MODEL}")
+            for server in site.servers.values():
+                server.length = 600
+            await site.submit(site.other(holder), items=6)
+            await trio.sleep(3)
+            site.network.crash(holder.name)
+            lost_at = trio.current_time()
+            await trio.sleep(5)
+            later = [run.at for run in site.runs if run.at > lost_at]
+            self.assertLess(min(later) - lost_at, 1.7)
+            for run in site.runs:
+                if run.at > lost_at:
+                    self.assertGreater(run.resumed_after, 100)
+
+    @virtual.on_virtual_time
+    async def test_holder_that_lives_keeps_its_samples(self):
+        """Copies that do not arrive are no reason to run them twice."""
+        async with standin.opened(nodes=12) as site:
+            holder = site.holder(f"engines/{standin.MODEL}")
+            for server in site.servers.values():
+                server.length = 600
+            await site.submit(site.other(holder), items=6)
+            await trio.sleep(3)
+            begun = len(site.runs)
+            holder.runtime.models[
+                f"engines/{standin.MODEL}"
+            ].copier.send = _send_nothing
+            await trio.sleep(4)
+            self.assertEqual(len(site.runs), begun)
+
+
+async def _send_nothing():
+    """Stands for copies that are lost."""
+
+
 class PresenceTest(unittest.TestCase):
     @virtual.on_virtual_time
     async def test_entry_that_was_removed_is_written_again(self):
