Ask the followed node more seldom on large fleets

Cause: engines change their entries all the time, so each question of a follower was answered at once and asked again 0.35 s later: 2.7 answers a second for each node, of which a node of 66 that leads a service is held up whenever anything changes.

Nodes that nobody waits at ask 60 times a second all together, and at least every quarter of the time within which a configuration must be in force.

Test: 60 nodes with entries that change all the time get fewer than 130 answers a second from the node that they follow, and a configuration is in force everywhere within 1.2 s.

--- a/src/kingcupscale/candidates.py
+++ b/src/kingcupscale/candidates.py
@@ -18,14 +18,17 @@
         self.feed = feed
         self.node = node
         self.rankings: dict[str, list[str]] = {}
+        self.known: list[str] | None = None
         feed.subscribe(tenures.NODES_PREFIX, self._take_node)
 
     def names(self) -> list[str]:
         """Returns the nodes that take part, this one included."""
-        return [
-            entry.key.removeprefix(tenures.NODES_PREFIX)
-            for entry in self.feed.under(tenures.NODES_PREFIX)
-        ]
+        if self.known is None:
+            self.known = [
+                entry.key.removeprefix(tenures.NODES_PREFIX)
+                for entry in self.feed.under(tenures.NODES_PREFIX)
+            ]
+        return self.known
 
     def ranking(self, duty: str) -> list[str]:
         """Returns the candidates for a duty, the preferred one first."""
@@ -43,3 +46,4 @@
     def _take_node(self, entry: stores.Entry) -> None:
         """Has the candidates ranked anew."""
         self.rankings.clear()
+        self.known = None
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -27,6 +27,7 @@
 from kingcupscale.peering import counts
 from kingcupscale.peering import handover
 from kingcupscale.peering import loads
+from kingcupscale.peering import pace
 from kingcupscale.peering import relay
 from kingcupscale.storage import changelog
 from kingcupscale.storage import detour
@@ -37,10 +38,8 @@
 from kingcupscale.usage import windows
 from kingcupscale.web import message
 
-# Pause between two watches: a node that leads a service reads new batches
-# sooner than one that only answers readers.
+# Pause between two watches of a node that leads a service.
 LEADER_PAUSE_S = 0.1
-FOLLOWER_PAUSE_S = 0.35
 # A followed mirror costs little, so a node whose readers or samples wait for
 # news asks at once again.
 NEEDED_PAUSE_S = 0.02
@@ -298,7 +297,9 @@
         )
         if self.feed.is_following and is_needed:
             return NEEDED_PAUSE_S
-        return FOLLOWER_PAUSE_S
+        return pace.idle_pause_s(
+            len(self.candidates.names()), self.settings.bounds.apply_s
+        )
 
     def is_ready(self) -> bool:
         """Tells whether callers should be sent here."""
--- /dev/null
+++ b/tests/storage/test_pace.py
@@ -0,0 +1,54 @@
+"""How often nodes ask the one that they follow."""
+
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.peering import pace
+from kingcupscale.peering import relay
+from tests import virtual
+from tests.platform import standin
+
+
+class PaceTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("few", 4, 2.0, 0.35),
+            ("some", 29, 3.0, 29 / 60),
+            ("many", 66, 4.0, 1.0),
+            ("design_size", 380, 18.0, 4.5),
+            ("short_bound", 380, 0.5, 0.35),
+        ]
+    )
+    def test_pause_grows_with_the_fleet_within_the_bound(
+        self, _, nodes, apply_s, expected
+    ):
+        found = pace.idle_pause_s(nodes, apply_s)
+        self.assertAlmostEqual(found, expected)
+
+    @virtual.on_virtual_time
+    async def test_followed_node_answers_a_bounded_number(self):
+        """Load pattern: servers change their entries all the time."""
+        async with standin.opened(nodes=60) as site:
+            leader = site.holder().runtime
+            answers = 0
+            follow = leader.relay.__call__
+
+            async def count(request):
+                nonlocal answers
+                answers += request.path == relay.PATH
+                return await follow(request)
+
+            leader.relay = count
+            for _ in range(100):
+                for server in site.servers.values():
+                    server.enter()
+                await trio.sleep(0.1)
+            self.assertLess(answers / 10, 130)
+            configuration = standin.make_configuration(version=9)
+            site.write_configuration(configuration)
+            await trio.sleep(1.2)
+            for node in site.nodes:
+                known = node.runtime.catalogue_now()
+                self.assertEqual(known.version, 9)
