Check the lease again as an order's connection is open

Cause: orders to engines, orders for servers and usage reports checked their lease, then opened a connection, which takes up to a second while a packet is lost or the process is delayed; the lease's margin is 0.5 s. Where nobody checks fencing numbers, such a call would come after its successor's.

The check runs once more right before the first byte leaves.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -454,4 +454,18 @@
         '            raise calls.PeerError("", True)\n',
         SITE + "test_lifecycle.LostHolderTest",
     ),
+    Break(
+        "no report or order to the cloud leaves after its lease",
+        "platform/cloud.py",
+        "        request.before_send = holder.check\n",
+        "",
+        SITE + "test_permission",
+    ),
+    Break(
+        "no order to an engine leaves after its lease",
+        "platform/servers.py",
+        "        request.before_send = order.holder.check\n",
+        "",
+        SITE + "test_permission",
+    ),
 )
--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -149,8 +149,7 @@
             load.model,
             load.version,
             self._keeps_runs(),
-            self.tenure.session.node,
-            self.tenure.fence,
+            self.tenure.holder(),
             load.server.sequence,
         )
         if not self.tenure.is_held():
--- a/src/kingcupscale/capacity/fleetsize.py
+++ b/src/kingcupscale/capacity/fleetsize.py
@@ -59,7 +59,7 @@
 class Provider(Protocol):
     """Takes orders for servers."""
 
-    async def order(self, order: Order, holder: str, fence: int) -> OrderState:
+    async def order(self, order: Order, holder: tenures.Holder) -> OrderState:
         """Orders servers.
 
         Raises:
@@ -178,9 +178,7 @@
             return
         now = self.clock.monotonic()
         try:
-            state = await self.provider.order(
-                order, self.tenure.session.node, self.tenure.fence
-            )
+            state = await self.provider.order(order, self.tenure.holder())
         except OrderError as e:
             self.not_before[order.zone] = now + FAILED_PAUSE_S
             events.log(
--- a/src/kingcupscale/fleet/serverclient.py
+++ b/src/kingcupscale/fleet/serverclient.py
@@ -8,6 +8,7 @@
 import attrs
 
 from kingcupscale.fleet import roster
+from kingcupscale.storage import tenure as tenures
 
 
 class ServerError(Exception):
@@ -122,16 +123,14 @@
         version: The version.
         keeps_runs: Whether running requests go on under the new version;
             otherwise they end first.
-        holder: Node that gives the order.
-        fence: Its fencing number.
+        holder: Who gives the order.
         expected_sequence: Orders that the engine has accepted so far.
     """
 
     model: str
     version: int
     keeps_runs: bool
-    holder: str
-    fence: int
+    holder: tenures.Holder
     expected_sequence: int
 
 
--- a/src/kingcupscale/platform/cloud.py
+++ b/src/kingcupscale/platform/cloud.py
@@ -2,6 +2,7 @@
 
 from kingcupscale.capacity import fleetsize
 from kingcupscale.platform import names
+from kingcupscale.storage import tenure as tenures
 from kingcupscale.usage import windows
 from kingcupscale.web import exchange
 from kingcupscale.web import message
@@ -22,21 +23,23 @@
         self.address = address
 
     async def report(
-        self, window: int, counts: dict[str, int], holder: str, fence: int
+        self, window: int, counts: dict[str, int], holder: tenures.Holder
     ) -> None:
         """Sends one window's figures."""
         body = {"window": window, "counts": counts}
         try:
-            response = await self._post("/usage", body, holder, fence)
+            response = await self._post("/usage", body, holder)
         except exchange.ExchangeError as e:
             raise windows.ReportError(e.reason, False) from e
+        except tenures.DutyLostError as e:
+            raise windows.ReportError("the duty is not held", False) from e
         if response.status != 200:
             raise windows.ReportError(
                 f"status {response.status}", response.status == 409
             )
 
     async def order(
-        self, order: fleetsize.Order, holder: str, fence: int
+        self, order: fleetsize.Order, holder: tenures.Holder
     ) -> fleetsize.OrderState:
         """Orders a number of servers."""
         body = {
@@ -47,9 +50,11 @@
         if order.is_spot:
             body["spot"] = True
         try:
-            response = await self._post("/scale", body, holder, fence)
+            response = await self._post("/scale", body, holder)
         except exchange.ExchangeError as e:
             raise fleetsize.OrderError(e.reason) from e
+        except tenures.DutyLostError as e:
+            raise fleetsize.OrderError("the duty is not held") from e
         if response.status == 200:
             return fleetsize.OrderState.TAKEN
         # 409 is either a newer holder or that there are none to be had.
@@ -58,14 +63,15 @@
         raise fleetsize.OrderError(f"status {response.status}")
 
     async def _post(
-        self, path: str, body: object, holder: str, fence: int
+        self, path: str, body: object, holder: tenures.Holder
     ) -> message.Response:
         headers = {
             "host": self.address,
-            names.DUTY_HOLDER: holder,
-            names.FENCE: str(fence),
+            names.DUTY_HOLDER: holder.node,
+            names.FENCE: str(holder.fence),
         }
         request = message.json_request(path, body, headers)
+        request.before_send = holder.check
         return await exchange.fetch(
             self.exchanger, self.address, request, CALL_TIMEOUT_S
         )
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -9,6 +9,7 @@
 from kingcupscale.fleet import serverclient
 from kingcupscale.platform import documents
 from kingcupscale.platform import names
+from kingcupscale.storage import tenure as tenures
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 
@@ -96,14 +97,15 @@
             "version": order.version,
             # "retain" lets runs go on, "park" lets them finish first.
             "mode": "retain" if order.keeps_runs else "park",
-            "holder": order.holder,
-            "fence": order.fence,
+            "holder": order.holder.node,
+            "fence": order.holder.fence,
             # The wire calls the count of accepted orders a revision here.
             "expectedRev": order.expected_sequence,
         }
         request = message.json_request(
             "/order", body, {names.EXPECT_SERVER: server.id}
         )
+        request.before_send = order.holder.check
         response = await self._fetch(server, request)
         return _ORDER_OUTCOMES.get(
             response.status, serverclient.OrderOutcome.REFUSED
@@ -141,6 +143,8 @@
             )
         except exchange.ExchangeError as e:
             raise serverclient.ServerError(e.reason, e.request_left) from e
+        except tenures.DutyLostError as e:
+            raise serverclient.ServerError("duty not held", False) from e
         if names.SIGNATURE in response.headers:
             # Only answers to requests are signed: a late copy of one of them.
             raise serverclient.ServerError("answer to another request", True)
--- a/src/kingcupscale/storage/tenure.py
+++ b/src/kingcupscale/storage/tenure.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import attrs
 import trio
 
 from kingcupscale import clock as clocks
@@ -20,6 +21,25 @@
 SAFETY_SHARE = 0.25
 
 
+class DutyLostError(Exception):
+    """A call that may not leave, as its sender's duty is not sure any more."""
+
+
+@attrs.frozen
+class Holder:
+    """Who sends a call that only the holder of a duty may send.
+
+    Attributes:
+        node: The node's name.
+        fence: Its fencing number.
+        check: Raises ``DutyLostError`` if the call must not leave any more.
+    """
+
+    node: str
+    fence: int
+    check: Callable[[], None]
+
+
 class Session:
     """A node's lease, which entries in the store are bound to.
 
@@ -240,6 +260,22 @@
             and self.session.is_held()
         )
 
+    def holder(self) -> Holder:
+        """Returns what a call of the holder bears."""
+        return Holder(self.session.node, self.fence, self.check)
+
+    def check(self) -> None:
+        """Lets a call leave that only the holder may send.
+
+        To be called when the call's connection is open: opening one may take
+        longer than what was left of the lease.
+
+        Raises:
+            DutyLostError: If this node does not surely hold the duty.
+        """
+        if not self.is_held():
+            raise DutyLostError(self.name)
+
     async def attempt(self) -> None:
         """Takes the duty if nobody holds it.
 
--- a/src/kingcupscale/usage/windows.py
+++ b/src/kingcupscale/usage/windows.py
@@ -49,7 +49,7 @@
     """Takes usage reports."""
 
     async def report(
-        self, window: int, counts: dict[str, int], holder: str, fence: int
+        self, window: int, counts: dict[str, int], holder: tenures.Holder
     ) -> None:
         """Sends one window's figures.
 
@@ -246,9 +246,7 @@
         if figures is None or not self.tenure.is_held():
             return
         try:
-            await self.intake.report(
-                window, figures, self.tenure.session.node, self.tenure.fence
-            )
+            await self.intake.report(window, figures, self.tenure.holder())
         except ReportError as e:
             events.log(
                 events.Event.USAGE_FAILED,
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -25,11 +25,13 @@
 from kingcupscale.platform import documents
 from kingcupscale.platform import names
 from kingcupscale.platform import servers
+from kingcupscale.storage import tenure as tenures
 from kingcupscale.web import exchange
 from tests.platform import endlessserver
 from tests.platform import standin
 
 GUARD_S = 30.0
+HOLDER = tenures.Holder("n1", 1, lambda: None)
 PATIENCE_S = 0.6
 HEAD_S = 0.8
 SLACK_S = 0.7
@@ -216,9 +218,7 @@
     def test_report_and_order_end_in_time(self, kind):
         async def use(server, world):
             engine = world.roster.servers["engines"]
-            order = serverclient.VersionOrder(
-                standin.MODEL, 2, True, "n1", 1, 0
-            )
+            order = serverclient.VersionOrder(standin.MODEL, 2, True, HOLDER, 0)
             with trio.fail_after(2 * servers.ORDER_TIMEOUT_S + SLACK_S):
                 with self.assertRaises(serverclient.ServerError):
                     await world.client.report(engine)
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -8,10 +8,12 @@
 
 from kingcupscale.fleet import serverclient
 from kingcupscale.platform import names
+from kingcupscale.storage import tenure as tenures
 from kingcupscale.web import message
 from tests import virtual
 from tests.platform import standin
 
+HOLDER = tenures.Holder("n1", 1, lambda: None)
 PLAIN = ("p1", "p2")
 ENGINES = ("e1", "e2")
 
@@ -143,9 +145,7 @@
                 return message.Response(200, headers, b"{}")
 
             server.answer = answer_with_a_copy
-            order = serverclient.VersionOrder(
-                standin.MODEL, 2, True, "n1", 1, 0
-            )
+            order = serverclient.VersionOrder(standin.MODEL, 2, True, HOLDER, 0)
             with self.assertRaises(serverclient.ServerError) as caught:
                 await node.surroundings.servers.order(
                     node.roster.servers["e1"], order
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -9,6 +9,7 @@
 
 from kingcupscale.fakes import virtualtime
 from kingcupscale.storage import store as stores
+from kingcupscale.storage import tenure as tenures
 from kingcupscale.usage import windows
 from tests import virtual
 
@@ -169,7 +170,7 @@
     def __init__(self):
         self.reports = []
 
-    async def report(self, window, counts, holder, fence):
+    async def report(self, window, counts, holder):
         self.reports.append((window, counts))
 
 
@@ -177,7 +178,10 @@
     def _make(self, mirror, intake, node):
         session = types.SimpleNamespace(node=node)
         tenure = types.SimpleNamespace(
-            session=session, fence=1, is_held=lambda: True
+            session=session,
+            fence=1,
+            is_held=lambda: True,
+            holder=lambda: tenures.Holder(node, 1, lambda: None),
         )
         clock = virtualtime.VirtualClock()
         return windows.WindowReporter(
