Answer every request that was read as a planned stop closes connections

Found by a new test for what operators of similar systems told: hypercorn closes idle connections at once when the server is told to stop, also one on which a request is being read; the handler began, perhaps passed the call on, and was cancelled. Connections that were accepted just before the stop and had not sent their request yet were cut as well.

The worker closes connections itself: those with no request read or under way, at once if they have been used, else after 0.5 s.

Also: a test that a late second copy of an answer on a connection in use again is nobody's answer (it held already: the id tells).

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -468,4 +468,11 @@
         "",
         SITE + "test_permission",
     ),
+    Break(
+        "a request that was read at a stop is answered",
+        "web/worker.py",
+        "if not self.requests and not self.has_bytes:",
+        "if True:",
+        "tests.test_web_server.StopTest",
+    ),
 )
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import functools
+from typing import Any
 
 import hypercorn.app_wrappers
 import hypercorn.config
@@ -20,6 +21,9 @@
 # What still runs for a connection this long after its end waits for something
 # that can't come, such as a pipelined request behind an answer to nobody.
 GONE_S = 1.0
+# A connection that was accepted right before a stop has this long to send its
+# request, which its client may have sent already.
+FIRST_REQUEST_S = 0.5
 
 
 class Worker:
@@ -35,9 +39,11 @@
         application: hypercorn.typing.ASGIFramework,
         config: hypercorn.config.Config,
     ) -> None:
-        self.application = hypercorn.app_wrappers.ASGIWrapper(application)
+        self.application = application
         self.config = config
         self.context = hypercorn.trio.worker_context.WorkerContext(None)
+        self.streams: set[WatchedStream] = set()
+        self.is_stopping = False
 
     async def serve(
         self,
@@ -68,13 +74,29 @@
                 task_status.started(f"{bound[0]}:{bound[1]}")
                 await shutdown()
                 accepting.cancel_scope.cancel()
-            await self.context.terminated.set()
             limit_s = self.config.graceful_timeout
             connections.cancel_scope.deadline = trio.current_time() + limit_s
+            await self._close_idle_connections()
+
+    async def _close_idle_connections(self) -> None:
+        """Closes connections on which no request has begun to arrive.
+
+        Hypercorn's own way is not used: it closes a connection also while a
+        request on it is being read.
+        """
+        self.is_stopping = True
+        for stream in list(self.streams):
+            if stream.is_used:
+                stream.close_if_idle()
+        if self.streams:
+            await trio.sleep(FIRST_REQUEST_S)
+        for stream in list(self.streams):
+            stream.close_if_idle()
 
     async def _serve_connection(self, accepted: trio.SocketStream) -> None:
         """Serves one connection until it is done or gone."""
         stream = WatchedStream(accepted)
+        self.streams.add(stream)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._run, stream, nursery.cancel_scope)
@@ -82,14 +104,30 @@
                 await trio.sleep(GONE_S)
                 nursery.cancel_scope.cancel()
         finally:
+            self.streams.discard(stream)
             await trio.aclose_forcefully(stream)
 
+    async def _answer(
+        self, stream: "WatchedStream", scope: Any, receive: Any, send: Any
+    ) -> None:
+        """Answers one request, noting that the connection is in use."""
+        stream.requests += 1
+        try:
+            await self.application(scope, receive, send)
+        finally:
+            stream.requests -= 1
+            stream.has_bytes = False
+            stream.is_used = True
+            if self.is_stopping:
+                stream.close_if_idle()
+
     async def _run(
         self, stream: "WatchedStream", connection: trio.CancelScope
     ) -> None:
         """Runs hypercorn's server; what goes wrong ends only this one."""
+        application = functools.partial(self._answer, stream)
         server = hypercorn.trio.tcp_server.TCPServer(
-            self.application,
+            hypercorn.app_wrappers.ASGIWrapper(application),
             self.config,
             self.context,
             hypercorn.typing.ConnectionState({}),
@@ -109,7 +147,7 @@
 
 
 class WatchedStream(trio.abc.HalfCloseableStream):
-    """A connection that tells when it is closed or broken.
+    """A connection that tells when it is idle, closed or broken.
 
     Args:
         stream: The connection.
@@ -117,16 +155,33 @@
     Attributes:
         socket: Its socket.
         gone: Set once nothing can be sent any more.
+        requests: Requests that are being answered.
+        has_bytes: Whether bytes of a further request have been read.
+        is_used: Whether a request has been answered.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.socket = stream.socket
         self.gone = trio.Event()
+        self.requests = 0
+        self.has_bytes = False
+        self.is_used = False
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is being read or answered."""
+        if not self.requests and not self.has_bytes:
+            self.gone.set()
+            self.socket.close()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Returns some received data; nothing at its end."""
-        return await self.stream.receive_some(max_bytes)
+        try:
+            data = await self.stream.receive_some(max_bytes)
+        except trio.ClosedResourceError:
+            return b""
+        self.has_bytes = self.has_bytes or bool(data)
+        return data
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         """Sends all of the data."""
--- a/tests/platform/endlessserver.py
+++ b/tests/platform/endlessserver.py
@@ -91,3 +91,32 @@
             self.closed += 1
         finally:
             await trio.aclose_forcefully(stream)
+
+
+class Stutterer(Server):
+    """Sends each answer once more as the next request comes."""
+
+    def __init__(self):
+        super().__init__("head")
+        self.stuttered = 0
+
+    async def _answer(self, stream):
+        last = b""
+        request = b""
+        try:
+            while data := await stream.receive_some():
+                request += data
+                if not request.endswith(b"\r\n\r\n?"):
+                    continue
+                name = re.search(rb"(?i)request-id: (\S+)", request)[1]
+                body = b"answer to " + name
+                head = OK % {b"id": name}
+                whole = head + b"Content-Length: %d\r\n\r\n%s" % (
+                    len(body),
+                    body,
+                )
+                self.stuttered += bool(last)
+                await stream.send_all(last + whole)
+                last, request = whole, b""
+        except trio.BrokenResourceError:
+            self.closed += 1
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -53,10 +53,14 @@
         self.exchanger = exchange.HttpExchanger()
         self.client = servers.PlatformServers(self.exchanger)
         self.roster = roster.Roster(self.clock, lambda: 0.0, lambda: False)
-        for service in ("plain", "engines"):
+        for name, service in (
+            ("plain", "plain"),
+            ("other", "plain"),
+            ("engines", "engines"),
+        ):
             self.roster.enter(
                 roster.ServerEntry(
-                    service,
+                    name,
                     service,
                     server.address,
                     "a",
@@ -84,8 +88,8 @@
             self.client, self.clock, lambda *_: None
         )
 
-    async def call(self, number, path):
-        """Sends one call; returns its failure, or None for an answer."""
+    async def send(self, number, path):
+        """Sends one call; returns the response."""
         inbound = inbounds.Inbound(
             request_id=f"r{number}",
             method="POST",
@@ -98,8 +102,12 @@
             patience_s=PATIENCE_S,
             received_at=self.clock.monotonic(),
         )
+        return await self.forwarder.forward(inbound)
+
+    async def call(self, number, path):
+        """Sends one call; returns its failure, or None for an answer."""
         try:
-            response = await self.forwarder.forward(inbound)
+            response = await self.send(number, path)
             if response.chunks is not None:
                 async with contextlib.aclosing(response.chunks) as pieces:
                     async for _ in pieces:
@@ -228,6 +236,38 @@
         before(kind, use)
 
 
+class LateCopyTest(unittest.TestCase):
+    """A server sends its last answer once more, on a channel in use again."""
+
+    @parameterized.parameterized.expand(
+        [
+            ("idempotent", standin.CALL_PATH, True),
+            ("once_only", "/once/", False),
+        ]
+    )
+    def test_next_caller_gets_no_answer_of_another(self, _, path, may_repeat):
+        async def main():
+            server = endlessserver.Stutterer()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                world = World(server)
+                first = await world.send(1, path)
+                self.assertEqual(first.body, b"answer to r1")
+                world.roster.servers["plain"].note_success()
+                if may_repeat:
+                    second = await world.send(2, path)
+                    self.assertEqual(second.body, b"answer to r2")
+                else:
+                    with self.assertRaises(errors.ServiceError) as caught:
+                        await world.send(2, path)
+                    self.assertEqual(caught.exception.code.status, 502)
+                self.assertEqual(server.stuttered, 1)
+                await world.exchanger.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 class NamesTest(unittest.TestCase):
     def test_stand_in_speaks_of_the_wire_as_the_product_does(self):
         for name in (names.REQUEST_ID, names.SIGNATURE, names.WEIGHT_VERSION):
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -1,6 +1,7 @@
 """The HTTP server on real sockets: bad input, disconnects, planned stops."""
 
 import functools
+import random
 import unittest
 from unittest import mock
 
@@ -176,6 +177,74 @@
         trio.run(guarded)
 
 
+class StopTest(unittest.TestCase):
+    """A planned stop, with requests on the way on open connections."""
+
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{seed}", seed, is_used, least)
+            for kind, is_used, least in (("new", False, 25), ("used", True, 0))
+            for seed in range(3)
+        ]
+    )
+    def test_every_request_that_was_read_is_answered(
+        self, _, seed, is_used, least
+    ):
+        rng = random.Random(seed)
+        begun, answered = set(), set()
+
+        async def handle(request):
+            begun.add(request.path)
+            await trio.sleep(0.1)
+            return message.Response(200, {}, b"whole")
+
+        async def ask(stream, path):
+            try:
+                await stream.send_all(
+                    b"GET %s HTTP/1.1\r\nhost: a\r\n\r\n" % path.encode()
+                )
+                data = b""
+                while not data.endswith(b"whole"):
+                    received = await stream.receive_some()
+                    if not received:
+                        return
+                    data += received
+                answered.add(path)
+            except (OSError, trio.BrokenResourceError):
+                return
+
+        async def ask_around_the_stop(stream, number):
+            # Some are read before the stop, some cross it.
+            await trio.sleep(rng.uniform(0.0, 0.04))
+            await ask(stream, f"/{number}")
+            await trio.aclose_forcefully(stream)
+
+        async def main():
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(
+                    server.serve, handle, "127.0.0.1:0", LIMITS, stop.wait
+                )
+                host, _, port = address.rpartition(":")
+                streams = [
+                    await trio.open_tcp_stream(host, int(port))
+                    for _ in range(30)
+                ]
+                if is_used:
+                    for number, stream in enumerate(streams):
+                        nursery.start_soon(ask, stream, f"/first-{number}")
+                    while len(answered) < len(streams):
+                        await trio.sleep(0.01)
+                for number, stream in enumerate(streams):
+                    nursery.start_soon(ask_around_the_stop, stream, number)
+                await trio.sleep(0.02)
+                stop.set()
+
+        trio.run(main)
+        self.assertEqual(begun - answered, set())
+        self.assertGreaterEqual(len(answered), least)
+
+
 class ExchangeTest(unittest.TestCase):
     def test_refused_connection_says_nothing_left(self):
         async def main():
