--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -407,7 +407,7 @@
     ),
     Break(
         "a stalled stream ends with its time",
-        "gateway/forwarder.py",
+        "gateway/passing.py",
         "with trio.move_on_after(left_s) as scope:",
         "with trio.move_on_after(60.0) as scope:",
         SITE + "test_slow",
--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -107,25 +107,12 @@
                 return
 
 
-def choose(
-    waiting: Iterable[sample.Sample],
-    servers: list[roster.Server],
-    prompts: dict[str, set[str]],
-    now: float,
-    now_ms: int,
-    token_s: float,
-) -> Choice | None:
-    """Returns the first choice of ``choose_each``, or None if none can go."""
-    each = choose_each(waiting, servers, prompts, now, now_ms, token_s)
-    return next(each, None)
-
-
 def choose_first(
     waiting: Iterable[sample.Sample],
     servers: list[roster.Server],
     now: float,
 ) -> Choice | None:
-    """Returns the first sample and any engine; the baseline of ``choose``."""
+    """Returns any choice at all; the baseline of ``choose_each``."""
     for candidate in waiting:
         for server in servers:
             has_room = server.in_flight < server.entry.slots
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -1,6 +1,5 @@
 """Passing single calls on to plain servers and model engines."""
 
-from collections.abc import AsyncIterator
 import contextlib
 import random
 from typing import Protocol
@@ -17,6 +16,7 @@
 from kingcupscale.gateway import admission as admissions
 from kingcupscale.gateway import attempts as tries
 from kingcupscale.gateway import inbound as inbounds
+from kingcupscale.gateway import passing
 from kingcupscale.gateway import placement
 from kingcupscale.gateway import refusal
 from kingcupscale.web import message
@@ -35,9 +35,6 @@
 # whose answer breaks off can be repeated; longer ones are passed on as they
 # come, so that memory is bounded whatever a server sends.
 HELD_BYTES_MOST = 64 * 1024
-# A sound server ends its stream at the time limit by itself; this is for the
-# way back.
-STREAM_MARGIN_S = 0.1
 # Weight of the newest answer in a service's mean latency.
 LATENCY_WEIGHT = 0.05
 
@@ -291,8 +288,8 @@
         attempts.tried.add(server.id)
         self._learn(attempts, server, began_at)
         if not is_whole:
-            response.chunks = self._pass_on(
-                stack, response.body, answer, attempts.deadline
+            response.chunks = passing.pass_on(
+                stack, response.body, answer, attempts.deadline, self.clock
             )
         return response
 
@@ -351,39 +348,10 @@
         attempts.tried.add(server.id)
         if attempts.organisation is not None:
             self.usage.note_begun(attempts.organisation.name)
-        until = attempts.deadline + STREAM_MARGIN_S
-        pieces = self._pass_on(stack, b"", answer, until)
+        until = attempts.deadline + passing.STREAM_MARGIN_S
+        pieces = passing.pass_on(stack, b"", answer, until, self.clock)
         return message.Response(answer.status, answer.headers, chunks=pieces)
 
-    async def _pass_on(
-        self,
-        stack: contextlib.AsyncExitStack,
-        start: bytes,
-        answer: serverclient.Answer,
-        until: float,
-    ) -> AsyncIterator[bytes]:
-        """Passes a body on until it ends or its time is up.
-
-        Silence ends nothing sooner: a slow server may be sound. One that
-        sends a byte now and then has no more time than others.
-
-        Raises:
-            ServerError: If it is not whole by then, so that it is broken off.
-        """
-        async with stack:
-            if start:
-                yield start
-            while True:
-                piece = None
-                left_s = max(0.0, until - self.clock.monotonic())
-                with trio.move_on_after(left_s) as scope:
-                    piece = await anext(answer.body, None)
-                if scope.cancelled_caught:
-                    raise serverclient.ServerError("body without end", True)
-                if piece is None:
-                    return
-                yield piece
-
     def _failure(
         self, inbound: inbounds.Inbound, attempts: tries.Attempts
     ) -> errors.ServiceError:
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -75,7 +75,8 @@
 
 
 def choose_well(waiting, servers, now, token_s):
-    return placement.choose(waiting, servers, {}, now, 0, token_s)
+    each = placement.choose_each(waiting, servers, {}, now, 0, token_s)
+    return next(each, None)
 
 
 def choose_first(waiting, servers, now, token_s):
@@ -114,9 +115,7 @@
 
     def test_full_engines_get_nothing(self):
         servers = [make_server("e", slots=2, busy=2)]
-        self.assertIsNone(
-            placement.choose([make_sample("s")], servers, {}, 0.0, 0, 0.001)
-        )
+        self.assertIsNone(choose_well([make_sample("s")], servers, 0.0, 0.001))
 
     def test_single_version_text_begins_anew_under_another_version(self):
         single = make_sample("s", minimum=2)
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -175,6 +175,14 @@
 
 
 class WindowReporterTest(unittest.TestCase):
+    def _prepare(self):
+        """Returns an intake, and a mirror that has heard of a window."""
+        mirror = Mirror(SharedStore())
+        now_s = virtualtime.VirtualClock().now().timestamp()
+        window = int(now_s // WINDOW_S)
+        mirror.hear_counts(window, "n1", {"one": 1})
+        return Intake(), mirror, window
+
     def _make(self, mirror, intake, node):
         session = types.SimpleNamespace(node=node)
         tenure = types.SimpleNamespace(
@@ -209,11 +217,7 @@
 
     @virtual.on_virtual_time
     async def test_window_that_was_taken_is_not_reported_again(self):
-        intake = Intake()
-        mirror = Mirror(SharedStore())
-        clock = virtualtime.VirtualClock()
-        window = int(clock.now().timestamp() // WINDOW_S)
-        mirror.hear_counts(window, "n1", {"one": 1})
+        intake, mirror, window = self._prepare()
         reporter = self._make(mirror, intake, "n1")
         for _ in range(30):
             await trio.sleep(1)
@@ -224,11 +228,7 @@
 
     @virtual.on_virtual_time
     async def test_new_reporter_waits_for_what_others_told_the_last_one(self):
-        intake = Intake()
-        mirror = Mirror(SharedStore())
-        clock = virtualtime.VirtualClock()
-        window = int(clock.now().timestamp() // WINDOW_S)
-        mirror.hear_counts(window, "n1", {"one": 1})
+        intake, mirror, window = self._prepare()
         reporter = self._make(mirror, intake, "n1")
         await trio.sleep(2 * WINDOW_S)
         await reporter.step()
