Let the operator's limits hold at the listeners, and close idle connections ourselves

Cause, found by reading the change again: the configuration's limits were read and never used. A listener took bodies of 4 MB (operators allow 32 MB, a step of 2,048 samples has more than 4), and hypercorn closed connections after 5 s without a request, while callers reuse them for up to four fifths of the operator's 15 s; it closed them also while a request was being read, as at a planned stop. The constant for following the limits was left over.

Listeners ask for the limits that hold now. The worker closes connections that are idle for too long, or whose head takes too long, and none on which a request is being answered. Nodes may send each other 64 MiB.

Tests: five rows of idle and slow connections, limits that change under an open connection, three configurations on two nodes; red without the change (no such limits).

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -8,6 +8,7 @@
 import trio
 
 from kingcupscale.web import exchange
+from kingcupscale.web import limits
 from kingcupscale.web import message
 from kingcupscale.web import server
 
@@ -39,7 +40,9 @@
 
 async def main(bind: str, target: str) -> None:
     """Relays until ended."""
-    await server.serve(Relay(target), bind, server.Limits(), trio.sleep_forever)
+    await server.serve(
+        Relay(target), bind, limits.fixed(limits.Limits()), trio.sleep_forever
+    )
 
 
 if __name__ == "__main__":
--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -471,9 +471,31 @@
     Break(
         "a request that was read at a stop is answered",
         "web/worker.py",
-        "if not self.requests and not self.has_bytes:",
-        "if True:",
-        "tests.test_web_server.StopTest",
+        "        if not self.has_bytes:\n"
+        "            self.close_unless_answering()",
+        "        self.gone.set()\n        self.socket.close()",
+        "tests.test_web_connections.StopTest",
+    ),
+    Break(
+        "a request that was read as its time-out passed is answered",
+        "web/worker.py",
+        "if data and not self.has_bytes:",
+        "if False:",
+        "tests.test_web_connections.IdleTest",
+    ),
+    Break(
+        "a head that comes for ever has an end",
+        "web/worker.py",
+        "if stream.has_bytes and waited_s > times.header_timeout_s:",
+        "if False:",
+        "tests.test_web_connections.IdleTest",
+    ),
+    Break(
+        "what callers may send is what the configuration says",
+        "runtime.py",
+        "allowed = configured.limits if configured else catalogue.Limits()",
+        "allowed = catalogue.Limits()",
+        SITE + "test_configurations.LimitsTest",
     ),
     Break(
         "texts of two runs are not joined",
--- a/src/kingcupscale/daemon.py
+++ b/src/kingcupscale/daemon.py
@@ -19,6 +19,7 @@
 from kingcupscale.peering import grpctransport
 from kingcupscale.peering import transport
 from kingcupscale.web import exchange
+from kingcupscale.web import limits
 from kingcupscale.web import server
 
 # Allocations before the youngest objects are collected; a request makes
@@ -89,20 +90,22 @@
     ) -> None:
         """Serves until the node has stopped and the last answer is out."""
         listeners = self.settings.listeners
-        limits = server.Limits(**attrs.asdict(self.settings.limits))
+        limits_now = limits.fixed(
+            limits.Limits(**attrs.asdict(self.settings.limits))
+        )
         async with trio.open_nursery() as nursery:
             callers = await nursery.start(
                 server.serve,
                 node.entry,
                 listeners.callers,
-                limits,
+                limits_now,
                 node.stopped.wait,
             )
             operators = await nursery.start(
                 server.serve,
                 node.operators,
                 listeners.operators,
-                limits,
+                limits_now,
                 node.stopped.wait,
             )
             peers = node.members.me.address
--- a/src/kingcupscale/fakes/standins.py
+++ b/src/kingcupscale/fakes/standins.py
@@ -11,12 +11,13 @@
 from kingcupscale.fakes import engine
 from kingcupscale.fakes import world as worlds
 from kingcupscale.web import exchange
+from kingcupscale.web import limits
 from kingcupscale.web import message
 from kingcupscale.web import server
 
 ANY_PORT = "127.0.0.1:0"
 SPARES = 8
-LIMITS = server.Limits(body_bytes=16 * 1024 * 1024)
+LIMITS = limits.fixed(limits.Limits(body_bytes=16 * 1024 * 1024))
 
 
 @attrs.frozen
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -29,14 +29,16 @@
 from kingcupscale.platform import settingsfile
 from kingcupscale.platform import store
 from kingcupscale.web import exchange
+from kingcupscale.web import limits
 from kingcupscale.web import message
 from kingcupscale.web import server
 
 # Servers close idle connections; one that is idle this long is not reused.
 SERVER_IDLE_S = 8.0
 STORE_IDLE_S = 20.0
-# Time between two looks at what listeners are told by the configuration.
-LIMITS_PAUSE_S = 0.5
+# A transaction of another node has 32 values of a megabyte at the most, which
+# travel as base64.
+PEER_BODY_BYTES = 64 * 1024 * 1024
 GC_ALLOCATIONS = 50_000
 
 KEYS = surroundings.Keys(
@@ -151,7 +153,7 @@
         settings, exchangers, clocks.SystemClock(), random.Random()
     )
     handler = make_frontend(runtime)
-    limits = server.Limits()
+    own_limits = limits.fixed(limits.Limits(body_bytes=PEER_BODY_BYTES))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_await_signal, runtime, path)
         await nursery.start(
@@ -159,7 +161,7 @@
                 server.serve,
                 handler,
                 settings.callers,
-                limits,
+                runtime.limits_now,
                 runtime.stopped.wait,
                 graceful_timeout_s=settings.bounds.grace_s,
             )
@@ -168,14 +170,14 @@
             server.serve,
             functools.partial(_answer_readiness, runtime),
             settings.readiness,
-            limits,
+            own_limits,
             runtime.stopped.wait,
         )
         await nursery.start(
             server.serve,
             runtime.answer_peer,
             settings.peers,
-            limits,
+            own_limits,
             runtime.stopped.wait,
         )
         if options.metrics_port:
@@ -184,7 +186,7 @@
                 server.serve,
                 exposition.MetricsHandler(runtime, options.lines),
                 f"{host}:{options.metrics_port}",
-                limits,
+                own_limits,
                 runtime.stopped.wait,
             )
         await runtime.run()
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -36,6 +36,7 @@
 from kingcupscale.storage import tenure as tenures
 from kingcupscale.usage import telling
 from kingcupscale.usage import windows
+from kingcupscale.web import limits
 from kingcupscale.web import message
 
 # Pause between two watches of a node that leads a service.
@@ -237,6 +238,18 @@
         """Returns the configuration in force; None before the first."""
         return self.directives.catalogue
 
+    def limits_now(self) -> limits.Limits:
+        """Returns what callers may send by the configuration in force."""
+        configured = self.catalogue_now()
+        allowed = configured.limits if configured else catalogue.Limits()
+        return limits.Limits(
+            body_bytes=allowed.body_bytes,
+            header_bytes=allowed.header_bytes,
+            body_timeout_s=allowed.idle_s,
+            header_timeout_s=allowed.header_s,
+            idle_s=allowed.idle_s,
+        )
+
     def open_items(self, service: str) -> int:
         """Returns how many items of a service's open batches are unlisted."""
         configured = self.catalogue_now()
--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -3,34 +3,20 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import math
 import traceback
 from typing import Any
 
-import attrs
 import hypercorn.config
 import trio
 
 from kingcupscale import errors
 from kingcupscale import events
+from kingcupscale.web import limits
 from kingcupscale.web import message
 from kingcupscale.web import worker
 
 
-@attrs.frozen
-class Limits:
-    """What a client may send.
-
-    Attributes:
-        body_bytes: Largest body.
-        header_bytes: Largest request head.
-        body_timeout_s: Seconds for a body to arrive.
-    """
-
-    body_bytes: int = 4 * 1024 * 1024
-    header_bytes: int = 32 * 1024
-    body_timeout_s: float = 10.0
-
-
 class Application:
     """An ASGI application before one handler.
 
@@ -39,12 +25,14 @@
 
     Args:
         handler: Answers the requests.
-        limits: What a client may send.
+        limits_now: Returns what a client may send.
     """
 
-    def __init__(self, handler: message.Handler, limits: Limits) -> None:
+    def __init__(
+        self, handler: message.Handler, limits_now: limits.LimitsNow
+    ) -> None:
         self.handler = handler
-        self.limits = limits
+        self.limits_now = limits_now
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serves one ASGI connection."""
@@ -83,7 +71,7 @@
         )
         self._check_head(scope)
         self._check_declared_length(request.headers)
-        with trio.move_on_after(self.limits.body_timeout_s):
+        with trio.move_on_after(self.limits_now().body_timeout_s):
             request.body = await self._read_body(receive)
             return request
         raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
@@ -91,15 +79,15 @@
     def _check_head(self, scope: Any) -> None:
         size = sum(len(name) + len(value) for name, value in scope["headers"])
         size += len(scope["raw_path"]) + len(scope["query_string"])
-        if size > self.limits.header_bytes:
+        if size > self.limits_now().header_bytes:
             raise errors.ServiceError(
                 errors.ResultCode.HEADERS_TOO_LARGE,
-                f"the limit is {self.limits.header_bytes} bytes",
+                f"the limit is {self.limits_now().header_bytes} bytes",
             )
 
     def _check_declared_length(self, headers: dict[str, str]) -> None:
         length = headers.get("content-length", "0")
-        if length.isdigit() and int(length) > self.limits.body_bytes:
+        if length.isdigit() and int(length) > self.limits_now().body_bytes:
             raise self._too_large()
 
     async def _read_body(self, receive: Any) -> bytes:
@@ -109,7 +97,7 @@
             if event["type"] == "http.disconnect":
                 raise errors.ServiceError(errors.ResultCode.BODY_MALFORMED)
             body += event.get("body", b"")
-            if len(body) > self.limits.body_bytes:
+            if len(body) > self.limits_now().body_bytes:
                 raise self._too_large()
             if not event.get("more_body", False):
                 return bytes(body)
@@ -117,7 +105,7 @@
     def _too_large(self) -> errors.ServiceError:
         return errors.ServiceError(
             errors.ResultCode.BODY_TOO_LARGE,
-            f"the limit is {self.limits.body_bytes} bytes",
+            f"the limit is {self.limits_now().body_bytes} bytes",
         )
 
 
@@ -192,7 +180,7 @@
 async def serve(
     handler: message.Handler,
     bind: str,
-    limits: Limits,
+    limits_now: limits.LimitsNow,
     shutdown: Callable[[], Awaitable[None]],
     graceful_timeout_s: float = 60.0,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
@@ -202,7 +190,7 @@
     Args:
         handler: Answers the requests.
         bind: ``host:port``; port 0 lets the system choose.
-        limits: What a client may send.
+        limits_now: Returns what a client may send.
         shutdown: Returns when the server is to stop.
         graceful_timeout_s: Seconds that open requests get to end.
         task_status: Told the bound ``host:port``.
@@ -210,9 +198,12 @@
     config = hypercorn.config.Config()
     config.bind = [bind]
     config.errorlog = None
-    config.h11_max_incomplete_size = 2 * limits.header_bytes
+    # Idle connections are closed by the worker, which knows whether a request
+    # is being read on them.
+    config.keep_alive_timeout = math.inf
     config.graceful_timeout = graceful_timeout_s
     config.include_server_header = False
     config.include_date_header = False
-    application = Application(handler, limits)
-    await worker.Worker(application, config).serve(shutdown, task_status)
+    application = Application(handler, limits_now)
+    serving = worker.Worker(application, config, limits_now)
+    await serving.serve(shutdown, task_status)
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -17,6 +17,7 @@
 import trio
 
 from kingcupscale import events
+from kingcupscale.web import limits
 
 # What still runs for a connection this long after its end waits for something
 # that can't come, such as a pipelined request behind an answer to nobody.
@@ -24,6 +25,10 @@
 # A connection that was accepted right before a stop has this long to send its
 # request, which its client may have sent already.
 FIRST_REQUEST_S = 0.5
+# Pause between two looks at connections that may have waited too long.
+EXPIRY_PAUSE_S = 0.5
+# The same while a stop waits for the last requests to end.
+CLOSING_PAUSE_S = 0.1
 
 
 class Worker:
@@ -32,18 +37,20 @@
     Args:
         application: The ASGI application.
         config: Hypercorn's settings; the first address in ``bind`` is used.
+        limits_now: Returns how long clients may take.
     """
 
     def __init__(
         self,
         application: hypercorn.typing.ASGIFramework,
         config: hypercorn.config.Config,
+        limits_now: limits.LimitsNow,
     ) -> None:
         self.application = application
         self.config = config
+        self.limits_now = limits_now
         self.context = hypercorn.trio.worker_context.WorkerContext(None)
         self.streams: set[WatchedStream] = set()
-        self.is_stopping = False
 
     async def serve(
         self,
@@ -70,6 +77,7 @@
                         handler_nursery=connections,
                     )
                 )
+                accepting.start_soon(self._close_expired_forever)
                 bound = listener.socket.getsockname()
                 task_status.started(f"{bound[0]}:{bound[1]}")
                 await shutdown()
@@ -82,16 +90,33 @@
         """Closes connections on which no request has begun to arrive.
 
         Hypercorn's own way is not used: it closes a connection also while a
-        request on it is being read.
+        request on it is being read, at a stop as well as at a time-out.
         """
-        self.is_stopping = True
         for stream in list(self.streams):
             if stream.is_used:
                 stream.close_if_idle()
         if self.streams:
             await trio.sleep(FIRST_REQUEST_S)
+        while self.streams:
+            for stream in list(self.streams):
+                stream.close_if_idle()
+            self._close_expired()
+            await trio.sleep(CLOSING_PAUSE_S)
+
+    async def _close_expired_forever(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_PAUSE_S)
+            self._close_expired()
+
+    def _close_expired(self) -> None:
+        """Closes connections that are idle, or whose head comes, too long."""
+        now, times = trio.current_time(), self.limits_now()
         for stream in list(self.streams):
-            stream.close_if_idle()
+            waited_s = now - stream.since
+            if stream.has_bytes and waited_s > times.header_timeout_s:
+                stream.close_unless_answering()
+            elif waited_s > times.idle_s:
+                stream.close_if_idle()
 
     async def _serve_connection(self, accepted: trio.SocketStream) -> None:
         """Serves one connection until it is done or gone."""
@@ -116,16 +141,16 @@
             await self.application(scope, receive, send)
         finally:
             stream.requests -= 1
-            stream.has_bytes = False
-            stream.is_used = True
-            if self.is_stopping:
-                stream.close_if_idle()
+            stream.note_answered()
 
     async def _run(
         self, stream: "WatchedStream", connection: trio.CancelScope
     ) -> None:
         """Runs hypercorn's server; what goes wrong ends only this one."""
         application = functools.partial(self._answer, stream)
+        # What is read of a head before it is refused; the limit itself is
+        # checked once the head is there.
+        self.config.h11_max_incomplete_size = 2 * self.limits_now().header_bytes
         server = hypercorn.trio.tcp_server.TCPServer(
             hypercorn.app_wrappers.ASGIWrapper(application),
             self.config,
@@ -158,6 +183,8 @@
         requests: Requests that are being answered.
         has_bytes: Whether bytes of a further request have been read.
         is_used: Whether a request has been answered.
+        since: Time of the event loop since which it has been idle, or at which
+            the first byte of a request came.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -167,10 +194,22 @@
         self.requests = 0
         self.has_bytes = False
         self.is_used = False
+        self.since = trio.current_time()
+
+    def note_answered(self) -> None:
+        """Notes the end of a request: what comes next is another one's."""
+        self.has_bytes = False
+        self.is_used = True
+        self.since = trio.current_time()
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being read or answered."""
-        if not self.requests and not self.has_bytes:
+        if not self.has_bytes:
+            self.close_unless_answering()
+
+    def close_unless_answering(self) -> None:
+        """Closes the connection unless a request is being answered."""
+        if not self.requests:
             self.gone.set()
             self.socket.close()
 
@@ -180,7 +219,9 @@
             data = await self.stream.receive_some(max_bytes)
         except trio.ClosedResourceError:
             return b""
-        self.has_bytes = self.has_bytes or bool(data)
+        if data and not self.has_bytes:
+            self.has_bytes = True
+            self.since = trio.current_time()
         return data
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import parameterized
 import trio
 
 from kingcupscale.platform import names
@@ -116,3 +117,42 @@
                     (await self._quote(site, node, "k2")).status, 200
                 )
                 self.assertNotIn("p1", node.runtime.roster.servers)
+
+
+class LimitsTest(unittest.TestCase):
+    """What callers may send is the operator's to say, also while nodes run."""
+
+    @parameterized.parameterized.expand(
+        [
+            ("usual", {}, 32 * 1024 * 1024, 32 * 1024, 3.0, 15.0),
+            (
+                "wider",
+                {"maxBodyBytes": 1 << 26, "idleTimeoutMs": 40_000},
+                1 << 26,
+                32 * 1024,
+                3.0,
+                40.0,
+            ),
+            (
+                "narrower",
+                {"maxHeaderBytes": 4096, "headerTimeoutMs": 700},
+                32 * 1024 * 1024,
+                4096,
+                0.7,
+                15.0,
+            ),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_listeners_follow(self, _, written, body, head, head_s, idle):
+        async with standin.opened(nodes=2) as site:
+            configuration = standin.make_configuration(version=5)
+            configuration["limits"] = written
+            site.write_configuration(configuration)
+            await trio.sleep(1)
+            for node in site.nodes:
+                allowed = node.runtime.limits_now()
+                self.assertEqual(allowed.body_bytes, body)
+                self.assertEqual(allowed.header_bytes, head)
+                self.assertEqual(allowed.header_timeout_s, head_s)
+                self.assertEqual(allowed.idle_s, idle)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,6 +14,7 @@
 import trio
 
 from kingcupscale.platform import names
+from kingcupscale.web import limits
 from kingcupscale.web import server
 from tests.platform import serverstandin
 from tests.platform import standin
@@ -256,7 +257,11 @@
             await trio.sleep_forever()
 
         return await self.nursery.start(
-            server.serve, handler, f"{self.host.name}:0", server.Limits(), never
+            server.serve,
+            handler,
+            f"{self.host.name}:0",
+            limits.fixed(limits.Limits()),
+            never,
         )
 
     async def _add_server(self, name, service, zone, model):
--- /dev/null
+++ b/tests/test_web_connections.py
@@ -0,0 +1,181 @@
+"""Which connections a listener closes, and which it must not."""
+
+import contextlib
+import random
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.web import limits
+from kingcupscale.web import message
+from kingcupscale.web import server
+from tests import test_web_server as servers
+
+IDLE_S = 0.6
+HEADER_S = 1.0
+REQUEST = b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n"
+
+BEGINNING = b"GET /2 HT"
+
+
+async def _answer(request):
+    return message.Response(200, {}, b"whole")
+
+
+@contextlib.asynccontextmanager
+async def _connected(limits_now):
+    """Yields a connection to a listener."""
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(
+            server.serve, _answer, "127.0.0.1:0", limits_now, stop.wait
+        )
+        host, _, port = address.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        yield stream
+        await trio.aclose_forcefully(stream)
+        stop.set()
+
+
+async def _read_answer(stream):
+    data = b""
+    while not data.endswith(b"whole"):
+        received = await stream.receive_some()
+        if not received:
+            return data
+        data += received
+    return data
+
+
+class IdleTest(unittest.TestCase):
+    """Connections that a caller keeps, or is slow on."""
+
+    @parameterized.parameterized.expand(
+        [
+            ("used_again_in_time", [(0.0, REQUEST % 1)], 0.5 * IDLE_S, True),
+            ("idle_too_long", [(0.0, REQUEST % 1)], 3 * IDLE_S, False),
+            ("never_used", [], 3 * IDLE_S, False),
+            (
+                # Read while the time-out passes: answered all the same.
+                "begun_in_time",
+                [(0.0, REQUEST % 1), (0.8 * IDLE_S, BEGINNING)],
+                0.8 * HEADER_S,
+                True,
+            ),
+            ("slow_head", [(0.0, BEGINNING)], 2 * HEADER_S, False),
+        ]
+    )
+    def test_connection_is_kept(self, _, parts, pause_s, is_kept):
+        allowed = limits.Limits(idle_s=IDLE_S, header_timeout_s=HEADER_S)
+
+        async def main():
+            async with _connected(limits.fixed(allowed)) as stream:
+                for delay_s, part in parts:
+                    await trio.sleep(delay_s)
+                    await stream.send_all(part)
+                    if part.endswith(b"\r\n\r\n"):
+                        await _read_answer(stream)
+                await trio.sleep(pause_s)
+                is_begun = parts and len(parts[-1][1]) == len(BEGINNING)
+                rest = (REQUEST % 2)[len(BEGINNING) :]
+                if not is_begun:
+                    rest = REQUEST % 2
+                with contextlib.suppress(OSError, trio.BrokenResourceError):
+                    await stream.send_all(rest)
+                data = b""
+                with contextlib.suppress(OSError, trio.BrokenResourceError):
+                    data = await _read_answer(stream)
+                is_answered = data.endswith(b"whole")
+                self.assertEqual(is_answered, is_kept)
+
+        trio.run(main)
+
+    def test_limits_in_force_hold_for_open_connections(self):
+        allowed = limits.Limits(body_bytes=10)
+
+        async def main():
+            nonlocal allowed
+            async with _connected(lambda: allowed) as stream:
+                head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 20\r\n"
+                body = b"\r\n" + 20 * b"x"
+                allowed = limits.Limits(body_bytes=20)
+                await stream.send_all(head + body)
+                self.assertIn(b"200", (await _read_answer(stream))[:20])
+                allowed = limits.Limits(body_bytes=10)
+                await stream.send_all(head + body)
+                self.assertIn(b"413", (await stream.receive_some())[:20])
+
+        trio.run(main)
+
+
+class StopTest(unittest.TestCase):
+    """A planned stop, with requests on the way on open connections."""
+
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{seed}", seed, is_used, least)
+            for kind, is_used, least in (("new", False, 25), ("used", True, 0))
+            for seed in range(3)
+        ]
+    )
+    def test_every_request_that_was_read_is_answered(
+        self, _, seed, is_used, least
+    ):
+        rng = random.Random(seed)
+        begun, answered = set(), set()
+
+        async def handle(request):
+            begun.add(request.path)
+            await trio.sleep(0.1)
+            return message.Response(200, {}, b"whole")
+
+        async def ask(stream, path):
+            try:
+                await stream.send_all(
+                    b"GET %s HTTP/1.1\r\nhost: a\r\n\r\n" % path.encode()
+                )
+                data = b""
+                while not data.endswith(b"whole"):
+                    received = await stream.receive_some()
+                    if not received:
+                        return
+                    data += received
+                answered.add(path)
+            except (OSError, trio.BrokenResourceError):
+                return
+
+        async def ask_around_the_stop(stream, number):
+            # Some are read before the stop, some cross it.
+            await trio.sleep(rng.uniform(0.0, 0.04))
+            await ask(stream, f"/{number}")
+            await trio.aclose_forcefully(stream)
+
+        async def main():
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(
+                    server.serve,
+                    handle,
+                    "127.0.0.1:0",
+                    servers.LIMITS,
+                    stop.wait,
+                )
+                host, _, port = address.rpartition(":")
+                streams = [
+                    await trio.open_tcp_stream(host, int(port))
+                    for _ in range(30)
+                ]
+                if is_used:
+                    for number, stream in enumerate(streams):
+                        nursery.start_soon(ask, stream, f"/first-{number}")
+                    while len(answered) < len(streams):
+                        await trio.sleep(0.01)
+                for number, stream in enumerate(streams):
+                    nursery.start_soon(ask_around_the_stop, stream, number)
+                await trio.sleep(0.02)
+                stop.set()
+
+        trio.run(main)
+        self.assertEqual(begun - answered, set())
+        self.assertGreaterEqual(len(answered), least)
--- /dev/null
+++ b/tests/test_web_pools.py
@@ -0,0 +1,73 @@
+"""Connections to several addresses: which are kept, and which are closed."""
+
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.web import exchange
+from kingcupscale.web import message
+from kingcupscale.web import server
+from tests import test_web_server as servers
+
+
+class PoolTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("used_again", 0.0, False, 1),
+            ("unused_for_long", 0.3, False, 0),
+            ("in_use_for_long", 0.3, True, 1),
+        ]
+    )
+    def test_pools_of_addresses(self, _, pause_s, is_open, pools_left):
+        """Another address's requests close only pools that nobody uses."""
+
+        async def main():
+            exchanger = exchange.HttpExchanger(idle_s=0.1)
+            async with trio.open_nursery() as nursery:
+                stop = trio.Event()
+                first, second = [
+                    await nursery.start(
+                        server.serve,
+                        servers.Handler(),
+                        "127.0.0.1:0",
+                        servers.LIMITS,
+                        stop.wait,
+                    )
+                    for _ in range(2)
+                ]
+                path = "/stream" if is_open else "/"
+                request = message.Request("GET", path)
+                async with exchanger.open(first, request, 5) as response:
+                    if not is_open:
+                        await response.read()
+                    else:
+                        await trio.sleep(pause_s)
+                        await exchange.fetch(
+                            exchanger, second, message.Request("GET", "/"), 5
+                        )
+                        self.assertEqual(await response.read(), b"01234")
+                if not is_open:
+                    await trio.sleep(pause_s)
+                    await exchange.fetch(
+                        exchanger, second, message.Request("GET", "/"), 5
+                    )
+                self.assertEqual(
+                    sum(address == first for address in exchanger.pools),
+                    pools_left,
+                )
+                await exchanger.aclose()
+                stop.set()
+
+        trio.run(main)
+
+    @servers.on_sockets
+    async def test_connection_is_used_again(self, address, handler, stop):
+        exchanger = exchange.HttpExchanger()
+        for _ in range(3):
+            await exchange.fetch(
+                exchanger, address, message.Request("GET", "/"), 5
+            )
+        (kept,) = exchanger.pools.values()
+        self.assertEqual(len(kept.pool.connections), 1)
+        await exchanger.aclose()
--- a/tests/test_web_server.py
+++ b/tests/test_web_server.py
@@ -1,7 +1,6 @@
 """The HTTP server on real sockets: bad input, disconnects, planned stops."""
 
 import functools
-import random
 import unittest
 from unittest import mock
 
@@ -12,10 +11,13 @@
 
 from kingcupscale import errors
 from kingcupscale.web import exchange
+from kingcupscale.web import limits
 from kingcupscale.web import message
 from kingcupscale.web import server
 
-LIMITS = server.Limits(body_bytes=1000, header_bytes=2000, body_timeout_s=0.3)
+LIMITS = limits.fixed(
+    limits.Limits(body_bytes=1000, header_bytes=2000, body_timeout_s=0.3)
+)
 GUARD_S = 30.0
 
 
@@ -177,74 +179,6 @@
         trio.run(guarded)
 
 
-class StopTest(unittest.TestCase):
-    """A planned stop, with requests on the way on open connections."""
-
-    @parameterized.parameterized.expand(
-        [
-            (f"{kind}_{seed}", seed, is_used, least)
-            for kind, is_used, least in (("new", False, 25), ("used", True, 0))
-            for seed in range(3)
-        ]
-    )
-    def test_every_request_that_was_read_is_answered(
-        self, _, seed, is_used, least
-    ):
-        rng = random.Random(seed)
-        begun, answered = set(), set()
-
-        async def handle(request):
-            begun.add(request.path)
-            await trio.sleep(0.1)
-            return message.Response(200, {}, b"whole")
-
-        async def ask(stream, path):
-            try:
-                await stream.send_all(
-                    b"GET %s HTTP/1.1\r\nhost: a\r\n\r\n" % path.encode()
-                )
-                data = b""
-                while not data.endswith(b"whole"):
-                    received = await stream.receive_some()
-                    if not received:
-                        return
-                    data += received
-                answered.add(path)
-            except (OSError, trio.BrokenResourceError):
-                return
-
-        async def ask_around_the_stop(stream, number):
-            # Some are read before the stop, some cross it.
-            await trio.sleep(rng.uniform(0.0, 0.04))
-            await ask(stream, f"/{number}")
-            await trio.aclose_forcefully(stream)
-
-        async def main():
-            stop = trio.Event()
-            async with trio.open_nursery() as nursery:
-                address = await nursery.start(
-                    server.serve, handle, "127.0.0.1:0", LIMITS, stop.wait
-                )
-                host, _, port = address.rpartition(":")
-                streams = [
-                    await trio.open_tcp_stream(host, int(port))
-                    for _ in range(30)
-                ]
-                if is_used:
-                    for number, stream in enumerate(streams):
-                        nursery.start_soon(ask, stream, f"/first-{number}")
-                    while len(answered) < len(streams):
-                        await trio.sleep(0.01)
-                for number, stream in enumerate(streams):
-                    nursery.start_soon(ask_around_the_stop, stream, number)
-                await trio.sleep(0.02)
-                stop.set()
-
-        trio.run(main)
-        self.assertEqual(begun - answered, set())
-        self.assertGreaterEqual(len(answered), least)
-
-
 class ExchangeTest(unittest.TestCase):
     def test_refused_connection_says_nothing_left(self):
         async def main():
@@ -289,68 +223,6 @@
         await exchanger.aclose()
 
 
-class PoolTest(unittest.TestCase):
-    @parameterized.parameterized.expand(
-        [
-            ("used_again", 0.0, False, 1),
-            ("unused_for_long", 0.3, False, 0),
-            ("in_use_for_long", 0.3, True, 1),
-        ]
-    )
-    def test_pools_of_addresses(self, _, pause_s, is_open, pools_left):
-        """Another address's requests close only pools that nobody uses."""
-
-        async def main():
-            exchanger = exchange.HttpExchanger(idle_s=0.1)
-            async with trio.open_nursery() as nursery:
-                stop = trio.Event()
-                first, second = [
-                    await nursery.start(
-                        server.serve,
-                        Handler(),
-                        "127.0.0.1:0",
-                        LIMITS,
-                        stop.wait,
-                    )
-                    for _ in range(2)
-                ]
-                path = "/stream" if is_open else "/"
-                request = message.Request("GET", path)
-                async with exchanger.open(first, request, 5) as response:
-                    if not is_open:
-                        await response.read()
-                    else:
-                        await trio.sleep(pause_s)
-                        await exchange.fetch(
-                            exchanger, second, message.Request("GET", "/"), 5
-                        )
-                        self.assertEqual(await response.read(), b"01234")
-                if not is_open:
-                    await trio.sleep(pause_s)
-                    await exchange.fetch(
-                        exchanger, second, message.Request("GET", "/"), 5
-                    )
-                self.assertEqual(
-                    sum(address == first for address in exchanger.pools),
-                    pools_left,
-                )
-                await exchanger.aclose()
-                stop.set()
-
-        trio.run(main)
-
-    @on_sockets
-    async def test_connection_is_used_again(self, address, handler, stop):
-        exchanger = exchange.HttpExchanger()
-        for _ in range(3):
-            await exchange.fetch(
-                exchanger, address, message.Request("GET", "/"), 5
-            )
-        (kept,) = exchanger.pools.values()
-        self.assertEqual(len(kept.pool.connections), 1)
-        await exchanger.aclose()
-
-
 class ConnectionTest(unittest.TestCase):
     @on_sockets
     async def test_clients_that_break_the_protocol_harm_no_others(
