Tell the age of a node's view where it takes up, runs and closes batches

An item reached a server after its batch's end. The logs told when a run ended, but not how old the sender's knowledge of the store was, so a view that lags could not be told from an end that was missed or an item that waited on its way.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -76,7 +76,9 @@
         self.service = service
         self.book = book
         self.servers = servers
-        self.generator = generation.Generator(client, clock, self._fail)
+        self.generator = generation.Generator(
+            client, clock, book.feed.age_s, self._fail
+        )
         self.scorer = scoring.Scorer(
             forward, clock, catalogue_now, self._finish, self._fail
         )
@@ -236,6 +238,7 @@
             ended=progress.record.is_ended,
             active=self.is_active(progress.record.batch.model),
             age_s=round(self._age_s(progress.record), 3),
+            view_age_s=round(self.book.feed.age_s(), 3),
             unfinished=[
                 [s.id, s.stage.value, s.server, len(s.events)]
                 for s in progress.samples.values()
@@ -273,6 +276,7 @@
             items=len(progress.samples),
             carried=sum(bool(s.events) for s in progress.samples.values()),
             age_s=round(self._age_s(record), 3),
+            view_age_s=round(self.book.feed.age_s(), 3),
         )
 
     def _find_route(
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -45,6 +45,7 @@
     Args:
         client: Calls the engines.
         clock: Tells the time.
+        view_age_s: Returns the age of what the node knows of the store.
         fail: Ends a sample that can't be done, for a reason.
 
     Attributes:
@@ -57,10 +58,12 @@
         self,
         client: serverclient.ServerClient,
         clock: clocks.Clock,
+        view_age_s: Callable[[], float],
         fail: Callable[[samples.Sample, str], None],
     ) -> None:
         self.client = client
         self.clock = clock
+        self.view_age_s = view_age_s
         self.fail = fail
         self.token_s = placement.TOKEN_S
         self.event_s = 0.0
@@ -76,6 +79,7 @@
         before = len(sample.events)
         call = self._make_call(sample, version)
         outcome = "whole"
+        view_age_s = self.view_age_s()
         try:
             with sample.run_scope:
                 async with self._begun(server, call) as answer:
@@ -87,7 +91,7 @@
             server.note_failure(self.clock.monotonic())
             self._postpone(sample, FAILED_PAUSE_S)
         finally:
-            self._log_run(sample, server, outcome, began_at, before)
+            self._log_run(sample, server, outcome, began_at, before, view_age_s)
         if outcome != "whole":
             return False
         server.note_success()
@@ -241,6 +245,7 @@
         outcome: str,
         began_at: float,
         before: int,
+        view_age_s: float,
     ) -> None:
         now = self.clock.monotonic()
         events.log(
@@ -255,4 +260,5 @@
             events=[before, len(sample.events)],
             expected_tokens=sample.expected_tokens(),
             in_flight=server.in_flight,
+            view_age_s=round(view_age_s, 3),
         )
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -85,7 +85,7 @@
             "a",
         )
         self.generator = generation.Generator(
-            self.client, self.clock, lambda *_: None
+            self.client, self.clock, lambda: 0.0, lambda *_: None
         )
 
     async def send(self, number, path):
