Send nothing of a batch by a view that may be older than its end

Cause: a node checks the batch in its mirror of the store before an item leaves, but nothing asked how old the mirror is, and nothing checked again once the connection was open. The same class as an order sent under a lapsed lease: a permission is acted on after it has run out. Ruled out there: an item that waits on its way (its run begins after the end), an end that is overtaken.

Now a sample or a scoring call leaves only while its batch is open in a view no older than three quarters of the bound for ends, checked right before the first byte. While the store is silent for other nodes too, nothing can end, and items go on. A call that is kept back counts neither as a run nor against the server.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -14,6 +14,7 @@
 from kingcupscale.batches import generation
 from kingcupscale.batches import listing
 from kingcupscale.batches import moving
+from kingcupscale.batches import permission as permissions
 from kingcupscale.batches import placement
 from kingcupscale.batches import record as records
 from kingcupscale.batches import sample as samples
@@ -23,6 +24,7 @@
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import forwarder
 from kingcupscale.peering import handover
+from kingcupscale.storage import view as views
 
 TICK_S = 0.05
 # New batches wake the coordinator; this is for what nobody tells of.
@@ -55,6 +57,7 @@
         measures: Counters and histograms.
         clock: Tells the time.
         catalogue_now: Returns the configuration in force.
+        view: Tells whether batches' ends are known here.
 
     Attributes:
         active: Models whose batches this node runs.
@@ -72,15 +75,23 @@
         measures: metrics.Metrics,
         clock: clocks.Clock,
         catalogue_now: Callable[[], catalogue.Catalogue | None],
+        view: views.View,
     ) -> None:
+        permission = permissions.Permission(view)
+        self.view = view
         self.service = service
         self.book = book
         self.servers = servers
         self.generator = generation.Generator(
-            client, clock, book.feed.age_s, self._fail
+            client, clock, permission, self._fail
         )
         self.scorer = scoring.Scorer(
-            forward, clock, catalogue_now, self._finish, self._fail
+            forward,
+            clock,
+            catalogue_now,
+            permission,
+            self._finish,
+            self._fail,
         )
         self.lister = listing.Lister(
             service, book, clock, self._samples_to_list
@@ -238,7 +249,7 @@
             ended=progress.record.is_ended,
             active=self.is_active(progress.record.batch.model),
             age_s=round(self._age_s(progress.record), 3),
-            view_age_s=round(self.book.feed.age_s(), 3),
+            view_age_s=round(self.view.age_s(), 3),
             unfinished=[
                 [s.id, s.stage.value, s.server, len(s.events)]
                 for s in progress.samples.values()
@@ -276,7 +287,7 @@
             items=len(progress.samples),
             carried=sum(bool(s.events) for s in progress.samples.values()),
             age_s=round(self._age_s(record), 3),
-            view_age_s=round(self.book.feed.age_s(), 3),
+            view_age_s=round(self.view.age_s(), 3),
         )
 
     def _find_route(
@@ -295,6 +306,8 @@
         now = self.clock.monotonic()
         now_ms = int(self.clock.now().timestamp() * 1000)
         self._give_up_old(now_ms)
+        if not self.view.is_current():
+            return
         waiting = [
             s for s in self.open_samples() if s.stage is samples.Stage.WAITING
         ]
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -3,11 +3,13 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import functools
 
 import trio
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.batches import permission as permissions
 from kingcupscale.batches import placement
 from kingcupscale.batches import sample as samples
 from kingcupscale.fleet import roster
@@ -33,6 +35,8 @@
 # Pause before an engine that turned a model's item away gets another one.
 TURNED_AWAY_S = 0.1
 FAILED_PAUSE_S = 0.1
+# Pause before an item that was kept from leaving is looked at again.
+KEPT_BACK_PAUSE_S = 0.1
 # Weight of the newest run in the mean time of a token.
 TOKEN_WEIGHT = 0.1
 # Longer times of a token come from hints that were far off.
@@ -45,7 +49,7 @@
     Args:
         client: Calls the engines.
         clock: Tells the time.
-        view_age_s: Returns the age of what the node knows of the store.
+        permission: Lets requests leave.
         fail: Ends a sample that can't be done, for a reason.
 
     Attributes:
@@ -58,12 +62,12 @@
         self,
         client: serverclient.ServerClient,
         clock: clocks.Clock,
-        view_age_s: Callable[[], float],
+        permission: permissions.Permission,
         fail: Callable[[samples.Sample, str], None],
     ) -> None:
         self.client = client
         self.clock = clock
-        self.view_age_s = view_age_s
+        self.permission = permission
         self.fail = fail
         self.token_s = placement.TOKEN_S
         self.event_s = 0.0
@@ -79,13 +83,16 @@
         before = len(sample.events)
         call = self._make_call(sample, version)
         outcome = "whole"
-        view_age_s = self.view_age_s()
+        view_age_s = self.permission.view.age_s()
         try:
             with sample.run_scope:
                 async with self._begun(server, call) as answer:
                     outcome = await self._take_answer(sample, server, answer)
             if sample.run_scope.cancelled_caught:
                 outcome = "moved"
+        except serverclient.WithdrawnError as e:
+            outcome = f"kept back: {e.reason}"
+            self._postpone(sample, KEPT_BACK_PAUSE_S)
         except serverclient.ServerError as e:
             outcome = f"broken: {e.reason}"
             server.note_failure(self.clock.monotonic())
@@ -128,6 +135,7 @@
             expected_version=version or None,
             resume_after=sample.resume_after(),
             priority=min(9, sample.route.priority),
+            check=functools.partial(self.permission.check, sample.record),
         )
 
     async def _take_answer(
--- /dev/null
+++ b/src/kingcupscale/batches/permission.py
@@ -0,0 +1,31 @@
+"""Whether a batch's requests may leave this node right now."""
+
+from kingcupscale.batches import record as records
+from kingcupscale.fleet import serverclient
+from kingcupscale.storage import view as views
+
+
+class Permission:
+    """Lets a batch's requests leave while it is surely open.
+
+    Args:
+        view: Tells whether the node would know of the batch's end.
+    """
+
+    def __init__(self, view: views.View) -> None:
+        self.view = view
+
+    def check(self, record: records.Record) -> None:
+        """Lets a request of a batch leave.
+
+        To be called when the request's connection is open: until then, the
+        batch may end or the view may grow old.
+
+        Raises:
+            WithdrawnError: If the batch has ended, or may have ended without
+                this node knowing.
+        """
+        if not record.is_open():
+            raise serverclient.WithdrawnError("the batch is not open any more")
+        if not self.view.is_current():
+            raise serverclient.WithdrawnError("the view of the store is old")
--- a/src/kingcupscale/batches/scoring.py
+++ b/src/kingcupscale/batches/scoring.py
@@ -1,13 +1,16 @@
 """Scoring finished texts."""
 
 from collections.abc import Callable
+import functools
 
 from kingcupscale import clock as clocks
 from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale.batches import batch as batches
+from kingcupscale.batches import permission as permissions
 from kingcupscale.batches import sample as samples
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import forwarder
 from kingcupscale.gateway import inbound as inbounds
 
@@ -24,6 +27,7 @@
         forward: Passes calls on.
         clock: Tells the time.
         catalogue_now: Returns the configuration in force.
+        permission: Lets calls leave.
         finish: Takes a sample's score.
         fail: Ends a sample that can't be scored, for a reason.
     """
@@ -33,12 +37,14 @@
         forward: forwarder.Forwarder,
         clock: clocks.Clock,
         catalogue_now: Callable[[], catalogue.Catalogue | None],
+        permission: permissions.Permission,
         finish: Callable[[samples.Sample, str], None],
         fail: Callable[[samples.Sample, str], None],
     ) -> None:
         self.forwarder = forward
         self.clock = clock
         self.catalogue_now = catalogue_now
+        self.permission = permission
         self.finish = finish
         self.fail = fail
 
@@ -50,8 +56,14 @@
             return
         while sample.result is None:
             try:
-                answer = await self.forwarder.forward(self._score_call(scorer))
+                self.permission.check(sample.record)
+                answer = await self.forwarder.forward(
+                    self._score_call(sample, scorer)
+                )
                 score = answer.signature if answer.status < 300 else ""
+            except serverclient.WithdrawnError:
+                await self.clock.sleep(SCORE_PAUSE_S)
+                continue
             except errors.ServiceError as e:
                 events.log(
                     events.Event.SCORING_FAILED,
@@ -84,7 +96,9 @@
         if route and sample.score_failures >= route.max_attempts:
             self.fail(sample, "its scoring call failed at every run")
 
-    def _score_call(self, scorer: batches.Scorer) -> inbounds.Inbound:
+    def _score_call(
+        self, sample: samples.Sample, scorer: batches.Scorer
+    ) -> inbounds.Inbound:
         return inbounds.Inbound(
             request_id=scorer.id,
             method="POST",
@@ -97,4 +111,5 @@
             patience_s=CALL_LIMIT_S,
             received_at=self.clock.monotonic(),
             is_background=True,
+            check=functools.partial(self.permission.check, sample.record),
         )
--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -16,6 +16,7 @@
         lease_s: Within which holders of a duty must not take turns.
         window_s: Length of a usage window.
         late_s: After a window's end, when its report is late.
+        cancel_s: Within which nothing of an ended batch is sent any more.
         retention_s: For which an ended batch can still be read.
     """
 
@@ -27,6 +28,7 @@
     lease_s: float = 3.0
     window_s: float = 5.0
     late_s: float = 10.0
+    cancel_s: float = 3.0
     retention_s: float = 120.0
 
 
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -31,6 +31,8 @@
     STORE_ENTRY_UNREADABLE = (2207, "A stored value makes no sense; left out.")
     WRITTEN_THROUGH_PEER = (2208, "Another node wrote for this one.")
     MIRROR_DIFFERED = (2209, "A change was missed; all keys are read anew.")
+    VIEW_OLD = (2210, "The node may not know of ends; items wait.")
+    VIEW_CURRENT = (2211, "The node knows of ends again; items go on.")
     LEASE_ACQUIRED = (2301, "The node holds a duty's lease.")
     LEASE_LOST = (2302, "The node no longer holds a duty's lease.")
     ORDER_INTENDED = (2303, "Orders were written to the journal.")
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -101,6 +101,10 @@
         names = [self.holder(duty) for duty in sorted(self.watching_duties())]
         return [n for n in dict.fromkeys(names) if n and n != self.node]
 
+    def heard_at(self) -> float | None:
+        """Returns when any node last answered; None if no other is known."""
+        return self.answered_at if self.addresses() else None
+
     def is_silent(self, node: str) -> bool:
         """Tells whether a node has not answered for a while."""
         since = self.silent_since.get(node)
--- a/src/kingcupscale/fleet/serverclient.py
+++ b/src/kingcupscale/fleet/serverclient.py
@@ -1,6 +1,7 @@
 """Calls to backend servers: what is sent, and what an answer says."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import enum
 from typing import Protocol
@@ -25,6 +26,17 @@
         self.may_have_run = may_have_run
 
 
+class WithdrawnError(ServerError):
+    """A call that was kept from leaving; it has not run and never will.
+
+    Args:
+        reason: Why it must not leave any more.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, may_have_run=False)
+
+
 @attrs.frozen
 class Call:
     """One request as a backend server gets it.
@@ -43,6 +55,8 @@
         expected_version: Weight version that it must run under.
         resume_after: Number of the last event that is already there.
         priority: Rank among a server's requests, 0 first; None for usual.
+        check: Called right before the first byte leaves; raises
+            ``WithdrawnError`` to keep the call from leaving. None to let it.
     """
 
     request_id: str
@@ -57,6 +71,7 @@
     expected_version: int | None = None
     resume_after: int | None = None
     priority: int | None = None
+    check: Callable[[], None] | None = None
 
 
 @attrs.frozen
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -87,6 +87,7 @@
 
         Raises:
             ServiceError: If none of them answers in time.
+            WithdrawnError: If the call may not leave any more.
         """
         route, organisation = self.admission.admit(inbound)
         attempts = tries.Attempts(
@@ -211,6 +212,8 @@
                 attempts.tried.add(server.id)
                 attempts.reason = f"no answer in {limit_s:.2f} s"
                 server.note_failure(self.clock.monotonic())
+        except serverclient.WithdrawnError:
+            raise
         except serverclient.ServerError as e:
             attempts.reason = e.reason
             if e.may_have_run:
@@ -256,6 +259,7 @@
             time_left_s=left_s,
             organisation=organisation.name if organisation else None,
             resume_after=inbound.resume_after,
+            check=inbound.check,
         )
 
     async def _exchange(
--- a/src/kingcupscale/gateway/inbound.py
+++ b/src/kingcupscale/gateway/inbound.py
@@ -1,5 +1,7 @@
 """A single call as a caller sent it."""
 
+from collections.abc import Callable
+
 import attrs
 
 
@@ -20,6 +22,8 @@
         received_at: Monotonic time of arrival.
         resume_after: Number of the last event that the caller has.
         is_background: Whether nobody waits for it directly.
+        check: Called right before it leaves for a server; raises
+            ``serverclient.WithdrawnError`` to keep it here.
     """
 
     request_id: str
@@ -34,3 +38,4 @@
     received_at: float
     resume_after: int | None = None
     is_background: bool = False
+    check: Callable[[], None] | None = None
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -61,6 +61,7 @@
             runtime.measures,
             around.clock,
             runtime.catalogue_now,
+            runtime.view,
         )
         self.loader = loaders.Loader(
             self.tenure,
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -51,6 +51,8 @@
             call.body,
         )
         request.connect_timeout_s = connect_s
+        if call.check is not None:
+            request.before_send = call.check
         try:
             async with self.exchanger.open(
                 server.entry.address, request, call.time_left_s
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -53,6 +53,7 @@
         lease_s=reader.milliseconds("bounds.leaseMs", usual.lease_s),
         window_s=reader.number("bounds.reportWindowS", usual.window_s),
         late_s=reader.number("bounds.usageLateS", usual.late_s),
+        cancel_s=reader.milliseconds("bounds.cancelMs", usual.cancel_s),
         retention_s=reader.number("bounds.statusRetentionS", usual.retention_s),
     )
 
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -34,6 +34,7 @@
 from kingcupscale.storage import feed as feeds
 from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
+from kingcupscale.storage import view as views
 from kingcupscale.usage import telling
 from kingcupscale.usage import windows
 from kingcupscale.web import limits
@@ -110,6 +111,13 @@
             lambda: self.services,
         )
         self.peers.feed = self.feed
+        self.view = views.View(
+            self.feed,
+            self.clock,
+            settings.node,
+            settings.bounds.cancel_s,
+            self.peers.heard_at,
+        )
         self.roster = roster.Roster(
             self.clock,
             lambda: self.feed.regained_at,
--- a/tests/platform/test_ended.py
+++ b/tests/platform/test_ended.py
@@ -75,3 +75,24 @@
                 site.servers[name].is_full = False
             await trio.sleep(6)
             self.assertEqual(_late(site, ended_at), [])
+
+    @virtual.on_virtual_time
+    async def test_item_is_kept_back_whose_batch_ends_while_it_connects(self):
+        async with standin.opened(nodes=1) as site:
+            (node,) = site.nodes
+            for name in ("e1", "e2"):
+                site.servers[name].length = 200
+            await site.submit(node, items=1)
+            await trio.sleep(0.5)
+            coordinator = node.runtime.services["engines"].coordinator
+            (sample,) = coordinator.open_samples()
+            generator = coordinator.generator
+            coordinator.set_active(standin.MODEL, False)
+            began = len(site.runs)
+            server = node.runtime.roster.servers["e1"]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(generator.run, sample, server)
+                await trio.sleep(0)
+                sample.record.note_ended()
+            self.assertEqual(len(site.runs), began)
+            self.assertEqual(server.failures, 0)
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -15,6 +15,7 @@
 from kingcupscale import metrics
 from kingcupscale.batches import batch as batches
 from kingcupscale.batches import generation
+from kingcupscale.batches import permission as permissions
 from kingcupscale.batches import record as records
 from kingcupscale.batches import sample as samples
 from kingcupscale.fleet import roster
@@ -26,6 +27,7 @@
 from kingcupscale.platform import names
 from kingcupscale.platform import servers
 from kingcupscale.storage import tenure as tenures
+from kingcupscale.storage import view as views
 from kingcupscale.web import exchange
 from tests.platform import endlessserver
 from tests.platform import standin
@@ -45,6 +47,16 @@
         """Counts nothing."""
 
 
+class CurrentMirror:
+    """A mirror that is never old."""
+
+    current_at = 0.0
+    is_lost = False
+
+    def age_s(self):
+        return 0.0
+
+
 class World:
     """A forwarder and a generator before one endless server."""
 
@@ -85,7 +97,12 @@
             "a",
         )
         self.generator = generation.Generator(
-            self.client, self.clock, lambda: 0.0, lambda *_: None
+            self.client,
+            self.clock,
+            permissions.Permission(
+                views.View(CurrentMirror(), self.clock, "n", 3.0, lambda: None)
+            ),
+            lambda *_: None,
         )
 
     async def send(self, number, path):
