Take no rewritten specification for a batch without results

Cause: the end writes the specification anew, without bodies, in one transaction with the end's key. A node that read all keys after the results were written has left out the results' keys. If it wants the batch but has not loaded it yet, or has let go of it, the rewritten specification looked to it like a new batch: not in the book, no results' key known, nothing being loaded. It held the batch with no results, ended and current, so readers got an empty page and other nodes took it as a copy.

Why it works: only a key's first write has equal revisions of creation and change, and everything after a first write is heard of. Any other write leaves the batch to be loaded, which reads the results.

The stand-in store of the fleet keeps a key's revision of creation when it is written anew, as the platform's does. Every batch is looked for at every node at the end of a schedule, and its number of items is compared too.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -185,7 +185,9 @@
         del self.waiting_parts[batch_id]
         model = record.batch.model
         self.known[batch_id] = Known(record.submitted_ms, model)
-        if self._may_have_results(batch_id):
+        # An end writes the specification anew, long after the results.
+        is_new = entry.created == entry.revision
+        if not is_new or self._may_have_results(batch_id):
             self.unexamined.add(batch_id)
         elif self.interest.includes(batch_id, model):
             self._hold(record)
--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -69,9 +69,9 @@
                 return None
         self.revision += 1
         for put in transaction.puts:
-            entry = stores.Entry(
-                put.key, put.value, self.revision, self.revision
-            )
+            known = self.entries.get(put.key)
+            created = known.created if known else self.revision
+            entry = stores.Entry(put.key, put.value, self.revision, created)
             self.entries[put.key] = entry
             self.history.append(entry)
         for key in transaction.removals:
@@ -117,6 +117,13 @@
             self._fetch_copy,
         )
         self.handler = relay.RelayHandler(self.feed, self.book)
+        self.scope = trio.CancelScope()
+
+    async def run(self):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.feed.run)
+                nursery.start_soon(keeper.Keeper(self.book, self.clock).run)
 
     def _pause_s(self):
         return self.fleet.rng.choice([0.0, 0.05, 0.3])
@@ -169,11 +176,28 @@
                 node.is_leader = node in chosen
                 self.set_interest(node)
 
+    async def break_things(self, nursery, scope):
+        """Restarts nodes, and forgets the store's history."""
+        with scope:
+            while True:
+                await trio.sleep(self.rng.uniform(0.2, 1.0))
+                if self.rng.random() < 0.2:
+                    self.store.lost_at = self.store.revision
+                else:
+                    self._restart(nursery, self.rng.randrange(len(self.nodes)))
+
+    def _restart(self, nursery, place):
+        old = self.nodes[place]
+        old.scope.cancel()
+        new = self.nodes[place] = Node(self, old.feed.node, old.is_leader)
+        self.set_interest(new)
+        nursery.start_soon(new.run)
+
     def set_interest(self, node):
         models = frozenset(m for m in MODELS if self.rng.random() < 0.3)
         node.book.want(node.is_leader, models)
 
-    async def write(self, batch_id):
+    async def write(self, batch_id, is_ended=False):
         """Has a batch accepted by one node and its results listed by others."""
         items = [
             batch.Item(f"{batch_id}-{i}", "/", {}, b"body", 1, "g", None)
@@ -188,12 +212,16 @@
             record = await book.find(batch_id, "o")
             left = [i for i in items if not record.is_listed(i.id)]
             if not left:
-                return
+                break
             chosen = left[: self.rng.randint(1, 4)]
             state = batch.ResultState.DONE
             results = [batch.Result(i.id, state, i.id) for i in chosen]
             await book.append([(record, records.Chunk(results))])
             await trio.sleep(self.rng.choice([0.0, 0.02, 0.3]))
+        if is_ended:
+            await trio.sleep(self.rng.uniform(0.0, 2.0))
+            book = self.rng.choice(self.nodes).book
+            await book.end(await book.find(batch_id, "o"), 5.0)
 
     async def read(self, batch_ids):
         while True:
@@ -210,7 +238,8 @@
     """A leader that watches the store, and a node that follows it."""
 
     def __init__(self, nursery):
-        fleet = Fleet(1)
+        self.nursery = nursery
+        fleet = self.fleet = Fleet(1)
         fleet.rng = random.Random(1)
         fleet.rng.choice = lambda choices: choices[0]
         fleet.nodes = fleet.nodes[1:3]
@@ -220,8 +249,14 @@
         self.leader.book.want(True, frozenset())
         self.follower.book.want(False, frozenset())
         for node in fleet.nodes:
-            nursery.start_soon(node.feed.run)
-            nursery.start_soon(keeper.Keeper(node.book, node.clock).run)
+            nursery.start_soon(node.run)
+
+    async def add(self, is_leader):
+        """Returns a further node that has read the store's keys."""
+        node = Node(self.fleet, "late", is_leader)
+        self.nursery.start_soon(node.feed.run)
+        await trio.sleep(1)
+        return node
 
     async def accept(self, items=4):
         """Has the leader accept a batch."""
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -6,7 +6,6 @@
 import trio
 
 from kingcupscale.batches import batch
-from kingcupscale.batches import keeper
 from kingcupscale.batches import record as records
 from kingcupscale.batches import retention
 from kingcupscale.storage import store as stores
@@ -15,34 +14,50 @@
 
 
 class BookScheduleTest(unittest.TestCase):
-    @parameterized.parameterized.expand([(seed,) for seed in range(1, 31)])
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{seed}", seed, kind == "restarts")
+            for kind, seeds in (
+                ("calm", range(1, 31)),
+                ("restarts", range(51, 71)),
+            )
+            for seed in seeds
+        ]
+    )
     @virtual.on_virtual_time
-    async def test_no_node_misses_a_result_of_what_it_holds(self, seed):
+    async def test_no_node_misses_a_result_of_what_it_holds(
+        self, _, seed, has_restarts
+    ):
         fleet = fleets.Fleet(seed)
         batch_ids = [f"b{number}" for number in range(6)]
         async with trio.open_nursery() as nursery:
             for node in fleet.nodes:
                 fleet.set_interest(node)
-                nursery.start_soon(node.feed.run)
-                nursery.start_soon(keeper.Keeper(node.book, node.clock).run)
+                nursery.start_soon(node.run)
             await trio.sleep(2)
             nursery.start_soon(fleet.change_roles)
+            breaks = trio.CancelScope()
+            if has_restarts:
+                nursery.start_soon(fleet.break_things, nursery, breaks)
             async with trio.open_nursery() as writers:
                 for batch_id in batch_ids:
-                    writers.start_soon(fleet.write, batch_id)
+                    writers.start_soon(fleet.write, batch_id, has_restarts)
                 for _ in range(3):
                     nursery.start_soon(fleet.read, batch_ids)
+            breaks.cancel()
             await trio.sleep(4)
             for node in fleet.nodes:
-                for batch_id, record in node.book.records.items():
-                    await self._check(node, batch_id, record)
+                for batch_id in batch_ids:
+                    await self._check(node, batch_id)
             nursery.cancel_scope.cancel()
 
-    async def _check(self, node, batch_id, record):
+    async def _check(self, node, batch_id):
         # What a reader is shown, which may be brought up to date first.
+        record = await node.book.find(batch_id, "o")
         await node.book.read(record, 0, 0.0)
         self.assertEqual(len(record.results), fleets.ITEMS, batch_id)
         self.assertEqual(len(record.listed), fleets.ITEMS)
+        self.assertEqual(len(record.batch.items), fleets.ITEMS)
 
 
 class BookTest(unittest.TestCase):
@@ -171,6 +186,24 @@
             record = await pair.follower.book.find("b", "o")
             self.assertTrue(record.is_ended)
 
+    @parameterized.parameterized.expand(
+        [("watches_the_store", True), ("follows_a_node", False)]
+    )
+    @virtual.on_virtual_time
+    async def test_end_does_not_make_a_batch_of_before_the_start_new(
+        self, _, is_leader
+    ):
+        async with fleets.opened_pair(items=2) as pair:
+            await pair.list_one()
+            await trio.sleep(1)
+            late = await pair.add(is_leader)
+            late.book.want(True, frozenset())
+            await pair.leader.book.end(pair.leader.book.records["b"], 5.0)
+            await trio.sleep(1)
+            record = await late.book.find("b", "o")
+            self.assertEqual(len(await late.book.read(record, 0, 0.0)), 1)
+            self.assertTrue(record.is_ended)
+
     @virtual.on_virtual_time
     async def test_readers_of_unknown_batches_do_not_make_the_mirror_old(self):
         async with fleets.opened_pair(items=0) as pair:
