Call a batch current only once its missed results have been read

What callers see: after a node has read all keys anew, a batch that it holds shows too few results, or none, while its missed results are being read from the store. The same goes to other nodes as a copy, and stays there.

Cause: a refresh marked the batch as current before it read the results, so that a miss meanwhile would not be overwritten. Until the store had answered, a second reader and a node that asked for a copy took the batch as whole.

Why it works: the mark stays off until the results are there, and misses are counted, so that a refresh that saw one leaves the mark as it is. The other node's copy is taken by the same rule; a miss during that one has no test.

A second reader meanwhile reads from the store itself, where it went without the results before.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -224,7 +224,7 @@
     def _note_reloaded(self) -> None:
         """Has all batches looked at again: results may have been missed."""
         for record in self.records.values():
-            record.is_current = False
+            record.note_missed()
 
     async def accept(self, new: batch.Batch, patience_s: float) -> bool:
         """Keeps a batch; once it returns, the store has it.
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -85,6 +85,7 @@
         is_forgotten: Whether it has been removed.
         is_current: Whether all changes of it have been heard since it was
             loaded.
+        misses: How often changes of it may have been missed.
     """
 
     batch: batch.Batch
@@ -95,6 +96,7 @@
     is_ended: bool = False
     is_forgotten: bool = False
     is_current: bool = True
+    misses: int = 0
 
     def is_listed(self, item: str) -> bool:
         """Tells whether an item has its result."""
@@ -122,7 +124,12 @@
         is_left_out = not value and first >= len(self.results)
         if is_left_out or self.chunks:
             # What is missing may have been told before it was wanted.
-            self.is_current = False
+            self.note_missed()
+
+    def note_missed(self) -> None:
+        """Notes that results may be missing until they are read."""
+        self.is_current = False
+        self.misses += 1
 
     def note_ended(self) -> None:
         """Notes the end; bodies need not be shown any more after it."""
--- a/src/kingcupscale/batches/source.py
+++ b/src/kingcupscale/batches/source.py
@@ -125,15 +125,15 @@
         Raises:
             ServiceError: ``STORE_UNAVAILABLE``.
         """
-        was_current = record.is_current
-        # What changes from here on is heard of.
-        record.is_current = True
+        # What changes from here on is heard of, unless a miss is noted.
+        misses = record.misses
         try:
             await self._read_results(record)
+            if record.misses == misses:
+                record.is_current = True
             return
         except stores.StoreError as e:
             reason = e.reason
-            record.is_current = was_current and record.is_current
         if not await self._is_refreshed_by_followed_node():
             raise errors.ServiceError(
                 errors.ResultCode.STORE_UNAVAILABLE,
@@ -160,6 +160,7 @@
         Raises:
             ServiceError: ``STORE_UNAVAILABLE`` if none can tell.
         """
+        misses = record.misses
         copy = await self._fetch_current_copy(record.batch.id)
         if copy is None:
             raise errors.ServiceError(
@@ -167,7 +168,8 @@
             )
         known = len(record.results)
         record.take_chunk(known, copy.results[known:])
-        record.is_current = True
+        if record.misses == misses:
+            record.is_current = True
 
     async def _is_refreshed_by_followed_node(self) -> bool:
         """Waits a little for the mirror to become current by another node."""
--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -62,6 +62,16 @@
         await self.lag()
         return result
 
+    def write_unheard(self, key, value):
+        """Writes a key, and forgets all history."""
+        self.revision += 1
+        self.lost_at = self.revision
+        self.entries[key] = stores.Entry(
+            key, value, self.revision, self.revision
+        )
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
     async def commit(self, transaction):
         await self.lag()
         for condition in transaction.conditions:
@@ -275,10 +285,17 @@
         chunk = records.Chunk([result])
         await self.leader.book.append([(record, chunk)])
 
-    async def read(self):
-        """Returns how many results the follower shows."""
-        record = await self.follower.book.find("b", "o")
-        return len(await self.follower.book.read(record, 0, 0.0))
+    def list_unheard(self):
+        """Has a first result listed in a history that no node is shown."""
+        result = batch.Result("i0", batch.ResultState.DONE)
+        value = records.encode(records.Chunk([result]))
+        self.store.write_unheard(records.result_key("b", 0), value)
+
+    async def read(self, node=None):
+        """Returns how many results a node shows, the follower if none."""
+        book = (node or self.follower).book
+        record = await book.find("b", "o")
+        return len(await book.read(record, 0, 0.0))
 
 
 @contextlib.asynccontextmanager
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -8,7 +8,6 @@
 from kingcupscale.batches import batch
 from kingcupscale.batches import record as records
 from kingcupscale.batches import retention
-from kingcupscale.storage import store as stores
 from tests import virtual
 from tests.batches import fleets
 
@@ -105,23 +104,30 @@
             await pair.read()
             pair.follower.is_leader = True
             await trio.sleep(1)
-            # What comes now is in no history that the node is shown.
-            put = stores.Put(
-                records.result_key("b", 0),
-                records.encode(
-                    records.Chunk([batch.Result("i0", batch.ResultState.DONE)])
-                ),
-            )
-            pair.store.lost_at = pair.store.revision + 1
-            pair.store.revision += 1
-            pair.store.entries[put.key] = stores.Entry(
-                put.key, put.value, pair.store.revision, pair.store.revision
-            )
-            changed, pair.store.changed = pair.store.changed, trio.Event()
-            changed.set()
+            pair.list_unheard()
             await trio.sleep(1)
             self.assertEqual(await pair.read(), 1)
 
+    @parameterized.parameterized.expand(
+        [("for_a_reader", "leader"), ("for_another_node", "follower")]
+    )
+    @virtual.on_virtual_time
+    async def test_batch_is_not_current_before_its_results_are_read(
+        self, _, reader
+    ):
+        async with fleets.opened_pair() as pair:
+            scan = pair.store.scan
+
+            async def scan_slowly(prefix, after=""):
+                if prefix.startswith(records.RESULTS_PREFIX):
+                    await trio.sleep(1)
+                return await scan(prefix, after)
+
+            pair.store.scan = scan_slowly
+            pair.list_unheard()
+            await trio.sleep(0.6)
+            self.assertEqual(await pair.read(getattr(pair, reader)), 1)
+
     @virtual.on_virtual_time
     async def test_closed_batch_is_read_from_the_store_by_one_node(self):
         async with fleets.opened_pair(items=1) as pair:
