Read a batch again whose load met a reload of the mirror

What callers see: a node shows too few results of a batch, for as long as it holds it.

Cause: the changes of a batch that is being loaded are kept until the load is done. If all keys are read anew meanwhile, the changes in between are not heard of; the batches in the book were marked for that, those being loaded were not.

Evidence: test_result_missed_during_a_load_is_read failed before (AssertionError: 0 != 1); the history is lost while another node's copy is on its way.

Why it works: reloads are counted, and a batch whose load met one is read again from the store before it is shown.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -64,6 +64,7 @@
         known: Every batch whose specification has been seen.
         unexamined: Batches that may have to be loaded.
         reads: Monotonic time of the last read here, by batch.
+        reloads: How often changes may have been missed.
         readers: How many readers wait for a result.
         on_change: Called when a batch is added or ended.
     """
@@ -87,6 +88,7 @@
         self.unexamined: set[str] = set()
         self.reads: dict[str, float] = {}
         self.loading: dict[str, Loading] = {}
+        self.reloads = 0
         self.readers = 0
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
         self.asked_anew_at = -ASK_ANEW_S
@@ -225,6 +227,7 @@
         """Has all batches looked at again: results may have been missed."""
         for record in self.records.values():
             record.note_missed()
+        self.reloads += 1
 
     async def accept(self, new: batch.Batch, patience_s: float) -> bool:
         """Keeps a batch; once it returns, the store has it.
@@ -290,6 +293,7 @@
             await self.loading[batch_id].done.wait()
         if batch_id in self.records:
             return self.records[batch_id]
+        reloads = self.reloads
         loading = self.loading[batch_id] = Loading()
         self.update_interest()
         try:
@@ -299,6 +303,8 @@
             loading.done.set()
             self.unexamined.discard(batch_id)
         if record is not None:
+            if self.reloads != reloads:
+                record.note_missed()
             self._keep(record, is_read)
             for entry in loading.entries:
                 self._take_again(entry)
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -128,6 +128,21 @@
             await trio.sleep(0.6)
             self.assertEqual(await pair.read(getattr(pair, reader)), 1)
 
+    @virtual.on_virtual_time
+    async def test_result_missed_during_a_load_is_read(self):
+        async with fleets.opened_pair() as pair:
+            pair.follower.is_leader = True
+            await trio.sleep(1)
+            copy = pair.leader.book.records["b"].copy(pair.store.revision)
+
+            async def fetch_slowly(batch_id):
+                pair.list_unheard()
+                await trio.sleep(2)
+                return copy
+
+            pair.follower.book.source.fetch_copy = fetch_slowly
+            self.assertEqual(await pair.read(), 1)
+
     @virtual.on_virtual_time
     async def test_closed_batch_is_read_from_the_store_by_one_node(self):
         async with fleets.opened_pair(items=1) as pair:
