Leave an accepted batch to the mirror if that was reloaded meanwhile

What callers see: the node that accepted a batch shows too few of its results.

Cause: once the store has answered, the accepting node holds the batch with no results, unless results were heard of. If the answer is late, results may be written before it; if all keys were read anew after them, their keys are not known. The answer then made a batch with none, which was held as current. The keeper's load usually came before that; with many batches to load, or a failing load, it may not.

Evidence: test_late_acceptance_does_not_hide_results_of_before failed before (AssertionError: 0 != 1); it has no keeper.

Why it works: without a reload between write and answer, every result written since has been heard of or will be. With one, the mirror knows the batch or will hear of it, and has it loaded.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -248,11 +248,14 @@
         self._note_read(new.id)
         now_ms = int(self.clock.now().timestamp() * 1000)
         transaction = acceptance.make(new, now_ms, self.part_bytes)
+        reloads = self.reloads
         is_new = await acceptance.commit_for_sure(
             self.store, self.clock, transaction, patience_s, new.id
         )
         if is_new:
             self.feed.hurry()
+        if is_new and self.reloads == reloads:
+            # After a reload the mirror has told of it, not of first results.
             for put in transaction.puts:
                 self._take_head(stores.Entry(put.key, put.value, 0))
         return is_new
--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -268,14 +268,14 @@
         await trio.sleep(1)
         return node
 
-    async def accept(self, items=4):
-        """Has the leader accept a batch."""
+    async def accept(self, items=4, body=b"", node=None):
+        """Has a node accept a batch, the leader if none."""
         made = [
-            batch.Item(f"i{n}", "/", {}, b"", 1, "g", None)
+            batch.Item(f"i{n}", "/", {}, body, 1, "g", None)
             for n in range(items)
         ]
         new = batch.Batch("b", "o", "r", "h", 0, "alpha", 1, 1, made)
-        await self.leader.book.accept(new, 5.0)
+        await (node or self.leader).book.accept(new, 5.0)
 
     async def list_one(self):
         """Has the leader list one more result."""
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -143,6 +143,23 @@
             pair.follower.book.source.fetch_copy = fetch_slowly
             self.assertEqual(await pair.read(), 1)
 
+    @virtual.on_virtual_time
+    async def test_late_acceptance_does_not_hide_results_of_before(self):
+        async with fleets.opened_pair(items=0) as pair:
+            late = await pair.add(is_leader=True)
+            commit = pair.store.commit
+
+            async def commit_slowly(transaction):
+                pair.store.lost_at = pair.store.revision + 1
+                revision = await commit(transaction)
+                pair.list_unheard()
+                await trio.sleep(2)
+                return revision
+
+            pair.store.commit = commit_slowly
+            await pair.accept(node=late)
+            self.assertEqual(await pair.read(late), 1)
+
     @virtual.on_virtual_time
     async def test_closed_batch_is_read_from_the_store_by_one_node(self):
         async with fleets.opened_pair(items=1) as pair:
