Read a specification again whose pages lie on both sides of the end

What callers see: a batch of many large items shows too few of them as its total, for as long as a node holds it.

The end writes the specification anew, with all items in its first value and none in the others. With the first value from before the end and the last ones from after it, the items of the last ones were missing.

Evidence: test_items_read_half_before_an_end_are_read_again failed before (AssertionError: 3 != 4).

Why it works: a value that was written anew, without the end's key before it, tells that the end came in between. The second reading finds the end's key first, and nothing is written to the specification after it.

--- a/src/kingcupscale/batches/source.py
+++ b/src/kingcupscale/batches/source.py
@@ -90,7 +90,7 @@
         """Reads a batch from the store; None if there is none."""
         parts: dict[str, bytes] = {}
         is_ended = False
-        for entry in await self.entries(records.key_of(batch_id, "")):
+        for entry in await self._head_entries(batch_id):
             kind, _, number = entry.key.rpartition("/")
             if kind.endswith("/" + records.SPECIFICATION):
                 parts[number] = entry.value or b""
@@ -104,6 +104,17 @@
             record.note_ended()
         return record
 
+    async def _head_entries(self, batch_id: str) -> list[stores.Entry]:
+        """Returns a batch's end and specification, both of one state."""
+        prefix = records.key_of(batch_id, "")
+        found = await self.entries(prefix)
+        has_end = any(e.key == prefix + records.END for e in found)
+        if has_end or all(e.created == e.revision for e in found):
+            return found
+        # The end came between two pages; its key is on the first one, and
+        # nothing is written behind it.
+        return await self.entries(prefix)
+
     async def entries(self, prefix: str, after: str = "") -> list[stores.Entry]:
         """Returns all entries under a prefix, past a key, from the store.
 
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -242,6 +242,25 @@
             self.assertEqual(len(await late.book.read(record, 0, 0.0)), 1)
             self.assertTrue(record.is_ended)
 
+    @virtual.on_virtual_time
+    async def test_items_read_half_before_an_end_are_read_again(self):
+        async with fleets.opened_pair(items=0) as pair:
+            await pair.accept(items=4, body=bytes(30_000))
+            await trio.sleep(1)
+            late = await pair.add(is_leader=True)
+            leader = pair.leader.book
+            scan = pair.store.scan
+
+            async def scan_slowly(prefix, after=""):
+                page = await scan(prefix, after)
+                if not leader.records["b"].is_ended:
+                    await leader.end(leader.records["b"], 5.0)
+                return page
+
+            pair.store.scan = scan_slowly
+            record = await late.book.load("b", True, asks_nodes=False)
+            self.assertEqual(len(record.batch.items), 4)
+
     @virtual.on_virtual_time
     async def test_readers_of_unknown_batches_do_not_make_the_mirror_old(self):
         async with fleets.opened_pair(items=0) as pair:
