Keep what is heard of a batch while a load of it is in vain

What callers see: a batch that was accepted is not run by the node that leads its model, until somebody reads the batch there or another node takes the lead.

Cause: the changes of a batch that is being loaded are kept until the load is done. If the store knew no such batch yet, did not answer, or the reader went away, they were dropped, with them the first word of the batch. A failed load by a reader also dropped a batch from those that are still to be looked at.

Evidence: test_batch_that_comes_during_a_vain_load_is_taken_up failed before for both rows (AssertionError: 'b' not found in {}). Not seen on a site.

Why it works: the changes are taken over however the load ends. A reload of the mirror meanwhile marks what is held after it, as for a load that succeeds.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -38,8 +38,15 @@
 
 @attrs.define(eq=False)
 class Loading:
-    """A batch that is being loaded, and the changes of it meanwhile."""
+    """A batch that is being loaded, and the changes of it meanwhile.
 
+    Attributes:
+        reloads: How often changes may have been missed before it.
+        done: Set once it is loaded, or cannot be.
+        entries: The changes.
+    """
+
+    reloads: int
     done: trio.Event = attrs.field(factory=trio.Event)
     entries: list[stores.Entry] = attrs.field(factory=list)
 
@@ -296,24 +303,32 @@
             await self.loading[batch_id].done.wait()
         if batch_id in self.records:
             return self.records[batch_id]
-        reloads = self.reloads
-        loading = self.loading[batch_id] = Loading()
+        self.loading[batch_id] = Loading(self.reloads)
         self.update_interest()
+        record = None
         try:
             record = await self.source.fetch(batch_id, asks_nodes)
-        finally:
-            del self.loading[batch_id]
-            loading.done.set()
             self.unexamined.discard(batch_id)
-        if record is not None:
-            if self.reloads != reloads:
-                record.note_missed()
-            self._keep(record, is_read)
-            for entry in loading.entries:
-                self._take_again(entry)
+        finally:
+            self._end_load(batch_id, record, is_read)
         self.update_interest()
         return record
 
+    def _end_load(
+        self, batch_id: str, record: records.Record | None, is_read: bool
+    ) -> None:
+        """Takes over what a load has brought, and the changes meanwhile."""
+        loading = self.loading.pop(batch_id)
+        loading.done.set()
+        if record is not None:
+            self._keep(record, is_read)
+        # Without a record, these may be the first that tell of the batch.
+        for entry in loading.entries:
+            self._take_again(entry)
+        held = record or self.records.get(batch_id)
+        if held is not None and self.reloads != loading.reloads:
+            held.note_missed()
+
     def _keep(self, record: records.Record, is_read: bool) -> None:
         batch_id, model = record.batch.id, record.batch.model
         self.known[batch_id] = Known(record.submitted_ms, model)
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -1,13 +1,16 @@
 """Books of several nodes that follow each other, by random schedules."""
 
+import contextlib
 import unittest
 
 import parameterized
 import trio
 
+from kingcupscale import errors
 from kingcupscale.batches import batch
 from kingcupscale.batches import record as records
 from kingcupscale.batches import retention
+from kingcupscale.storage import store as stores
 from tests import virtual
 from tests.batches import fleets
 
@@ -261,6 +264,30 @@
             record = await late.book.load("b", True, asks_nodes=False)
             self.assertEqual(len(record.batch.items), 4)
 
+    @parameterized.parameterized.expand([("none",), ("refused",)])
+    @virtual.on_virtual_time
+    async def test_batch_that_comes_during_a_vain_load_is_taken_up(self, how):
+        async with fleets.opened_pair(items=0) as pair:
+            scan = pair.store.scan
+
+            async def scan_slowly(prefix, after=""):
+                page = await scan(prefix, after)
+                await trio.sleep(2)
+                if how == "refused":
+                    raise stores.StoreError("refused", False)
+                return page
+
+            pair.store.scan = scan_slowly
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._load_in_vain, pair.leader)
+                await trio.sleep(0.5)
+                await pair.accept(node=pair.follower)
+            self.assertIn("b", pair.leader.book.records)
+
+    async def _load_in_vain(self, node):
+        with contextlib.suppress(errors.ServiceError):
+            await node.book.load("b", is_read=True, asks_nodes=False)
+
     @virtual.on_virtual_time
     async def test_readers_of_unknown_batches_do_not_make_the_mirror_old(self):
         async with fleets.opened_pair(items=0) as pair:
