Have the whole fleets' random schedules end batches

Batches of which everything has been read are ended, as trainers do, while nodes are replaced and readers go on.

A batch that is submitted again has the same number of items now, so that it is known when all have been read. At least one batch must have been ended.

--- a/tests/platform/test_schedules.py
+++ b/tests/platform/test_schedules.py
@@ -7,6 +7,7 @@
 import trio
 
 from kingcupscale import leading
+from kingcupscale.platform import names
 from tests import virtual
 from tests.platform import standin
 
@@ -19,6 +20,7 @@
     """Batches, readers and faults by one seed.
 
     Attributes:
+        totals: Items of each batch that has not been ended.
         seen: Results that were read, by batch; positions never change.
         problems: What was read and must not be.
     """
@@ -28,6 +30,7 @@
         self.rng = random.Random(seed)
         self.seen = {}
         self.read_at = {}
+        self.totals = {}
         self.problems = []
         self.troubled = {}
         self.replaced = 0
@@ -35,18 +38,34 @@
     async def submit_batches(self, count):
         for number in range(count):
             batch_id = f"b{number}"
+            items = self.rng.choice([2, 6, 12])
             while True:
                 node = self.rng.choice(self.site.nodes)
-                response = await self.site.submit(
-                    node, batch_id, items=self.rng.choice([2, 6, 12])
-                )
+                response = await self.site.submit(node, batch_id, items=items)
                 if response.status == 202:
                     break
                 await trio.sleep(0.2)
             self.seen[batch_id] = []
+            self.totals[batch_id] = items
             self.read_at[batch_id] = []
             await trio.sleep(self.rng.uniform(0.2, 1.0))
 
+    async def end_forever(self):
+        """Ends batches of which everything has been read, as trainers do."""
+        while True:
+            await trio.sleep(self.rng.uniform(0.1, 0.5))
+            whole = [
+                batch_id
+                for batch_id, seen in self.seen.items()
+                if len(seen) == self.totals.get(batch_id)
+            ]
+            for batch_id in whole:
+                path = names.BATCHES_PATH + batch_id
+                node = self.rng.choice(self.site.nodes)
+                response = await self.site.call(node, "DELETE", path)
+                if response.status == 200:
+                    del self.totals[batch_id]
+
     async def read_forever(self):
         while True:
             await trio.sleep(self.rng.uniform(0.02, 0.2))
@@ -168,6 +187,7 @@
             async with trio.open_nursery() as readers:
                 for _ in range(4):
                     readers.start_soon(schedule.read_forever)
+                readers.start_soon(schedule.end_forever)
                 async with trio.open_nursery() as changes:
                     changes.start_soon(schedule.submit_batches, 10)
                     changes.start_soon(schedule.break_things, 6)
@@ -181,6 +201,7 @@
                     self.assertEqual(results[: len(seen)], seen)
                     _, page = await site.read(node, batch_id)
                     self.assertEqual(len(results), page["total"])
+            self.assertLess(len(schedule.totals), len(schedule.seen))
             self.assertEqual(schedule.problems, [])
             self.assertEqual(site.broken, [])
             nursery.cancel_scope.cancel()
