--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -38,8 +38,15 @@
 
 @attrs.define(eq=False)
 class Loading:
-    """A batch that is being loaded, and the changes of it meanwhile."""
+    """A batch that is being loaded, and the changes of it meanwhile.
 
+    Attributes:
+        reloads: How often changes may have been missed before it.
+        done: Set once it is loaded, or cannot be.
+        entries: The changes.
+    """
+
+    reloads: int
     done: trio.Event = attrs.field(factory=trio.Event)
     entries: list[stores.Entry] = attrs.field(factory=list)
 
@@ -64,6 +71,7 @@
         known: Every batch whose specification has been seen.
         unexamined: Batches that may have to be loaded.
         reads: Monotonic time of the last read here, by batch.
+        reloads: How often changes may have been missed.
         readers: How many readers wait for a result.
         on_change: Called when a batch is added or ended.
     """
@@ -87,6 +95,7 @@
         self.unexamined: set[str] = set()
         self.reads: dict[str, float] = {}
         self.loading: dict[str, Loading] = {}
+        self.reloads = 0
         self.readers = 0
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
         self.asked_anew_at = -ASK_ANEW_S
@@ -185,7 +194,9 @@
         del self.waiting_parts[batch_id]
         model = record.batch.model
         self.known[batch_id] = Known(record.submitted_ms, model)
-        if self._may_have_results(batch_id):
+        # An end writes the specification anew, long after the results.
+        is_new = entry.created == entry.revision
+        if not is_new or self._may_have_results(batch_id):
             self.unexamined.add(batch_id)
         elif self.interest.includes(batch_id, model):
             self._hold(record)
@@ -222,7 +233,8 @@
     def _note_reloaded(self) -> None:
         """Has all batches looked at again: results may have been missed."""
         for record in self.records.values():
-            record.is_current = False
+            record.note_missed()
+        self.reloads += 1
 
     async def accept(self, new: batch.Batch, patience_s: float) -> bool:
         """Keeps a batch; once it returns, the store has it.
@@ -243,11 +255,14 @@
         self._note_read(new.id)
         now_ms = int(self.clock.now().timestamp() * 1000)
         transaction = acceptance.make(new, now_ms, self.part_bytes)
+        reloads = self.reloads
         is_new = await acceptance.commit_for_sure(
             self.store, self.clock, transaction, patience_s, new.id
         )
         if is_new:
             self.feed.hurry()
+        if is_new and self.reloads == reloads:
+            # After a reload the mirror has told of it, not of first results.
             for put in transaction.puts:
                 self._take_head(stores.Entry(put.key, put.value, 0))
         return is_new
@@ -288,21 +303,32 @@
             await self.loading[batch_id].done.wait()
         if batch_id in self.records:
             return self.records[batch_id]
-        loading = self.loading[batch_id] = Loading()
+        self.loading[batch_id] = Loading(self.reloads)
         self.update_interest()
+        record = None
         try:
             record = await self.source.fetch(batch_id, asks_nodes)
-        finally:
-            del self.loading[batch_id]
-            loading.done.set()
             self.unexamined.discard(batch_id)
-        if record is not None:
-            self._keep(record, is_read)
-            for entry in loading.entries:
-                self._take_again(entry)
+        finally:
+            self._end_load(batch_id, record, is_read)
         self.update_interest()
         return record
 
+    def _end_load(
+        self, batch_id: str, record: records.Record | None, is_read: bool
+    ) -> None:
+        """Takes over what a load has brought, and the changes meanwhile."""
+        loading = self.loading.pop(batch_id)
+        loading.done.set()
+        if record is not None:
+            self._keep(record, is_read)
+        # Without a record, these may be the first that tell of the batch.
+        for entry in loading.entries:
+            self._take_again(entry)
+        held = record or self.records.get(batch_id)
+        if held is not None and self.reloads != loading.reloads:
+            held.note_missed()
+
     def _keep(self, record: records.Record, is_read: bool) -> None:
         batch_id, model = record.batch.id, record.batch.model
         self.known[batch_id] = Known(record.submitted_ms, model)
--- a/src/kingcupscale/batches/source.py
+++ b/src/kingcupscale/batches/source.py
@@ -90,7 +90,7 @@
         """Reads a batch from the store; None if there is none."""
         parts: dict[str, bytes] = {}
         is_ended = False
-        for entry in await self.entries(records.key_of(batch_id, "")):
+        for entry in await self._head_entries(batch_id):
             kind, _, number = entry.key.rpartition("/")
             if kind.endswith("/" + records.SPECIFICATION):
                 parts[number] = entry.value or b""
@@ -104,6 +104,17 @@
             record.note_ended()
         return record
 
+    async def _head_entries(self, batch_id: str) -> list[stores.Entry]:
+        """Returns a batch's end and specification, both of one state."""
+        prefix = records.key_of(batch_id, "")
+        found = await self.entries(prefix)
+        has_end = any(e.key == prefix + records.END for e in found)
+        if has_end or all(e.created == e.revision for e in found):
+            return found
+        # The end came between two pages; its key is on the first one, and
+        # nothing is written behind it.
+        return await self.entries(prefix)
+
     async def entries(self, prefix: str, after: str = "") -> list[stores.Entry]:
         """Returns all entries under a prefix, past a key, from the store.
 
@@ -125,15 +136,15 @@
         Raises:
             ServiceError: ``STORE_UNAVAILABLE``.
         """
-        was_current = record.is_current
-        # What changes from here on is heard of.
-        record.is_current = True
+        # What changes from here on is heard of, unless a miss is noted.
+        misses = record.misses
         try:
             await self._read_results(record)
+            if record.misses == misses:
+                record.is_current = True
             return
         except stores.StoreError as e:
             reason = e.reason
-            record.is_current = was_current and record.is_current
         if not await self._is_refreshed_by_followed_node():
             raise errors.ServiceError(
                 errors.ResultCode.STORE_UNAVAILABLE,
@@ -160,6 +171,7 @@
         Raises:
             ServiceError: ``STORE_UNAVAILABLE`` if none can tell.
         """
+        misses = record.misses
         copy = await self._fetch_current_copy(record.batch.id)
         if copy is None:
             raise errors.ServiceError(
@@ -167,7 +179,8 @@
             )
         known = len(record.results)
         record.take_chunk(known, copy.results[known:])
-        record.is_current = True
+        if record.misses == misses:
+            record.is_current = True
 
     async def _is_refreshed_by_followed_node(self) -> bool:
         """Waits a little for the mirror to become current by another node."""
--- a/tests/batches/test_book.py
+++ b/tests/batches/test_book.py
@@ -1,12 +1,13 @@
 """Books of several nodes that follow each other, by random schedules."""
 
+import contextlib
 import unittest
 
 import parameterized
 import trio
 
+from kingcupscale import errors
 from kingcupscale.batches import batch
-from kingcupscale.batches import keeper
 from kingcupscale.batches import record as records
 from kingcupscale.batches import retention
 from kingcupscale.storage import store as stores
@@ -15,34 +16,50 @@
 
 
 class BookScheduleTest(unittest.TestCase):
-    @parameterized.parameterized.expand([(seed,) for seed in range(1, 31)])
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{seed}", seed, kind == "restarts")
+            for kind, seeds in (
+                ("calm", range(1, 31)),
+                ("restarts", range(51, 71)),
+            )
+            for seed in seeds
+        ]
+    )
     @virtual.on_virtual_time
-    async def test_no_node_misses_a_result_of_what_it_holds(self, seed):
+    async def test_no_node_misses_a_result_of_what_it_holds(
+        self, _, seed, has_restarts
+    ):
         fleet = fleets.Fleet(seed)
         batch_ids = [f"b{number}" for number in range(6)]
         async with trio.open_nursery() as nursery:
             for node in fleet.nodes:
                 fleet.set_interest(node)
-                nursery.start_soon(node.feed.run)
-                nursery.start_soon(keeper.Keeper(node.book, node.clock).run)
+                nursery.start_soon(node.run)
             await trio.sleep(2)
             nursery.start_soon(fleet.change_roles)
+            breaks = trio.CancelScope()
+            if has_restarts:
+                nursery.start_soon(fleet.break_things, nursery, breaks)
             async with trio.open_nursery() as writers:
                 for batch_id in batch_ids:
-                    writers.start_soon(fleet.write, batch_id)
+                    writers.start_soon(fleet.write, batch_id, has_restarts)
                 for _ in range(3):
                     nursery.start_soon(fleet.read, batch_ids)
+            breaks.cancel()
             await trio.sleep(4)
             for node in fleet.nodes:
-                for batch_id, record in node.book.records.items():
-                    await self._check(node, batch_id, record)
+                for batch_id in batch_ids:
+                    await self._check(node, batch_id)
             nursery.cancel_scope.cancel()
 
-    async def _check(self, node, batch_id, record):
+    async def _check(self, node, batch_id):
         # What a reader is shown, which may be brought up to date first.
+        record = await node.book.find(batch_id, "o")
         await node.book.read(record, 0, 0.0)
         self.assertEqual(len(record.results), fleets.ITEMS, batch_id)
         self.assertEqual(len(record.listed), fleets.ITEMS)
+        self.assertEqual(len(record.batch.items), fleets.ITEMS)
 
 
 class BookTest(unittest.TestCase):
@@ -90,23 +107,62 @@
             await pair.read()
             pair.follower.is_leader = True
             await trio.sleep(1)
-            # What comes now is in no history that the node is shown.
-            put = stores.Put(
-                records.result_key("b", 0),
-                records.encode(
-                    records.Chunk([batch.Result("i0", batch.ResultState.DONE)])
-                ),
-            )
-            pair.store.lost_at = pair.store.revision + 1
-            pair.store.revision += 1
-            pair.store.entries[put.key] = stores.Entry(
-                put.key, put.value, pair.store.revision, pair.store.revision
-            )
-            changed, pair.store.changed = pair.store.changed, trio.Event()
-            changed.set()
+            pair.list_unheard()
             await trio.sleep(1)
             self.assertEqual(await pair.read(), 1)
 
+    @parameterized.parameterized.expand(
+        [("for_a_reader", "leader"), ("for_another_node", "follower")]
+    )
+    @virtual.on_virtual_time
+    async def test_batch_is_not_current_before_its_results_are_read(
+        self, _, reader
+    ):
+        async with fleets.opened_pair() as pair:
+            scan = pair.store.scan
+
+            async def scan_slowly(prefix, after=""):
+                if prefix.startswith(records.RESULTS_PREFIX):
+                    await trio.sleep(1)
+                return await scan(prefix, after)
+
+            pair.store.scan = scan_slowly
+            pair.list_unheard()
+            await trio.sleep(0.6)
+            self.assertEqual(await pair.read(getattr(pair, reader)), 1)
+
+    @virtual.on_virtual_time
+    async def test_result_missed_during_a_load_is_read(self):
+        async with fleets.opened_pair() as pair:
+            pair.follower.is_leader = True
+            await trio.sleep(1)
+            copy = pair.leader.book.records["b"].copy(pair.store.revision)
+
+            async def fetch_slowly(batch_id):
+                pair.list_unheard()
+                await trio.sleep(2)
+                return copy
+
+            pair.follower.book.source.fetch_copy = fetch_slowly
+            self.assertEqual(await pair.read(), 1)
+
+    @virtual.on_virtual_time
+    async def test_late_acceptance_does_not_hide_results_of_before(self):
+        async with fleets.opened_pair(items=0) as pair:
+            late = await pair.add(is_leader=True)
+            commit = pair.store.commit
+
+            async def commit_slowly(transaction):
+                pair.store.lost_at = pair.store.revision + 1
+                revision = await commit(transaction)
+                pair.list_unheard()
+                await trio.sleep(2)
+                return revision
+
+            pair.store.commit = commit_slowly
+            await pair.accept(node=late)
+            self.assertEqual(await pair.read(late), 1)
+
     @virtual.on_virtual_time
     async def test_closed_batch_is_read_from_the_store_by_one_node(self):
         async with fleets.opened_pair(items=1) as pair:
@@ -171,6 +227,67 @@
             record = await pair.follower.book.find("b", "o")
             self.assertTrue(record.is_ended)
 
+    @parameterized.parameterized.expand(
+        [("watches_the_store", True), ("follows_a_node", False)]
+    )
+    @virtual.on_virtual_time
+    async def test_end_does_not_make_a_batch_of_before_the_start_new(
+        self, _, is_leader
+    ):
+        async with fleets.opened_pair(items=2) as pair:
+            await pair.list_one()
+            await trio.sleep(1)
+            late = await pair.add(is_leader)
+            late.book.want(True, frozenset())
+            await pair.leader.book.end(pair.leader.book.records["b"], 5.0)
+            await trio.sleep(1)
+            record = await late.book.find("b", "o")
+            self.assertEqual(len(await late.book.read(record, 0, 0.0)), 1)
+            self.assertTrue(record.is_ended)
+
+    @virtual.on_virtual_time
+    async def test_items_read_half_before_an_end_are_read_again(self):
+        async with fleets.opened_pair(items=0) as pair:
+            await pair.accept(items=4, body=bytes(30_000))
+            await trio.sleep(1)
+            late = await pair.add(is_leader=True)
+            leader = pair.leader.book
+            scan = pair.store.scan
+
+            async def scan_slowly(prefix, after=""):
+                page = await scan(prefix, after)
+                if not leader.records["b"].is_ended:
+                    await leader.end(leader.records["b"], 5.0)
+                return page
+
+            pair.store.scan = scan_slowly
+            record = await late.book.load("b", True, asks_nodes=False)
+            self.assertEqual(len(record.batch.items), 4)
+
+    @parameterized.parameterized.expand([("none",), ("refused",)])
+    @virtual.on_virtual_time
+    async def test_batch_that_comes_during_a_vain_load_is_taken_up(self, how):
+        async with fleets.opened_pair(items=0) as pair:
+            scan = pair.store.scan
+
+            async def scan_slowly(prefix, after=""):
+                page = await scan(prefix, after)
+                await trio.sleep(2)
+                if how == "refused":
+                    raise stores.StoreError("refused", False)
+                return page
+
+            pair.store.scan = scan_slowly
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._load_in_vain, pair.leader)
+                await trio.sleep(0.5)
+                await pair.accept(node=pair.follower)
+            self.assertIn("b", pair.leader.book.records)
+
+    async def _load_in_vain(self, node):
+        with contextlib.suppress(errors.ServiceError):
+            await node.book.load("b", is_read=True, asks_nodes=False)
+
     @virtual.on_virtual_time
     async def test_readers_of_unknown_batches_do_not_make_the_mirror_old(self):
         async with fleets.opened_pair(items=0) as pair:
