Ask another node when the one that answers has an old mirror itself

Nodes that the store turns away followed whichever node answered first. Where that one was turned away too, its answer (older than 1.1 s) was rightly not taken, but the same node was asked again the next time, its leader first, while another node had the store. Callers got answers by a configuration that was seconds old: refused though a key had been granted, or served by a dropped one.

Found on virtual time, while refusals by old configurations were being mended: of three nodes, the store turns two away, the holder among them; both asked each other for 2.8 s until one happened to ask the third.

A node whose mirror is too old to follow is left alone for as long as one that does not answer, so that the next question goes to another.

--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -18,7 +18,8 @@
 from kingcupscale.storage import store as stores
 from kingcupscale.storage import tenure as tenures
 
-# A node that did not answer is not asked again for this long.
+# A node that did not answer, or has an old mirror itself, is not asked again
+# for this long, so that others are asked meanwhile.
 AVOID_S = 0.6
 # A node that does not answer for this long is taken for dead by those who are
 # to run its batches meanwhile; running them twice does no harm.
@@ -237,6 +238,8 @@
             self.not_before[name] = self.clock.monotonic() + AVOID_S
             return None
         self.answered_at = self.clock.monotonic()
+        if changes.age_s > feeds.FOLLOWED_AGE_S:
+            self.not_before[name] = self.answered_at + AVOID_S
         if self.silent_since.pop(name, None) is not None:
             events.log(events.Event.PEER_BACK, peer=name)
         return changes
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -1,10 +1,12 @@
 """Configurations and keys on several nodes, under faults."""
 
+import random
 import unittest
 
 import parameterized
 import trio
 
+from kingcupscale import deployment
 from kingcupscale.platform import names
 from tests import virtual
 from tests.platform import standin
@@ -71,6 +73,26 @@
                 oldest = max(oldest, *ages)
             self.assertLess(oldest, 2.0)
 
+    @parameterized.parameterized.expand([(seed,) for seed in range(16)])
+    @virtual.on_virtual_time
+    async def test_nodes_the_store_turns_away_follow_the_one_it_serves(
+        self, seed
+    ):
+        async with standin.opened(nodes=3) as site:
+            for node in site.nodes:
+                node.runtime.peers.rng = random.Random(f"{node.name}{seed}")
+            await trio.sleep(0.13 * seed)
+            served = site.other(site.holder())
+            for node in site.nodes:
+                if node is not served:
+                    site.network.cut(node.name, "store")
+            oldest = 0.0
+            for _ in range(200):
+                await trio.sleep(0.05)
+                ages = [n.runtime.feed.head_age_s() for n in site.nodes]
+                oldest = max(oldest, *ages)
+            self.assertLess(oldest, deployment.Bounds().contact_s)
+
     @virtual.on_virtual_time
     async def test_older_or_unreadable_configuration_changes_nothing(self):
         async with standin.opened() as site:
