Refuse by a configuration only while it is young

Callers got 404 for a route, and 401 for a key, that had been in force for seconds.

Cause: nobody asked how old the configuration was before refusing by it. Only a node that hears nobody for seven seconds refused everything. Callers try 503 again, at another node, but neither 404 nor 401.

A refusal that only the configuration justifies (no such route, no such key, another organisation's batch) is now said only while the mirror was known to be current within nine tenths of the time in which a configuration must be in force: whatever was acked that long before the request was sent is then known. Else the answer is 503, result code 1208 (not run, Retry-After 0.5 s). What an old configuration allows is served as before, so an outage of the store turns no valid request away. That a batch does not exist at all is still said by the store's own word.

Weighed: while the store is silent for all, requests that nothing allows get 503 instead of 404 or 401, and their callers come back a few times. That costs little, as they are refused before any work, and nobody can know better: a node can't tell a silent store from one that turns only this node away. A node that starts serves what the first pages allow and refuses nothing for good while it still reads the rest.

Left as it was: readiness, since a node that is behind can't tell safely whether others are, and half of a zone out of rotation is worse; and how long a node goes on serving by an old configuration.

Tests: 24 rows of requests to nodes whose view is young, a little late, late by 4 s, or old since the store is down; three without a configuration; catching up; calm sites of 1, 3 and 10 nodes are never in doubt.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -100,6 +100,20 @@
         SITE + "test_configurations.ConfigurationTest"
         ".test_node_that_hears_nobody_stops_admitting",
     ),
+    Break(
+        "no refusal rests on an old configuration",
+        "gateway/admission.py",
+        "return self.find_doubt() or errors.ServiceError(code)",
+        "return errors.ServiceError(code)",
+        SITE + "test_configurations.OldViewTest",
+    ),
+    Break(
+        "no batch is hidden by an old configuration",
+        "gateway/callers.py",
+        "if doubt and is_there and e.code is errors.ResultCode.BATCH_UNKNOWN:",
+        "if False:",
+        SITE + "test_configurations.OldViewTest",
+    ),
     Break(
         "texts go on after a takeover",
         "batches/coordinator.py",
@@ -335,8 +349,7 @@
         "a withdrawn key is refused",
         "gateway/admission.py",
         "        if organisation is None:\n"
-        "            raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)"
-        "\n",
+        "            raise self.refuse(errors.ResultCode.KEY_REFUSED)\n",
         "",
         SITE + "test_configurations",
     ),
--- a/src/kingcupscale/errors.py
+++ b/src/kingcupscale/errors.py
@@ -40,6 +40,7 @@
     DRAINING = (1205, 503, "The node is stopping.")
     NOT_READY = (1206, 503, "The node has no current configuration.")
     ISOLATED = (1207, 503, "The node is cut off and stopped admitting.")
+    CONFIGURATION_OLD = (1208, 503, "Too old a configuration to refuse by.")
     BACKEND_FAILED = (1301, 502, "The backend server failed; outcome unknown.")
     BACKEND_REFUSED = (1302, 502, "No backend server took the request.")
     ANSWER_REJECTED = (1304, 502, "The answer was not whole or not ours.")
--- a/src/kingcupscale/gateway/admission.py
+++ b/src/kingcupscale/gateway/admission.py
@@ -15,12 +15,16 @@
 
     Args:
         catalogue_now: Returns the configuration in force.
+        find_doubt: Returns why it justifies no refusal now, or None.
     """
 
     def __init__(
-        self, catalogue_now: Callable[[], catalogue.Catalogue | None]
+        self,
+        catalogue_now: Callable[[], catalogue.Catalogue | None],
+        find_doubt: Callable[[], errors.ServiceError | None],
     ) -> None:
         self.catalogue_now = catalogue_now
+        self.find_doubt = find_doubt
 
     def admit(
         self, inbound: inbounds.Inbound
@@ -28,12 +32,13 @@
         """Returns a request's route and organisation.
 
         Raises:
-            ServiceError: If there is no route, or the key gives no access.
+            ServiceError: If there is no route, or the key gives no access, or
+                that can't be known.
         """
         configured = self._configured()
         route = configured.find_route(inbound.host, inbound.path)
         if route is None:
-            raise errors.ServiceError(errors.ResultCode.ROUTE_UNKNOWN)
+            raise self.refuse(errors.ResultCode.ROUTE_UNKNOWN)
         return route, self.authenticate(route, inbound.key)
 
     def authenticate(
@@ -42,7 +47,7 @@
         """Returns the organisation that holds a key; None on open routes.
 
         Raises:
-            ServiceError: ``KEY_REFUSED``.
+            ServiceError: ``KEY_REFUSED``, or that this can't be known.
         """
         is_open = route is not None and route.is_open
         configured = self._configured()
@@ -50,9 +55,13 @@
             return None
         organisation = configured.find_organisation(key)
         if organisation is None:
-            raise errors.ServiceError(errors.ResultCode.KEY_REFUSED)
+            raise self.refuse(errors.ResultCode.KEY_REFUSED)
         return organisation
 
+    def refuse(self, code: errors.ResultCode) -> errors.ServiceError:
+        """Returns a refusal by the configuration, or why there is none."""
+        return self.find_doubt() or errors.ServiceError(code)
+
     def _configured(self) -> catalogue.Catalogue:
         configured = self.catalogue_now()
         if configured is None:
--- a/src/kingcupscale/gateway/callers.py
+++ b/src/kingcupscale/gateway/callers.py
@@ -88,7 +88,7 @@
             raise errors.ServiceError(errors.ResultCode.BODY_INVALID, problem)
         known = self.book.records.get(new.id)
         if known and known.batch.organisation != new.organisation:
-            raise errors.ServiceError(errors.ResultCode.BATCH_UNKNOWN)
+            raise self.admission.refuse(errors.ResultCode.BATCH_UNKNOWN)
         patience_s = min(STORE_PATIENCE_S, inbound.patience_s - ANSWER_MARGIN_S)
         is_new = await self.book.accept(new, patience_s)
         events.log(
@@ -110,7 +110,15 @@
         self.check_admission()
         organisation = self.admission.authenticate(None, key)
         name = organisation.name if organisation else ""
-        return await self.book.find(batch_id, name)
+        # As of when the key was looked up, not of when the batch was found.
+        doubt = self.admission.find_doubt()
+        try:
+            return await self.book.find(batch_id, name)
+        except errors.ServiceError as e:
+            is_there = batch_id in self.book.records
+            if doubt and is_there and e.code is errors.ResultCode.BATCH_UNKNOWN:
+                raise doubt from None
+            raise
 
     async def read(
         self, record: records.Record, after: int, wait_s: float
--- a/src/kingcupscale/readiness.py
+++ b/src/kingcupscale/readiness.py
@@ -11,6 +11,9 @@
 
 # Other nodes are likely to take what this one refuses.
 RETRY_AFTER_S = 0.5
+# Share of the time within which a configuration must be in force, for which a
+# view of it justifies a refusal; a view grows older while it is judged.
+VIEW_SHARE = 0.9
 
 
 class Readiness:
@@ -48,6 +51,21 @@
             return None
         return errors.ServiceError(code, retry_after_s=RETRY_AFTER_S)
 
+    def find_doubt(self) -> errors.ServiceError | None:
+        """Returns why the configuration justifies no refusal now, or None.
+
+        A newer one may allow what this one does not. What this one allows is
+        served all the same: an outage of the store makes all nodes old.
+        """
+        age_s = self.feed.head_age_s()
+        if age_s <= VIEW_SHARE * self.bounds.apply_s:
+            return None
+        return errors.ServiceError(
+            errors.ResultCode.CONFIGURATION_OLD,
+            f"The node's configuration is as of {age_s:.1f} s ago.",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     def is_isolated(self) -> bool:
         """Tells whether a withdrawn key might still be taken for good here.
 
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -168,7 +168,9 @@
             settings.bounds.window_s,
             self.telling,
         )
-        admission = admissions.Admission(self.catalogue_now)
+        admission = admissions.Admission(
+            self.catalogue_now, self.readiness.find_doubt
+        )
         self.forwarder = forwarder.Forwarder(
             admission,
             self.roster,
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -141,6 +141,153 @@
                 self.assertNotIn("p1", node.runtime.roster.servers)
 
 
+class Late:
+    """Asks another in its place, and passes answers on late."""
+
+    def __init__(self, other, late_s):
+        self.other = other
+        self.late_s = late_s
+
+    def __getattr__(self, name):
+        async def ask(*args):
+            answer = await getattr(self.other, name)(*args)
+            await trio.sleep(self.late_s)
+            return answer
+
+        return ask
+
+
+class OldViewTest(unittest.TestCase):
+    """Nobody is refused by a configuration that others may have replaced."""
+
+    STRANGE = ("/strange/1", standin.KEY)
+    ADDED = ("/added/1", standin.KEY)
+    WRONG = (standin.CALL_PATH + "1", "wrong")
+    GRANTED = (standin.CALL_PATH + "1", "granted")
+    KNOWN = (standin.CALL_PATH + "1", standin.KEY)
+    OPEN = (standin.SCORE_PATH + "1", "")
+    OWN_BATCH = (names.BATCHES_PATH + "b1", standin.KEY)
+    OTHERS_BATCH = (names.BATCHES_PATH + "b1", "key-of-two")
+    OWN_BATCH_GRANTED = (names.BATCHES_PATH + "b1", "granted")
+    NO_BATCH = (names.BATCHES_PATH + "b0", standin.KEY)
+
+    async def _ask(self, site, node, asked):
+        path, key = asked
+        return await site.call(
+            node,
+            "GET" if path.startswith(names.BATCHES_PATH) else "POST",
+            path,
+            **{
+                names.REQUEST_ID: "q1",
+                names.DEADLINE_MS: "2000",
+                names.KEY: key,
+            },
+        )
+
+    def _change(self, site):
+        route = {
+            "name": "added",
+            "host": standin.HOST,
+            "pathPrefix": "/added/",
+            "kind": "idempotent",
+            "timeoutMs": 2000,
+            "targetLatencyMs": 190,
+            "service": "plain",
+        }
+        site.write_configuration(
+            standin.make_configuration(2, [standin.KEY, "granted"], [route])
+        )
+
+    def _delay(self, node, late_s):
+        runtime = node.runtime
+        runtime.feed.store = Late(runtime.feed.store, late_s)
+        runtime.peers.client = Late(runtime.peers.client, late_s)
+
+    @parameterized.parameterized.expand(
+        [
+            ("young_strange", 0, False, STRANGE, 404),
+            ("young_added", 0, False, ADDED, 200),
+            ("young_wrong", 0, False, WRONG, 401),
+            ("young_granted", 0, False, GRANTED, 200),
+            ("young_others_batch", 0, False, OTHERS_BATCH, 404),
+            ("young_no_batch", 0, False, NO_BATCH, 404),
+            ("little_late_strange", 0.3, False, STRANGE, 404),
+            ("little_late_added", 0.3, False, ADDED, 200),
+            ("late_strange", 4, False, STRANGE, 503),
+            ("late_added", 4, False, ADDED, 503),
+            ("late_wrong", 4, False, WRONG, 503),
+            ("late_granted", 4, False, GRANTED, 503),
+            ("late_known", 4, False, KNOWN, 200),
+            ("late_open", 4, False, OPEN, 200),
+            ("late_own_batch", 4, False, OWN_BATCH, 200),
+            ("late_own_batch_granted", 4, False, OWN_BATCH_GRANTED, 503),
+            ("late_others_batch", 4, False, OTHERS_BATCH, 503),
+            ("late_no_batch", 4, False, NO_BATCH, 404),
+            ("outage_strange", 0, True, STRANGE, 503),
+            ("outage_wrong", 0, True, WRONG, 503),
+            ("outage_known", 0, True, KNOWN, 200),
+            ("outage_open", 0, True, OPEN, 200),
+            ("outage_own_batch", 0, True, OWN_BATCH, 200),
+            ("outage_others_batch", 0, True, OTHERS_BATCH, 503),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_request(self, _, late_s, is_outage, asked, expected):
+        async with standin.opened(nodes=3) as site:
+            node = site.other(site.holder())
+            await site.submit(node)
+            await trio.sleep(1)
+            if late_s:
+                self._delay(node, late_s)
+            await trio.sleep(2 * late_s)
+            if is_outage:
+                site.store.is_down = True
+            else:
+                self._change(site)
+            await trio.sleep(2.5)
+            response = await self._ask(site, node, asked)
+            self.assertEqual(response.status, expected, response.body)
+            if expected == 503:
+                self.assertGreater(float(response.headers["retry-after"]), 0)
+                self.assertIn(b'"not_run"', response.body)
+
+    @parameterized.parameterized.expand([(STRANGE,), (WRONG,), (KNOWN,)])
+    @virtual.on_virtual_time
+    async def test_node_without_a_configuration_refuses_for_now(self, asked):
+        async with standin.opened(nodes=1, is_started=False) as site:
+            site.store.is_down = True
+            await site.start()
+            response = await self._ask(site, site.nodes[0], asked)
+            self.assertEqual(response.status, 503)
+
+    @virtual.on_virtual_time
+    async def test_node_that_catches_up_knows_again(self):
+        async with standin.opened(nodes=3) as site:
+            site.store.is_down = True
+            await trio.sleep(10)
+            site.store.is_down = False
+            self._change(site)
+            await trio.sleep(2)
+            for node in site.nodes:
+                for asked, expected in (
+                    (self.STRANGE, 404),
+                    (self.WRONG, 401),
+                    (self.ADDED, 200),
+                    (self.GRANTED, 200),
+                ):
+                    response = await self._ask(site, node, asked)
+                    self.assertEqual(response.status, expected)
+
+    @parameterized.parameterized.expand([(1,), (3,), (10,)])
+    @virtual.on_virtual_time
+    async def test_calm_nodes_are_never_in_doubt(self, count):
+        async with standin.opened(nodes=count) as site:
+            for _ in range(200):
+                await trio.sleep(0.1)
+                for node in site.nodes:
+                    self.assertIsNone(node.runtime.readiness.find_doubt())
+
+
 class LimitsTest(unittest.TestCase):
     """What callers may send is the operator's to say, also while nodes run."""
 
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -75,7 +75,7 @@
         )
         self.catalogue = configured
         self.forwarder = forwarder.Forwarder(
-            admissions.Admission(lambda: configured),
+            admissions.Admission(lambda: configured, lambda: None),
             self.roster,
             self.client,
             Usage(),
