Take no node for silent any more that sends copies

Cause: who misses copies asks their sender whether it lives, and takes it for silent when no answer comes in time. Only another question or a poll could undo that, and no question is asked as long as copies come. A node that leads nothing is not polled either.

A copy that arrives ends the silence like an answer does.

Test: a runner that is taken for silent while its copies come is left alone after 2 s, and nobody else runs its samples. Before: "AssertionError: True is not false" (still silent).

--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -195,6 +195,10 @@
             since = self.clock.monotonic() - 2 * SILENT_S
             self.silent_since.setdefault(node, since)
             return
+        self.note_heard(node)
+
+    def note_heard(self, node: str) -> None:
+        """Notes that a node has answered, or called by itself."""
         if self.silent_since.pop(node, None) is not None:
             events.log(events.Event.PEER_BACK, peer=node)
 
@@ -237,6 +241,5 @@
             self.not_before[name] = self.clock.monotonic() + AVOID_S
             return None
         self.answered_at = self.clock.monotonic()
-        if self.silent_since.pop(name, None) is not None:
-            events.log(events.Event.PEER_BACK, peer=name)
+        self.note_heard(name)
         return changes
--- a/src/kingcupscale/leading.py
+++ b/src/kingcupscale/leading.py
@@ -213,6 +213,7 @@
 
     def note_heard(self, sender: str) -> None:
         """Notes that the node that runs the samples has sent a copy."""
+        self.runtime.peers.note_heard(sender)
         self.heard_from = sender
         self.heard_at = self.runtime.clock.monotonic()
 
--- a/tests/platform/test_lifecycle.py
+++ b/tests/platform/test_lifecycle.py
@@ -161,6 +161,30 @@
             await trio.sleep(4)
             self.assertEqual(len(site.runs), begun)
 
+    @virtual.on_virtual_time
+    async def test_holder_that_was_slow_for_a_moment_is_left_alone(self):
+        """A question that was not answered counts until the next copy."""
+        async with standin.opened(nodes=12) as site:
+            duty = f"engines/{standin.MODEL}"
+            holder = site.holder(duty)
+            for server in site.servers.values():
+                server.length = 600
+            await site.submit(site.other(holder), items=6)
+            await trio.sleep(3)
+            ranking = holder.runtime.models[duty].copier.find_target()
+            (next_one,) = (n for n in site.nodes if n.name == ranking[0])
+            peers = next_one.runtime.peers
+            # As after a question that came to nothing.
+            peers.silent_since[holder.name] = trio.current_time() - 2
+            await trio.sleep(2)
+            self.assertFalse(peers.is_silent(holder.name))
+            active = [
+                node.name
+                for node in site.nodes
+                if node.runtime.services["engines"].coordinator.active
+            ]
+            self.assertEqual(active, [holder.name])
+
 
 async def _send_nothing():
     """Stands for copies that are lost."""
