--- a/tests/platform/test_spreading.py
+++ b/tests/platform/test_spreading.py
@@ -158,6 +158,37 @@
         ]
 
 
+class TakeoverTest(unittest.TestCase):
+    """Load pattern: nodes that hold duties are killed."""
+
+    @parameterized.parameterized.expand(
+        [
+            ("service", DUTIES[:1]),
+            ("model", DUTIES[1:2]),
+            ("service_and_model", DUTIES[:2]),
+            ("all", DUTIES),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_duties_lie_apart_afterwards(self, _, lost):
+        async with trio.open_nursery() as nursery:
+            site = await open_site(nursery, 16)
+            await site.start()
+            await trio.sleep(SPREAD_S)
+            killed = {site.holder(duty).name for duty in lost}
+            for name in killed:
+                site.network.crash(name)
+            site.nodes = [n for n in site.nodes if n.name not in killed]
+            await trio.sleep(2 * SPREAD_S)
+            spread = holders(site)
+            self.assertEqual(len({*spread} - {"", *killed}), len(DUTIES))
+            for number, model in enumerate(MODELS):
+                await site.submit(site.nodes[0], f"b{number}", model=model)
+                results = await site.read_all(site.nodes[1], f"b{number}")
+                self.assertEqual(len(results), 4)
+            nursery.cancel_scope.cancel()
+
+
 class HandOnTest(unittest.TestCase):
     """Load pattern: a fleet grows while the samples of its models run."""
 
