Count calls that fail together as one failure of a server

Callers' batches were late or not served (SHORT): scoring calls found no usable server.

Cause: a pause that doubles for failures in a row took failures side by side for a row. A failure that shows while the server is left alone already changes nothing now; calls that are tried after the pause count as before.

Test: tests.test_roster, two of five rows failed before (False is not true).

--- a/src/kingcupscale/fleet/roster.py
+++ b/src/kingcupscale/fleet/roster.py
@@ -141,7 +141,12 @@
             events.log(events.Event.SERVER_LEAVING, server=self.id)
 
     def note_failure(self, now: float) -> None:
-        """Leaves the server alone for a while, longer each time."""
+        """Leaves the server alone for a while, longer each time in a row.
+
+        Calls that were under way together fail together; they count once.
+        """
+        if now < self.ejected_until:
+            return
         self.failures += 1
         pause_s = EJECT_FIRST_S * 2 ** min(self.failures - 1, 5)
         self.ejected_until = now + min(EJECT_MOST_S, pause_s)
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,32 @@
+"""What a node remembers of backend servers that failed."""
+
+import unittest
+
+import parameterized
+
+from kingcupscale.fleet import roster
+
+
+def _make_server():
+    entry = roster.ServerEntry(
+        "e1", "engines", "e1:80", "a", roster.ServerState.READY, 4, 1
+    )
+    return roster.Server(entry)
+
+
+class EjectionTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("one", [10.0], 10.4),
+            ("many_at_once", [10.0, 10.01, 10.1, 10.2, 10.3, 10.39], 10.4),
+            ("again_when_tried_anew", [10.0, 10.4], 11.2),
+            ("many_each_time", [10.0, 10.1, 10.5, 10.6, 10.9], 11.3),
+            ("for_long", [10.0, 11.0, 12.0, 14.0, 18.0, 24.0], 29.0),
+        ]
+    )
+    def test_calls_that_fail_together_count_once(self, _, failed_at, until):
+        server = _make_server()
+        for at in failed_at:
+            server.note_failure(at)
+        self.assertFalse(server.is_usable(until - 0.01))
+        self.assertTrue(server.is_usable(until + 0.01))
