Learn a service's latency from calls that were given up too

Scoring stopped for good when all answers of a service took longer than a call waits for the first one (1.5 times the wanted latency): every first try was given up, all servers were left alone for it, so no second try with more time took place, and the mean latency that sets the waiting time was learnt from answers only, of which there were none.

A call that is given up now counts with the time that it was waited for, so the next ones wait longer until answers come.

--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -211,6 +211,7 @@
                 attempts.sent += 1
                 attempts.tried.add(server.id)
                 attempts.reason = f"no answer in {limit_s:.2f} s"
+                self._learn_latency(attempts.service, limit_s)
                 server.note_failure(self.clock.monotonic())
         except serverclient.WithdrawnError:
             raise
@@ -323,15 +324,24 @@
         self, attempts: tries.Attempts, server: roster.Server, began_at: float
     ) -> None:
         elapsed_s = self.clock.monotonic() - began_at
-        usual_s = self.latency_s.setdefault(attempts.service, elapsed_s)
-        self.latency_s[attempts.service] = usual_s + LATENCY_WEIGHT * (
-            elapsed_s - usual_s
-        )
+        usual_s = self._learn_latency(attempts.service, elapsed_s)
         server.note_success()
         server.note_pace(elapsed_s / max(usual_s, 0.001))
         if attempts.organisation is not None:
             self.usage.note_begun(attempts.organisation.name)
 
+    def _learn_latency(self, service: str, elapsed_s: float) -> float:
+        """Adds a call to a service's mean latency, and returns the one before.
+
+        A call that was given up took at least as long as it was waited for;
+        without those, a node that is slow itself would give up all calls.
+        """
+        usual_s = self.latency_s.setdefault(service, elapsed_s)
+        self.latency_s[service] = usual_s + LATENCY_WEIGHT * (
+            elapsed_s - usual_s
+        )
+        return usual_s
+
     async def _open_stream(
         self,
         attempts: tries.Attempts,
