Give each answer to a scoring call its route's time, not what waiting left

A scoring call that had to wait for room had little of its route's time left when it got some, so it was cut short and made a place busy for nothing; where all places were taken for long, hardly any item was scored. Nobody waits for these calls, and the time they may take is the system's to give.

A scoring call now waits for room for up to its 30 s, and each answer has the route's own limit.

--- a/src/kingcupscale/batches/scoring.py
+++ b/src/kingcupscale/batches/scoring.py
@@ -14,7 +14,8 @@
 from kingcupscale.gateway import forwarder
 from kingcupscale.gateway import inbound as inbounds
 
-# Longest that one scoring call may take; its route's own limit is shorter.
+# Longest that one scoring call may wait for room and for answers; each answer
+# has its route's own limit, which is shorter.
 CALL_LIMIT_S = 30.0
 # Pause before a scoring call that failed is sent again.
 SCORE_PAUSE_S = 0.1
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -94,7 +94,7 @@
             route,
             organisation,
             self._draw_service(route),
-            inbound.received_at + min(inbound.patience_s, route.timeout_s),
+            inbound.received_at + _patience_s(inbound, route),
             inbound.received_at + ROOM_PATIENCE * route.target_s,
         )
         last: message.Response | None = None
@@ -197,7 +197,7 @@
     ) -> message.Response | None:
         """Sends a call once; None if that brought no answer to pass on."""
         now = self.clock.monotonic()
-        left_s = attempts.deadline - now
+        left_s = min(attempts.deadline - now, attempts.route.timeout_s)
         limit_s = left_s
         if attempts.route.may_repeat() and not attempts.route.is_streaming:
             limit_s = min(left_s, self._attempt_limit_s(attempts))
@@ -407,3 +407,10 @@
             left_s=round(left_s, 3),
         )
         return failure
+
+
+def _patience_s(inbound: inbounds.Inbound, route: catalogue.Route) -> float:
+    """Returns for how long a call may wait for room and for answers."""
+    if inbound.is_background:
+        return inbound.patience_s
+    return min(inbound.patience_s, route.timeout_s)
--- a/tests/platform/test_overload.py
+++ b/tests/platform/test_overload.py
@@ -12,7 +12,7 @@
 class SlowServiceTest(unittest.TestCase):
     """Load pattern: a node or a service is slow for all calls at a time."""
 
-    @parameterized.parameterized.expand([(0.25,), (0.4,), (0.7,)])
+    @parameterized.parameterized.expand([(0.25,), (0.4,), (0.7,), (1.2,)])
     @virtual.on_virtual_time
     async def test_scoring_goes_on_when_all_answers_are_late(self, answer_s):
         async with standin.opened() as site:
