--- a/tests/platform/test_overload.py
+++ b/tests/platform/test_overload.py
@@ -8,6 +8,10 @@
 from tests import virtual
 from tests.platform import standin
 
+ITEMS = 48
+# Two servers with four slots each, of which scoring leaves one free.
+PLACES = 6
+
 
 class SlowServiceTest(unittest.TestCase):
     """Load pattern: a node or a service is slow for all calls at a time."""
@@ -19,10 +23,11 @@
             for name in ("p1", "p2"):
                 site.servers[name].event_s = answer_s
             began_at = trio.current_time()
-            await site.submit(site.nodes[0], items=48)
+            await site.submit(site.nodes[0], items=ITEMS)
             results = await site.read_all(site.nodes[0], seconds=120)
             took_s = trio.current_time() - began_at
             scored = [r for r in site.runs if "-s" in r.request]
-            self.assertEqual(len(results), 48)
-            self.assertLess(took_s, 2 * 48 / 6 * answer_s + 10)
-            self.assertLess(len(scored), 3 * 48)
+            self.assertEqual(len(results), ITEMS)
+            self.assertLess(took_s, 2 * ITEMS / PLACES * answer_s + 10)
+            # Two rounds of calls that are given up teach how long to wait.
+            self.assertLessEqual(len(scored), ITEMS + 2 * PLACES)
