Tell the items under way of the end of a batch that was loaded anew

Cause: a node that takes over a model's samples goes on with the batches that its book holds, for some only because they were read here lately. Until the book's interest in the model is set, up to 0.1 s later, the keeper may let go of them as not wanted. The book then loads the batch again, and the end is noted on the new object only; the samples hold the old one, which never ends.

The coordinator now goes on with the object that the book holds, for open samples and leftovers, and a request's permission asks the sample for it as it leaves. While the book holds none, the end's key in the mirror counts.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -220,6 +220,7 @@
 
     def _follow_batches(self) -> None:
         """Takes up new batches and lets go of closed ones."""
+        self._hear_of_changes()
         for batch_id in list(self.progress):
             progress = self.progress[batch_id]
             is_over = not progress.record.is_open()
@@ -231,6 +232,25 @@
             if is_ours and not is_known and record.is_open():
                 self._take_up(record)
 
+    def _hear_of_changes(self) -> None:
+        """Goes on with the book's objects of batches that were loaded anew.
+
+        The book may let go of a batch that is run here until its interest in
+        the batch's model is set; only the new object hears of changes.
+        """
+        for batch_id, progress in self.progress.items():
+            held = self.book.records.get(batch_id)
+            if held is None and self.book.has_end(batch_id):
+                progress.record.note_ended()
+            if held is None or held is progress.record:
+                continue
+            progress.record = held
+            for sample in progress.samples.values():
+                sample.record = held
+        for sample in self.leftovers:
+            held = self.book.records.get(sample.record.batch.id)
+            sample.record = held or sample.record
+
     def _let_go(self, progress: Progress) -> None:
         del self.progress[progress.record.batch.id]
         for sample in progress.samples.values():
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -135,7 +135,7 @@
             expected_version=version or None,
             resume_after=sample.resume_after(),
             priority=min(9, sample.route.priority),
-            check=functools.partial(self.permission.check, sample.record),
+            check=functools.partial(self.permission.check, sample),
         )
 
     async def _take_answer(
--- a/src/kingcupscale/batches/permission.py
+++ b/src/kingcupscale/batches/permission.py
@@ -1,6 +1,6 @@
 """Whether a batch's requests may leave this node right now."""
 
-from kingcupscale.batches import record as records
+from kingcupscale.batches import sample as samples
 from kingcupscale.fleet import serverclient
 from kingcupscale.storage import view as views
 
@@ -15,8 +15,8 @@
     def __init__(self, view: views.View) -> None:
         self.view = view
 
-    def check(self, record: records.Record) -> None:
-        """Lets a request of a batch leave.
+    def check(self, sample: samples.Sample) -> None:
+        """Lets a request of a batch's item leave.
 
         To be called when the request's connection is open: until then, the
         batch may end or the view may grow old.
@@ -25,7 +25,7 @@
             WithdrawnError: If the batch has ended, or may have ended without
                 this node knowing.
         """
-        if not record.is_open():
+        if not sample.record.is_open():
             raise serverclient.WithdrawnError("the batch is not open any more")
         if not self.view.is_current():
             raise serverclient.WithdrawnError("the view of the store is old")
--- a/src/kingcupscale/batches/scoring.py
+++ b/src/kingcupscale/batches/scoring.py
@@ -56,7 +56,7 @@
             return
         while sample.result is None:
             try:
-                self.permission.check(sample.record)
+                self.permission.check(sample)
                 answer = await self.forwarder.forward(
                     self._score_call(sample, scorer)
                 )
@@ -111,5 +111,5 @@
             patience_s=CALL_LIMIT_S,
             received_at=self.clock.monotonic(),
             is_background=True,
-            check=functools.partial(self.permission.check, sample.record),
+            check=functools.partial(self.permission.check, sample),
         )
--- a/tests/platform/test_ended.py
+++ b/tests/platform/test_ended.py
@@ -5,6 +5,7 @@
 import parameterized
 import trio
 
+from kingcupscale.batches import keeper
 from kingcupscale.platform import names
 from kingcupscale.storage import store as stores
 from tests import virtual
@@ -96,3 +97,59 @@
                 sample.record.note_ended()
             self.assertEqual(len(site.runs), began)
             self.assertEqual(server.failures, 0)
+
+
+class LoadedAnewTest(unittest.TestCase):
+    """A running batch that the book has let go of and loaded anew."""
+
+    async def _make_loaded_anew(self, site):
+        """Returns a node that runs b1, and has loaded it anew since."""
+        holder = site.holder(DUTY)
+        node = next(
+            n
+            for n in site.nodes
+            if not n.runtime.models[DUTY].wants_batches()
+            and not n.runtime.leads()
+        )
+        await site.submit(node)
+        book = node.runtime.book
+        book.reads["b1"] -= keeper.READ_KEPT_S
+        # Until its interest is set, nothing but the read keeps the batch.
+        node.runtime.models[DUTY].take_over(holder.name)
+        before = book.records["b1"]
+        with trio.move_on_after(0.01):
+            await keeper.Keeper(book, site.clock).run()
+        await trio.sleep(0.5)
+        self.assertIsNot(book.records["b1"], before)
+        return node
+
+    @virtual.on_virtual_time
+    async def test_end_reaches_the_items_of_a_batch_loaded_anew(self):
+        async with standin.opened(nodes=8) as site:
+            for name in ("e1", "e2"):
+                site.servers[name].length = 300
+            node = await self._make_loaded_anew(site)
+            coordinator = node.runtime.services["engines"].coordinator
+            self.assertEqual(len(coordinator.open_samples()), 4)
+            response = await site.call(
+                site.other(node), "DELETE", names.BATCHES_PATH + "b1"
+            )
+            self.assertEqual(response.status, 200)
+            await trio.sleep(1)
+            self.assertEqual([s.id for s in coordinator.open_samples()], [])
+
+    @virtual.on_virtual_time
+    async def test_texts_go_on_in_a_batch_loaded_anew(self):
+        async with standin.opened(nodes=8) as site:
+            for name in ("e1", "e2"):
+                site.servers[name].length = 60
+            node = await self._make_loaded_anew(site)
+            coordinator = node.runtime.services["engines"].coordinator
+            texts = [len(s.events) for s in coordinator.open_samples()]
+            self.assertGreater(min(texts), 15)
+            held = {s.record for s in coordinator.open_samples()}
+            self.assertEqual(held, {node.runtime.book.records["b1"]})
+            results = await site.read_all(site.other(node))
+            self.assertEqual(
+                [r["text"] for r in results], [standin.text_of(60)] * 4
+            )
