Let a cancellation hold for items whose task has not begun yet

What callers saw: an item reached a server after the node had closed its batch (UNASKED, if the server runs it).

Cause: an item's task made its cancel scope when it began to run. The batch's closing between the start of the task and that moment cancelled the scope of the run before, and the item was sent all the same. A queue of work makes that moment late.

The check at the first byte keeps such an item back if the batch has ended, not if the node only gave the model to another one.

The scope is now made where the task is started.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -209,7 +209,7 @@
             nursery.start_soon(self.lister.run)
             while True:
                 self._follow_batches()
-                self._dispatch(nursery)
+                self.dispatch(nursery)
                 await self._wait_for_work()
 
     async def _wait_for_work(self) -> None:
@@ -321,7 +321,7 @@
                 return route
         return None
 
-    def _dispatch(self, nursery: trio.Nursery) -> None:
+    def dispatch(self, nursery: trio.Nursery) -> None:
         """Sends waiting samples to engines with room."""
         now = self.clock.monotonic()
         now_ms = int(self.clock.now().timestamp() * 1000)
@@ -340,6 +340,8 @@
         ):
             choice.sample.stage = samples.Stage.GENERATING
             choice.sample.server = choice.server.id
+            # Made here, so that a cancellation holds before the task begins.
+            choice.sample.scope = trio.CancelScope()
             choice.server.in_flight += 1
             self._note_prompt(choice)
             nursery.start_soon(self._run_guarded, choice)
@@ -418,7 +420,7 @@
     async def _run_sample(self, choice: placement.Choice) -> None:
         sample, server = choice.sample, choice.server
         is_whole = False
-        with trio.CancelScope() as sample.scope:
+        with sample.scope:
             try:
                 is_whole = await self.generator.run(sample, server)
             finally:
--- a/tests/platform/test_ended.py
+++ b/tests/platform/test_ended.py
@@ -6,6 +6,7 @@
 import trio
 
 from kingcupscale.batches import keeper
+from kingcupscale.batches import sample as samples
 from kingcupscale.platform import names
 from kingcupscale.storage import store as stores
 from tests import virtual
@@ -98,6 +99,24 @@
             self.assertEqual(len(site.runs), began)
             self.assertEqual(server.failures, 0)
 
+    @virtual.on_virtual_time
+    async def test_item_that_was_given_up_before_its_task_began_stays_so(self):
+        async with standin.opened(nodes=1) as site:
+            (node,) = site.nodes
+            for name in ("e1", "e2"):
+                site.servers[name].length = 200
+            coordinator = node.runtime.services["engines"].coordinator
+            await site.submit(node, items=1)
+            coordinator.set_active(standin.MODEL, False)
+            began = len(site.runs)
+            async with trio.open_nursery() as nursery:
+                coordinator.set_active(standin.MODEL, True)
+                coordinator.dispatch(nursery)
+                (sample,) = coordinator.open_samples()
+                self.assertEqual(sample.stage, samples.Stage.GENERATING)
+                coordinator.set_active(standin.MODEL, False)
+            self.assertEqual(len(site.runs), began)
+
 
 class LoadedAnewTest(unittest.TestCase):
     """A running batch that the book has let go of and loaded anew."""
