--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -82,7 +82,7 @@
         began_at = self.clock.monotonic()
         before = len(sample.events)
         call = self._make_call(sample, version)
-        outcome = "whole"
+        outcome = "given up"
         view_age_s = self.permission.view.age_s()
         try:
             with sample.run_scope:
