Show that requests kept from leaving leave room in the pool

A guard that raises closes its connection before a byte of the request has left; requests beside it and behind it are answered over the same pool.

--- a/tests/test_web_pools.py
+++ b/tests/test_web_pools.py
@@ -1,10 +1,12 @@
 """Connections to several addresses: which are kept, and which are closed."""
 
+import contextlib
 import unittest
 
 import parameterized
 import trio
 
+from kingcupscale import errors
 from kingcupscale.web import exchange
 from kingcupscale.web import message
 from kingcupscale.web import server
@@ -71,3 +73,28 @@
         (kept,) = exchanger.pools.values()
         self.assertEqual(len(kept.pool.connections), 1)
         await exchanger.aclose()
+
+    @servers.on_sockets
+    async def test_guarded_requests_leave_room_for_others(
+        self, address, handler, stop
+    ):
+        def refuse():
+            raise errors.ServiceError(errors.ResultCode.LEASE_LOST)
+
+        async def send(before_send):
+            request = message.Request("GET", "/", before_send=before_send)
+            with contextlib.suppress(errors.ServiceError):
+                await exchange.fetch(exchanger, address, request, 5)
+                answered.append(before_send)
+
+        exchanger = exchange.HttpExchanger(max_connections=2)
+        answered = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(send, refuse)
+                nursery.start_soon(send, message.allow_send)
+        await send(message.allow_send)
+        self.assertEqual(answered, [message.allow_send] * 11)
+        (kept,) = exchanger.pools.values()
+        self.assertLessEqual(len(kept.pool.connections), 2)
+        await exchanger.aclose()
