Take over what an old mirror knows before calling the store silent

What callers would see: items of an ended batch reach servers (UNASKED) from a node that the store answers nothing, though other nodes know of the end.

Cause: a node that is cut from the store only asks a node that leads. An answer older than 1.1 s was dropped, however much older the own view was, but still counted as a sign that the store is silent for the other node too: items went on without a limit. The other node's view may be 1.2 s old, by lack of processor time, and hold the end.

Evidence: three nodes of the stand-in, the leader hears from the store 1.6 s late, the store turns the runner away, the third node takes the end.

A node without the store now takes over what it is told, also by an old mirror, and its view gets that age. So an answer that leaves the own view old does show that the node that gave it knows nothing newer. Open: it shows that of one node, not of all.

--- a/src/kingcupscale/storage/feed.py
+++ b/src/kingcupscale/storage/feed.py
@@ -273,6 +273,8 @@
             changes = await self.follow(position)
         if self.follow_scope.cancelled_caught:
             return True
+        if changes is not None and self.is_lost:
+            self._catch_up(changes, asked_at - changes.age_s)
         if changes is None or changes.age_s > FOLLOWED_AGE_S:
             self.position = changelog.Position("", 0, 0)
             return False
@@ -286,6 +288,17 @@
             await self._load_again()
         return True
 
+    def _catch_up(self, changes: changelog.Changes, current_at: float) -> None:
+        """Takes over all that an old mirror knows, as it may know of more.
+
+        The answers of a node that knows nothing newer tell of a silent store.
+        """
+        for entry in changes.entries:
+            self.apply(entry)
+        self.revision = max(self.revision, changes.position.revision)
+        self.current_at = max(self.current_at, current_at)
+        self.announce()
+
     async def _load_again(self) -> None:
         """Reads everything if the store answers; goes on following if not."""
         try:
--- a/tests/platform/test_ended.py
+++ b/tests/platform/test_ended.py
@@ -37,6 +37,29 @@
     node.runtime.feed.store.scan = scan_too_late
 
 
+def _watch_late(site, node):
+    """Has a node hear from the store with a delay of 1.6 s."""
+    store = node.runtime.feed.store
+    watch = store.watch
+
+    async def watch_late(prefix, after, wait_s):
+        page = await watch(prefix, after, 0)
+        await trio.sleep(1.6)
+        return page
+
+    store.watch = watch_late
+
+
+def _turn_away(node):
+    """Has the store answer none of a node's questions."""
+
+    async def refuse(*_):
+        raise stores.StoreError("status 503", False)
+
+    node.runtime.feed.store.watch = refuse
+    node.runtime.feed.store.scan = refuse
+
+
 async def _end(site, node):
     response = await site.call(node, "DELETE", names.BATCHES_PATH + "b1")
     return response.status, trio.current_time()
@@ -117,6 +140,26 @@
                 coordinator.set_active(standin.MODEL, False)
             self.assertEqual(len(site.runs), began)
 
+    @virtual.on_virtual_time
+    async def test_old_answer_of_another_node_is_no_sign_of_a_silent_store(
+        self,
+    ):
+        async with standin.opened(nodes=3) as site:
+            for name in ("e1", "e2"):
+                site.servers[name].length = 60
+            leader = site.holder(DUTY)
+            runner, third = [n for n in site.nodes if n is not leader]
+            _watch_late(site, leader)
+            _turn_away(runner)
+            await site.submit(third, items=120, scored=False)
+            await trio.sleep(2)
+            status, ended_at = await _end(site, third)
+            self.assertEqual(status, 200)
+            while trio.current_time() < ended_at + 6:
+                runner.runtime.models[DUTY].take_over(leader.name)
+                await trio.sleep(0.1)
+            self.assertEqual(_late(site, ended_at), [])
+
 
 class LoadedAnewTest(unittest.TestCase):
     """A running batch that the book has let go of and loaded anew."""
