Read an ended batch anew before showing nothing by an old mirror

What callers would see: a result that was read before is not there (LOST).

A node that takes the end itself knows of it at once, whatever its mirror lacks. The same class as the items of ended batches: nothing asked how old the view is.

Evidence: a node whose mirror stands still takes the end of a batch and shows no result of it, though another node shows all four and the store answers. The test failed before with (200, []) != (200, [{'id': 'b1-i0', ...]).

Any empty page of a batch that may lack results is checked now.

--- a/src/kingcupscale/batches/book.py
+++ b/src/kingcupscale/batches/book.py
@@ -366,12 +366,20 @@
                 await self._wait_for_result(record, after, wait_s)
             finally:
                 self.readers -= 1
-            is_empty = after >= len(record.results) and record.is_open()
-            is_stale = self.feed.age_s() > STALE_S or not record.is_current
-            if is_empty and is_stale:
-                await self.source.refresh(record)
+        if after >= len(record.results) and self._may_lack_results(record):
+            await self.source.refresh(record)
         return record.page(after)
 
+    def _may_lack_results(self, record: records.Record) -> bool:
+        """Tells whether other nodes may show results that are not known here.
+
+        Also of an ended batch: this node may have ended it before its mirror
+        told of the results.
+        """
+        is_whole = len(record.results) >= len(record.batch.items)
+        is_stale = self.feed.age_s() > STALE_S or not record.is_current
+        return is_stale and not is_whole
+
     async def _wait_for_result(
         self, record: records.Record, after: int, wait_s: float
     ) -> None:
--- a/tests/platform/test_ended.py
+++ b/tests/platform/test_ended.py
@@ -60,6 +60,10 @@
     node.runtime.feed.store.scan = refuse
 
 
+async def _never(*_):
+    await trio.sleep_forever()
+
+
 async def _end(site, node):
     response = await site.call(node, "DELETE", names.BATCHES_PATH + "b1")
     return response.status, trio.current_time()
@@ -215,3 +219,26 @@
             self.assertEqual(
                 [r["text"] for r in results], [standin.text_of(60)] * 4
             )
+
+
+class EndedPageTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_node_that_ended_a_batch_by_an_old_view_shows_all_results(
+        self,
+    ):
+        async with standin.opened(nodes=3) as site:
+            runner = site.holder(DUTY)
+            node, other = [n for n in site.nodes if n is not runner]
+            await site.submit(other, items=4)
+            status, _ = await site.read(node)
+            self.assertEqual(status, 200)
+            feed = node.runtime.feed
+            feed.follow = feed.store.watch = _never
+            feed.ask_anew()
+            results = await site.read_all(other)
+            self.assertEqual(len(results), 4)
+            status, _ = await _end(site, node)
+            self.assertEqual(status, 200)
+            await trio.sleep(1)
+            status, page = await site.read(node)
+            self.assertEqual((status, page["results"]), (200, results))
