Show that an old view sends calls to draining servers

A node whose mirror stands still, while the store answers it otherwise, goes on with calls to servers that have been draining for longer than their bound, until its readiness refuses everything (DRAIN). The roster is the mirror, and nothing asks how old it is.

--- a/tests/platform/test_ended.py
+++ b/tests/platform/test_ended.py
@@ -242,3 +242,29 @@
             await trio.sleep(1)
             status, page = await site.read(node)
             self.assertEqual((status, page["results"]), (200, results))
+
+
+class DrainingTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_old_view_sends_no_calls_to_draining_servers(self):
+        async with standin.opened(nodes=3) as site:
+            (node, *_) = site.nodes
+            feed = node.runtime.feed
+            feed.follow = feed.store.watch = _never
+            feed.ask_anew()
+            await trio.sleep(0.6)
+            for name in ("p1", "p2"):
+                site.servers[name].state = "draining"
+                site.servers[name].enter()
+            drain_s = node.runtime.settings.bounds.drain_s
+            drained_at = trio.current_time() + drain_s
+            for number in range(25):
+                await trio.sleep(0.2)
+                await site.call(
+                    node,
+                    "GET",
+                    f"{standin.CALL_PATH}{number}",
+                    **{names.REQUEST_ID: f"r{number}"},
+                )
+            late = [r.request for r in site.runs if r.at > drained_at]
+            self.assertEqual(late, [])
