--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -209,7 +209,7 @@
             nursery.start_soon(self.lister.run)
             while True:
                 self._follow_batches()
-                self._dispatch(nursery)
+                self.dispatch(nursery)
                 await self._wait_for_work()
 
     async def _wait_for_work(self) -> None:
@@ -220,6 +220,7 @@
 
     def _follow_batches(self) -> None:
         """Takes up new batches and lets go of closed ones."""
+        self._hear_of_changes()
         for batch_id in list(self.progress):
             progress = self.progress[batch_id]
             is_over = not progress.record.is_open()
@@ -231,6 +232,25 @@
             if is_ours and not is_known and record.is_open():
                 self._take_up(record)
 
+    def _hear_of_changes(self) -> None:
+        """Goes on with the book's objects of batches that were loaded anew.
+
+        The book may let go of a batch that is run here until its interest in
+        the batch's model is set; only the new object hears of changes.
+        """
+        for batch_id, progress in self.progress.items():
+            held = self.book.records.get(batch_id)
+            if held is None and self.book.has_end(batch_id):
+                progress.record.note_ended()
+            if held is None or held is progress.record:
+                continue
+            progress.record = held
+            for sample in progress.samples.values():
+                sample.record = held
+        for sample in self.leftovers:
+            held = self.book.records.get(sample.record.batch.id)
+            sample.record = held or sample.record
+
     def _let_go(self, progress: Progress) -> None:
         del self.progress[progress.record.batch.id]
         for sample in progress.samples.values():
@@ -301,7 +321,7 @@
                 return route
         return None
 
-    def _dispatch(self, nursery: trio.Nursery) -> None:
+    def dispatch(self, nursery: trio.Nursery) -> None:
         """Sends waiting samples to engines with room."""
         now = self.clock.monotonic()
         now_ms = int(self.clock.now().timestamp() * 1000)
@@ -320,6 +340,8 @@
         ):
             choice.sample.stage = samples.Stage.GENERATING
             choice.sample.server = choice.server.id
+            # Made here, so that a cancellation holds before the task begins.
+            choice.sample.scope = trio.CancelScope()
             choice.server.in_flight += 1
             self._note_prompt(choice)
             nursery.start_soon(self._run_guarded, choice)
@@ -398,7 +420,7 @@
     async def _run_sample(self, choice: placement.Choice) -> None:
         sample, server = choice.sample, choice.server
         is_whole = False
-        with trio.CancelScope() as sample.scope:
+        with sample.scope:
             try:
                 is_whole = await self.generator.run(sample, server)
             finally:
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -82,7 +82,7 @@
         began_at = self.clock.monotonic()
         before = len(sample.events)
         call = self._make_call(sample, version)
-        outcome = "whole"
+        outcome = "given up"
         view_age_s = self.permission.view.age_s()
         try:
             with sample.run_scope:
@@ -135,7 +135,7 @@
             expected_version=version or None,
             resume_after=sample.resume_after(),
             priority=min(9, sample.route.priority),
-            check=functools.partial(self.permission.check, sample.record),
+            check=functools.partial(self.permission.check, sample),
         )
 
     async def _take_answer(
