--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -527,7 +527,7 @@
     Break(
         "an item whose batch ends while it connects is kept back",
         "batches/permission.py",
-        "if not record.is_open():",
+        "if not sample.record.is_open():",
         "if False:",
         SITE + "test_ended",
     ),
