Show that a batch of 31 stored values cannot be cancelled

Cause: make_end writes the end and rewrites all values of the batch in one transaction, which the store refuses above 32 entries.

The script cancels a batch of 31 items of 290,000 bytes 3 s after its 202. The store's stand-in refuses transactions of more than 32 entries.

--- a/review/standins.py
+++ b/review/standins.py
@@ -26,6 +26,7 @@
 RESTART_DELAY_S = 0.5
 STORE_LATENCY_S = 0.004
 SPIN_S = 0.002
+MAX_ENTRIES = 32
 ID = "x-kingcupscale-request-id"
 STAMP = "X-Kingcupscale-Server-Stamp"
 NOT_RUN = "X-Kingcupscale-Not-Executed"
@@ -248,6 +249,9 @@
 
     def commit(self, body):
         """Executes a transaction if its conditions hold."""
+        lists = (body.get(n, ()) for n in ("expectedRev", "puts", "remove"))
+        if sum(map(len, lists)) > MAX_ENTRIES:
+            return encode_json({"error": "too many entries"}, 400)
         for row in body.get("expectedRev", ()):
             present = self.items.get(row["key"], {}).get("revision", 0)
             if present != row["revision"]:
