Take no server from an entry of another writer

Cause: decode_server accepted the address '::1:9' and entries with missing or mistyped fields. httpcore.URL raises ValueError for that address, send() did not turn it into a RequestError, and the loader's task let it end the nursery of the duty and with it the process.

Why it works: every field that the protocol names is checked before a server is registered, so no such entry reaches a client; an unusable address is a failed request; and an error of one load stays in that load.

--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import traceback
 
 import attrs
 import trio
@@ -139,6 +140,15 @@
         except serverclient.ServerError as e:
             outcome = e.reason
             await self._refresh_status(load)
+        except Exception as e:
+            # An error that concerns one engine must not end the node.
+            outcome = "unexpected error"
+            events.log(
+                events.Event.REQUEST_FAILED,
+                kind=type(e).__name__,
+                server=server.id,
+                trace=traceback.format_tb(e.__traceback__),
+            )
         finally:
             self.loading.pop(server.id, None)
         is_loaded = server.versions.get(load.model, 0) >= load.version
--- a/src/kingcupscale/platform/documents.py
+++ b/src/kingcupscale/platform/documents.py
@@ -15,6 +15,14 @@
 _VISIBLE = re.compile(r"[!-~]+")
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _HEADER_VALUE = re.compile(r"[ -~\t]*")
+# An IPv4 address or a host name, and a port.
+_LABEL = r"[0-9A-Za-z](?:[0-9A-Za-z-]{0,61}[0-9A-Za-z])?"
+_ADDRESS = re.compile(rf"{_LABEL}(?:\.{_LABEL})*:([0-9]{{1,5}})")
+MAX_ADDRESS_CHARACTERS = 253
+MAX_PORT = 65535
+# Largest integer that every JSON implementation represents exactly.
+MAX_INTEGER = 2**53 - 1
+MAX_SLOTS = 100_000
 
 # Kinds of route in a configuration. A rollout route accepts batches.
 _KINDS = {
@@ -125,45 +133,85 @@
     Raises:
         ValueError: If it is invalid, such as one from another writer.
     """
-    try:
-        entry = orjson.loads(value)
-        address = entry["address"]
-        host, _, port = address.rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError(f"address {address!r}")
-        for name in ("service", "zone"):
-            if not isinstance(entry[name], str) or not entry[name]:
-                raise ValueError(f"{name} {entry[name]!r}")
-        return registry.ServerEntry(
-            id=server_id,
-            service=entry["service"],
-            address=address,
-            zone=entry["zone"],
-            state=registry.ServerState(entry["state"]),
-            slots=_non_negative(entry, "slots"),
-            start_ms=_non_negative(entry, "born", 0),
-            # The field "sequence" is not used: in an entry it counts the
-            # server's entries, but in a report the orders that it accepted.
-            versions=decode_versions(entry.get("models", ())),
-            is_spot=bool(entry.get("spot", False)),
-            warmup_s=_non_negative(entry, "coldRemainingMs", 0) / 1000,
-        )
-    except (KeyError, TypeError, AttributeError) as e:
-        raise ValueError(f"server entry: {e!r}") from e
+    if not _VISIBLE.fullmatch(server_id):
+        raise ValueError("the id must be printable ASCII without spaces")
+    entry = orjson.loads(value)
+    if not isinstance(entry, dict):
+        raise ValueError("the entry must be an object")
+    _string(entry, "version")
+    # "sequence" is only checked: in an entry it counts the server's entries,
+    # but in a report the orders that it accepted.
+    integer(entry, "sequence")
+    return registry.ServerEntry(
+        id=server_id,
+        service=_string(entry, "service"),
+        address=_address(entry),
+        zone=_string(entry, "zone"),
+        state=registry.ServerState(_string(entry, "state")),
+        slots=integer(entry, "slots", maximum=MAX_SLOTS),
+        start_ms=integer(entry, "born") if "born" in entry else 0,
+        versions=decode_versions(entry.get("models", [])),
+        is_spot=bool(entry.get("spot", False)),
+        warmup_s=integer(entry, "coldRemainingMs") / 1000,
+    )
+
+
+def _address(entry: dict[str, Any]) -> str:
+    """Returns the address of an entry as ``host:port``."""
+    address = _string(entry, "address")
+    found = _ADDRESS.fullmatch(address[: MAX_ADDRESS_CHARACTERS + 1])
+    if found is None or not 0 < int(found[1]) <= MAX_PORT:
+        raise ValueError(f"address {address[:60]!r} is not a host and a port")
+    return address
 
 
-def _non_negative(
-    entry: dict[str, Any], name: str, default: int | None = None
+def _string(fields: dict[str, Any], name: str) -> str:
+    """Returns a field that must be a text with at least one character."""
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} must be a text, found {_type_name(value)}")
+    return value
+
+
+def integer(
+    fields: dict[str, Any], name: str, maximum: int = MAX_INTEGER
 ) -> int:
-    value = entry[name] if default is None else entry.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"{name} {value!r}")
+    """Returns a field that must be an integer from 0 to ``maximum``.
+
+    Raises:
+        ValueError: If it is not. The message does not contain the value, whose
+            representation may be unlimited in size and depth.
+    """
+    value = fields.get(name)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(
+            f"{name} must be an integer, found {_type_name(value)}"
+        )
+    if not 0 <= value <= maximum:
+        raise ValueError(f"{name} must be from 0 to {maximum}")
     return value
 
 
+def _type_name(value: Any) -> str:
+    return "nothing" if value is None else type(value).__name__
+
+
 def decode_versions(models: Any) -> dict[str, int]:
-    """Returns weight versions by model from a list of models."""
-    return {model["name"]: int(model["version"]) for model in models}
+    """Returns weight versions by model from a list of models.
+
+    Raises:
+        ValueError: If it is invalid.
+    """
+    if not isinstance(models, list):
+        raise ValueError(f"models must be a list, found {_type_name(models)}")
+    versions = {}
+    for model in models:
+        if not isinstance(model, dict):
+            raise ValueError(
+                f"a model must be an object, not {_type_name(model)}"
+            )
+        versions[_string(model, "name")] = integer(model, "version")
+    return versions
 
 
 def decode_target_version(value: bytes) -> tuple[str, int]:
@@ -172,11 +220,10 @@
     Raises:
         ValueError: If it is invalid.
     """
-    try:
-        document = orjson.loads(value)
-        return str(document["model"]), int(document["version"])
-    except (KeyError, TypeError) as e:
-        raise ValueError(f"target version: {e!r}") from e
+    document = orjson.loads(value)
+    if not isinstance(document, dict):
+        raise ValueError("a target version must be an object")
+    return _string(document, "model"), integer(document, "version")
 
 
 def encode_retirement_state(state: str) -> bytes:
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -234,9 +234,14 @@
     Raises:
         RequestError: If no response arrives, or it is cut off.
     """
+    try:
+        url = httpcore.URL(_url(address, request))
+    except (ValueError, TypeError) as e:
+        reason = f"invalid address or path: {e}"
+        raise RequestError(reason, may_have_been_sent=False) from e
     stream = pool.stream(
         request.method,
-        _url(address, request),
+        url,
         headers=list(request.headers.items()),
         content=request.body,
         extensions=_extensions(request, timeout_s),
@@ -247,7 +252,7 @@
             # The timeout of each read does not limit headers that never end,
             # so the headers as a whole need one.
             with trio.move_on_after(connect_s + timeout_s) as scope:
-                response = await stack.enter_async_context(stream)
+                response = await _open_stream(stack, stream)
             if scope.cancelled_caught:
                 raise RequestError(
                     "no response headers in time", may_have_been_sent=True
@@ -263,6 +268,22 @@
         raise RequestError(repr(e), may_have_been_sent=True) from e
 
 
+async def _open_stream(
+    stack: contextlib.AsyncExitStack,
+    stream: contextlib.AbstractAsyncContextManager[httpcore.Response],
+) -> httpcore.Response:
+    """Sends a request and returns the response once its headers are read.
+
+    Raises:
+        RequestError: If a part of the request or of the response's headers has
+            a form that the libraries cannot process.
+    """
+    try:
+        return await stack.enter_async_context(stream)
+    except (ValueError, TypeError) as e:
+        raise RequestError(repr(e), may_have_been_sent=True) from e
+
+
 def _url(address: str, request: message.Request) -> str:
     query = f"?{request.query}" if request.query else ""
     return f"http://{address}{request.path}{query}"
