Remove only batches that have ended

Cause: retention took a batch whose items all had results for closed, and removed it statusRetentionS and 60 s after its submission. Results must stay readable while a batch is open, and only DELETE ends it.

Why it works: the end in the store is the only sign that a batch is closed. As an end may now follow long after the submission, a batch is kept for another 30 s after its end has been seen, for a DELETE that is repeated.

--- a/src/kingcupscale/batches/retention.py
+++ b/src/kingcupscale/batches/retention.py
@@ -1,9 +1,12 @@
-"""Removes batches from the store once their retention time has passed."""
+"""Removes ended batches from the store once their retention time has passed.
+
+A batch that its sender has not ended is open, even if it is complete, and stays
+readable however old it is.
+"""
 
 import functools
 
 from kingcupscale import clock as clocks
-from kingcupscale import errors
 from kingcupscale.batches import cache as caches
 from kingcupscale.batches import record as records
 from kingcupscale.storage import decoding
@@ -12,14 +15,21 @@
 # Maximum number of keys in one transaction. Every supported store accepts
 # transactions of this size.
 MAX_REMOVALS = 32
+# An old batch is kept this much longer after its end, because clients may
+# repeat the request that ended it.
+END_MARGIN_S = 30.0
 
 
 class Retention:
-    """Removes old batches that get no more results from the store.
+    """Removes old batches that have ended from the store.
 
     Args:
         batch_cache: The batches.
         clock: Clock for the age of batches.
+
+    Attributes:
+        ended_at: Monotonic time at which this node first found the end of an
+            old batch, by batch id.
     """
 
     def __init__(
@@ -29,9 +39,10 @@
         self.fetcher = batch_cache.fetcher
         self.store = batch_cache.store
         self.clock = clock
+        self.ended_at: dict[str, float] = {}
 
     async def remove_older_than(self, seconds: float) -> None:
-        """Removes finished or ended batches that are older than ``seconds``.
+        """Removes ended batches that were submitted ``seconds`` ago or earlier.
 
         A batch whose submission time is not known is read first, and removed by
         a later call.
@@ -40,7 +51,10 @@
             StoreError: If the store cannot be reached.
         """
         now_ms = self.clock.now().timestamp() * 1000
-        for batch_id in self.batch_cache.batch_ids():
+        batch_ids = self.batch_cache.batch_ids()
+        for batch_id in self.ended_at.keys() - set(batch_ids):
+            del self.ended_at[batch_id]
+        for batch_id in batch_ids:
             if (
                 batch_id in self.batch_cache.load_candidates
                 or batch_id in self.batch_cache.pending_loads
@@ -51,22 +65,15 @@
                 await self._load_summary(batch_id)
                 continue
             is_old = now_ms - summary.submitted_ms > seconds * 1000
-            if is_old and await self._is_closed(batch_id):
+            if is_old and self._ended_long_ago(batch_id):
                 await self._remove(batch_id)
 
-    async def _is_closed(self, batch_id: str) -> bool:
-        """Returns whether a batch certainly gets no more results.
-
-        Returns False if the batch cannot be read.
-        """
-        if self.batch_cache.has_end(batch_id):
-            return True
-        try:
-            record = await self.batch_cache.load(batch_id, is_read=True)
-        except errors.ServiceError as e:
-            caches.log_load_failure(batch_id, e)
+    def _ended_long_ago(self, batch_id: str) -> bool:
+        """Returns whether a batch ended at least ``END_MARGIN_S`` ago."""
+        if not self.batch_cache.has_end(batch_id):
             return False
-        return record is not None and not record.is_open()
+        now = self.clock.monotonic()
+        return now - self.ended_at.setdefault(batch_id, now) >= END_MARGIN_S
 
     async def _load_summary(self, batch_id: str) -> None:
         """Reads the submission time and the model of a batch from the store.
