Handle signals until the process has ended

Cause: the signal receiver was left at the first SIGTERM, which restored the default actions, so that SIGHUP, SIGINT or a second SIGTERM ended the process.

Why it works: one task receives the signals as long as the process runs, and SIGHUP is ignored before that task starts and after it has ended. The soak reports the exit code of a failed planned stop.

--- a/src/kingcupscale/commands/serving.py
+++ b/src/kingcupscale/commands/serving.py
@@ -6,6 +6,7 @@
 
 import argparse
 import os
+import signal
 import sys
 from typing import Any
 
@@ -47,6 +48,8 @@
 
 def run_serve(arguments: argparse.Namespace) -> None:
     """Runs a node until SIGTERM."""
+    # Applies before the node handles signals itself and after it has stopped.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     loaded = settingsfile.load(arguments.settings)
     log_writer = logs.to_standard_output(clocks.SystemClock())
     options = process.Options(
--- a/src/kingcupscale/daemon.py
+++ b/src/kingcupscale/daemon.py
@@ -3,7 +3,6 @@
 It also handles stop signals and opens the log.
 """
 
-from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 import gc
@@ -118,35 +117,35 @@
 
 
 async def run_until_signal(settings: node_settings.NodeSettings) -> None:
-    """Runs a node; SIGTERM and SIGINT begin its planned stop."""
+    """Runs a node; SIGTERM, SIGINT and SIGHUP begin its planned stop."""
     daemon = Daemon(settings)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    async with trio.open_nursery() as nursery:
-        addresses = await nursery.start(daemon.run)
-        print(
-            f"{settings.name}: callers {addresses.callers}, operators"
-            f" {addresses.operators}, peers {addresses.peers}",
-            flush=True,
-        )
-        nursery.start_soon(_drain_on_signal, daemon)
+    async with trio.open_nursery() as signal_nursery:
+        async with trio.open_nursery() as nursery:
+            addresses = await nursery.start(daemon.run)
+            print(
+                f"{settings.name}: callers {addresses.callers}, operators"
+                f" {addresses.operators}, peers {addresses.peers}",
+                flush=True,
+            )
+            signal_nursery.start_soon(_drain_on_signal, daemon)
+        signal_nursery.cancel_scope.cancel()
 
 
 async def _drain_on_signal(daemon: Daemon) -> None:
+    """Begins the planned stop at a signal; further ones change nothing.
+
+    Signals are received until the daemon has stopped: outside of the receiver
+    each of them ends the process at once, with the requests still open.
+    """
     if daemon.node is None:
         return
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as signal_nursery:
-            signal_nursery.start_soon(_wait_for_signal, signals, daemon.node)
-            await daemon.node.stopped.wait()
-            signal_nursery.cancel_scope.cancel()
-
-
-async def _wait_for_signal(
-    signals: AsyncIterator[int], node: nodes.Node
-) -> None:
-    async for _ in signals:
-        node.drain_requested.set()
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for _ in signals:
+            daemon.node.drain_requested.set()
 
 
 @contextlib.contextmanager
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -143,7 +143,11 @@
         settings=path,
     )
     if not settings.callers:
-        await _wait_for_stop(path)
+        stopped = trio.Event()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(_handle_signals, path, stopped)
+            await stopped.wait()
+            nursery.cancel_scope.cancel()
         return
     clients = HttpClients(
         httpclient.PooledHttpClient(idle_s=STORE_IDLE_S),
@@ -155,9 +159,21 @@
         settings, clients, clocks.SystemClock(), random.Random()
     )
     handler = make_frontend(runtime)
+    async with trio.open_nursery() as signal_nursery:
+        await signal_nursery.start(
+            _handle_signals, path, runtime.drain_requested
+        )
+        await _serve(runtime, handler, options)
+        signal_nursery.cancel_scope.cancel()
+
+
+async def _serve(
+    runtime: runtimes.Runtime, handler: frontend.Frontend, options: Options
+) -> None:
+    """Runs a node and its listeners until the planned stop is complete."""
+    settings = runtime.settings
     internal_limits = limits.constant(limits.Limits(body_bytes=PEER_BODY_BYTES))
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_drain_on_signal, runtime, path)
         await nursery.start(
             functools.partial(
                 server.serve,
@@ -202,28 +218,42 @@
     return message.Response(200 if is_ready else 503)
 
 
-async def _drain_on_signal(runtime: runtimes.Runtime, path: str) -> None:
-    await _wait_for_stop(path)
-    runtime.drain_requested.set()
+async def _handle_signals(
+    path: str,
+    stop_requested: trio.Event,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Handles signals until cancelled.
 
+    A signal to stop requests the planned stop; a further one changes nothing.
+    SIGHUP has the settings file checked. Signals are handled until the process
+    ends: outside of the receiver each of them ends it at once, and with it the
+    requests that a planned stop still completes.
 
-async def _wait_for_stop(path: str) -> None:
-    """Waits for a signal to stop, and checks the settings file on SIGHUP.
-
-    Settings do not change while the process runs. A reload only logs whether
-    the file is valid for the next start.
+    Args:
+        path: The settings file.
+        stop_requested: Set at the first signal to stop.
+        task_status: Is started once signals are handled.
     """
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as received:
+        task_status.started()
         async for number in received:
-            if number != signal.SIGHUP:
-                return
-            problems: list[str] = []
-            try:
-                settingsfile.load(path)
-            except settings_errors.SettingsError as e:
-                problems = e.problems
-            events.log(
-                events.Event.SETTINGS_RELOADED, path=path, problems=problems
-            )
+            if number == signal.SIGHUP:
+                _check_settings(path)
+            else:
+                stop_requested.set()
+
+
+def _check_settings(path: str) -> None:
+    """Logs whether the settings file is valid for the next start.
+
+    Settings do not change while the process runs.
+    """
+    problems: list[str] = []
+    try:
+        settingsfile.load(path)
+    except settings_errors.SettingsError as e:
+        problems = e.problems
+    events.log(events.Event.SETTINGS_RELOADED, path=path, problems=problems)
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import math
 import pathlib
 
 from kingcupscale import deployment
@@ -87,10 +88,11 @@
             number = float(value) if value else default
         except ValueError:
             number = -1.0
-        if number < 0:
+        if not 0 <= number < math.inf:
             self.problems.append(
                 f"  {name}: found {value!r}, expected a number of 0 or more"
             )
+            return default
         return number
 
     def milliseconds(self, name: str, default_s: float) -> float:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -99,6 +99,7 @@
         old_process = node.process
         while old_process.poll() is None:
             await trio.sleep(0.05)
+        node.check_stop(old_process.returncode)
         # An overlapping fault may have restarted it already.
         if node.process is old_process:
             node.is_paused = False
--- a/tests/soak/node.py
+++ b/tests/soak/node.py
@@ -7,10 +7,14 @@
 
 import datetime
 import pathlib
+import signal
 import sys
 
-from kingcupscale import clock as clocks
-from kingcupscale.commands import serving
+# As in deploy/node.py.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from kingcupscale import clock as clocks  # noqa: E402
+from kingcupscale.commands import serving  # noqa: E402
 
 
 def install_clock_offset(path):
--- a/tests/soak/session.py
+++ b/tests/soak/session.py
@@ -70,6 +70,8 @@
                 session.observations.add_problem(
                     "exit code", name, code, output_lines
                 )
+            for name, code in world.failed_stops:
+                session.observations.add_problem("planned stop", name, code)
             session.observations.check_end()
             nursery.cancel_scope.cancel()
     return session.outcome(seed)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -190,6 +190,15 @@
         self.start()
         return code if is_unexpected else None
 
+    def check_stop(self, code):
+        """Records the exit code of a planned stop that did not succeed.
+
+        SIGKILL may have come as well, and SIGTERM ends a process at once that
+        has not started to serve.
+        """
+        if code not in (0, -signal.SIGKILL, -signal.SIGTERM):
+            self.world.failed_stops.append((self.name, code))
+
     def pause(self, is_paused):
         """Suspends or resumes the process."""
         self.is_paused = is_paused
@@ -235,6 +244,8 @@
         server_links: Proxies of the backend servers, by server id.
         published_version: Latest weight version.
         configuration_count: Number of configurations written.
+        failed_stops: Names and exit codes of nodes that a planned stop should
+            have ended with code 0.
     """
 
     def __init__(self, folder, nursery, rng):
@@ -255,6 +266,7 @@
         self.cloud_address = ""
         self.published_version = 1
         self.configuration_count = 1
+        self.failed_stops = []
 
     async def open(self):
         """Starts the fake services, the proxies and the node processes."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -38,6 +38,15 @@
     os.kill(pid, signal.SIGTERM)
 
 
+async def terminate_repeatedly(pid):
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        os.kill(pid, number)
+        await trio.sleep(0.2)
+
+
+STOPS = (terminate, terminate_repeatedly)
+
+
 class Session:
     """Callers and a trainer before real processes while a signal strikes."""
 
@@ -57,7 +66,7 @@
             for issued in self.deployment.issued:
                 nursery.start_soon(self._call, issued)
             await trio.sleep(2)
-            if strike is terminate:
+            if strike in STOPS:
                 name = self.nodes[self.victim].name
                 self.record.draining[name] = self.clock.monotonic()
             async with trio.open_nursery() as working:
@@ -93,18 +102,25 @@
 
 
 def wait_for_exit(pid):
+    """Returns the wait status of a process that ends; None if it runs on."""
     deadline = time.monotonic() + EXIT_LIMIT_S
     while time.monotonic() < deadline:
         text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
-        if text.rpartition(")")[2].split()[0] == "Z":
-            return True
+        fields = text.rpartition(")")[2].split()
+        if fields[0] == "Z":
+            return int(fields[-1])
         time.sleep(0.1)
-    return False
+    return None
 
 
 class SignalTest(unittest.TestCase):
     @parameterized.parameterized.expand(
-        [("kill", kill), ("stop", stop_and_continue), ("term", terminate)]
+        [
+            ("kill", kill),
+            ("stop", stop_and_continue),
+            ("term", terminate),
+            ("series", terminate_repeatedly),
+        ]
     )
     def test_signal_breaks_no_promise(self, _, strike):
         record = judge.Record(sample.FRESHNESS_VERSIONS)
@@ -119,8 +135,8 @@
                     await session.run(strike)
 
             trio.run(main)
-            if strike is terminate:
-                self.assertTrue(wait_for_exit(deployment.pids[0]))
+            if strike in STOPS:
+                self.assertEqual(wait_for_exit(deployment.pids[0]), 0)
         self.assertEqual(judge.broken_for_callers(record), [])
         self.assertEqual(len(record.deliveries), 12)
         served = {a.status for a in record.answers}
