End a batch whatever number of values it is stored in

Cause: the store accepts 32 entries in a transaction. An end rewrote every value to remove the request bodies, 33 entries for 31 values, so the store refused it with 400 each time it was sent.

Why it works: the end is written alone if the values do not fit; a batch that cannot be accepted in one transaction is refused at once; and a removal takes the end and the key that names a batch last. The stand-ins for the store refuse larger transactions now, as the real store does.

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -285,14 +285,20 @@
             maybe from an earlier attempt whose response was lost.
 
         Raises:
-            ServiceError: ``STORE_UNAVAILABLE`` if the batch was certainly not
-                written, ``BATCH_UNDECIDED`` if it may have been.
+            ServiceError: ``BODY_TOO_LARGE`` if the store cannot hold the batch,
+                ``STORE_UNAVAILABLE`` if it was certainly not written,
+                ``BATCH_UNDECIDED`` if it may have been.
         """
         if new.id in self.records:
             return False
-        self._mark_read(new.id)
         now_ms = int(self.clock.now().timestamp() * 1000)
         transaction = transactions.make_acceptance(new, now_ms, self.part_bytes)
+        if not transaction.fits():
+            raise errors.ServiceError(
+                errors.ResultCode.BODY_TOO_LARGE,
+                f"the batch needs {len(transaction.puts)} stored values",
+            )
+        self._mark_read(new.id)
         reload_count = self.reload_count
         is_new = await transactions.commit_with_retries(
             self.store, self.clock, transaction, timeout_s, new.id
--- a/src/kingcupscale/batches/resultwriter.py
+++ b/src/kingcupscale/batches/resultwriter.py
@@ -22,9 +22,8 @@
 RETRY_PAUSE_S = 0.3
 # A write takes no further result once its texts exceed this size.
 MAX_WRITE_BYTES = 400_000
-# Maximum number of batches in one write, each with a condition and a put. All
-# supported stores accept transactions of at least 32 entries.
-MAX_WRITE_BATCHES = 16
+# Maximum number of batches in one write, each with a condition and a put.
+MAX_WRITE_BATCHES = stores.MAX_TRANSACTION_ENTRIES // 2
 
 
 class ResultWriter:
--- a/src/kingcupscale/batches/retention.py
+++ b/src/kingcupscale/batches/retention.py
@@ -12,9 +12,6 @@
 from kingcupscale.storage import decoding
 from kingcupscale.storage import store as stores
 
-# Maximum number of keys in one transaction. Every supported store accepts
-# transactions of this size.
-MAX_REMOVALS = 32
 # An old batch is kept this much longer after its end, because clients may
 # repeat the request that ended it.
 END_MARGIN_S = 30.0
@@ -98,12 +95,17 @@
         batch_entries = self.batch_cache.mirror.entries_under(
             records.batch_key(batch_id, "")
         )
-        # The specification is removed last. If the removal is interrupted, the
-        # next call finds the batch again.
-        keys += sorted(
-            (entry.key for entry in batch_entries),
-            key=lambda key: records.SPECIFICATION in key,
-        )
-        for start in range(0, len(keys), MAX_REMOVALS):
-            removals = keys[start : start + MAX_REMOVALS]
+        # The end and the first value of the specification are removed last, in
+        # one transaction. If the removal is interrupted, the next call finds
+        # the batch and its end again.
+        last = [
+            records.batch_key(batch_id, records.END),
+            records.batch_key(batch_id, records.SPECIFICATION, "0"),
+        ]
+        keys += [e.key for e in batch_entries if e.key not in last]
+        step = stores.MAX_TRANSACTION_ENTRIES - len(last)
+        for start in range(0, max(1, len(keys)), step):
+            removals = keys[start : start + step]
+            if start + step >= len(keys):
+                removals = [*removals, *last]
             await self.store.commit(stores.Transaction(removals=removals))
--- a/src/kingcupscale/batches/transactions.py
+++ b/src/kingcupscale/batches/transactions.py
@@ -55,10 +55,23 @@
     Args:
         record: The batch.
         parts: Number of stored values that the items are split over; 0 to leave
-            the stored items unchanged.
+            the stored items unchanged. They are also left unchanged if they do
+            not fit into the transaction.
     """
     key = records.batch_key(record.batch.id, records.END)
-    puts = [stores.Put(key, b"1")]
+    conditions = [stores.Condition(key, stores.ABSENT)]
+    end = stores.Transaction(conditions, [stores.Put(key, b"1")])
+    stripping = stores.Transaction(
+        conditions, [*end.puts, *_make_stripped_parts(record, parts)]
+    )
+    return stripping if stripping.fits() else end
+
+
+def _make_stripped_parts(
+    record: records.Record, parts: int
+) -> list[stores.Put]:
+    """Returns the writes that remove the request bodies from a batch."""
+    puts = []
     stripped = records.without_bodies(record.batch)
     for number in range(parts):
         value: object = records.Items([])
@@ -68,7 +81,7 @@
             record.batch.id, records.SPECIFICATION, str(number)
         )
         puts.append(stores.Put(part_key, records.encode(value)))
-    return stores.Transaction([stores.Condition(key, stores.ABSENT)], puts)
+    return puts
 
 
 async def commit_with_retries(
--- a/src/kingcupscale/storage/store.py
+++ b/src/kingcupscale/storage/store.py
@@ -7,6 +7,9 @@
 
 ABSENT = 0
 NO_LEASE = 0
+# Most conditions, puts and removals of one transaction together, in every
+# supported store.
+MAX_TRANSACTION_ENTRIES = 32
 
 
 class StoreError(Exception):
@@ -91,6 +94,14 @@
     puts: list[Put] = attrs.field(factory=list)
     removals: list[str] = attrs.field(factory=list)
 
+    def fits(self) -> bool:
+        """Returns whether every supported store accepts its number of entries.
+
+        A transaction that does not fit is refused each time it is sent.
+        """
+        count = len(self.conditions) + len(self.puts) + len(self.removals)
+        return count <= MAX_TRANSACTION_ENTRIES
+
 
 class Store(Protocol):
     """Client of the shared store. All calls may raise ``StoreError``.
--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -19,6 +19,8 @@
 
 MODELS = ("alpha", "beta")
 ITEMS = 30
+# Most entries of a transaction.
+MAX_ENTRIES = 32
 
 
 class FakeStore:
@@ -79,6 +81,13 @@
 
     async def commit(self, transaction):
         await self.simulate_latency()
+        entries = [
+            *transaction.conditions,
+            *transaction.puts,
+            *transaction.removals,
+        ]
+        if len(entries) > MAX_ENTRIES:
+            raise stores.StoreError("status 400", False)
         for condition in transaction.conditions:
             if condition.key in self.entries:
                 return None
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -16,6 +16,10 @@
     )
 
 
+# Most entries of a transaction.
+MAX_ENTRIES = 32
+
+
 class Store:
     """The HTTP handler of the fake metadata store.
 
@@ -156,6 +160,9 @@
 
     async def on_kv_txn(self, request, query):
         body = orjson.loads(request.body)
+        entries = (body["expectedRev"], body["puts"], body["remove"])
+        if sum(map(len, entries)) > MAX_ENTRIES:
+            return message.Response(400)
         for condition in body["expectedRev"]:
             revision = self.items.get(condition["key"], {}).get("revision", 0)
             if revision != condition["revision"]:
