Leave an entry out whatever error its decoder raises

Other operators saw machines that ended again and again, or stopped following the list of engines, after another writer had left one odd entry in it: nested very deeply, with a number too large, or with a port out of range.

A field nested 1,000 levels deep raised RecursionError when its value became part of the error's text, in the task that applies the store's changes, which ended the node at each start. A number such as 1e300 passed as an integer. Headers had the same fault in small: '\u00b2' is a digit for str.isdigit but not for int, and ended a call with a 500.

Why it works: whatever a decoder raises, the entry is left out and logged, and the texts of errors hold no values. There is one decoder for integers in JSON and one for those in headers, each with a range.

--- a/src/kingcupscale/platform/documents.py
+++ b/src/kingcupscale/platform/documents.py
@@ -20,6 +20,7 @@
 _ADDRESS = re.compile(rf"{_LABEL}(?:\.{_LABEL})*:([0-9]{{1,5}})")
 MAX_ADDRESS_CHARACTERS = 253
 MAX_PORT = 65535
+_DIGITS = re.compile(r"[0-9]{1,15}")
 # Largest integer that every JSON implementation represents exactly.
 MAX_INTEGER = 2**53 - 1
 MAX_SLOTS = 100_000
@@ -192,6 +193,15 @@
     return value
 
 
+def parse_integer(text: str | None) -> int | None:
+    """Returns the integer of a header or a stream event; None if it is none.
+
+    ``str.isdigit`` also accepts digits that ``int`` refuses, such as "²".
+    """
+    text = (text or "").strip()
+    return int(text) if _DIGITS.fullmatch(text) else None
+
+
 def _type_name(value: Any) -> str:
     return "nothing" if value is None else type(value).__name__
 
@@ -293,8 +303,7 @@
 
 
 def _length_hint(headers: dict[str, str]) -> int:
-    value = headers.get(names.LENGTH_HINT, "").strip()
-    return int(value) if value.isdigit() else 0
+    return parse_integer(headers.get(names.LENGTH_HINT)) or 0
 
 
 def _path(fields: dict[str, Any]) -> str:
--- a/src/kingcupscale/platform/frontend.py
+++ b/src/kingcupscale/platform/frontend.py
@@ -108,7 +108,7 @@
             raise errors.ServiceError(
                 errors.ResultCode.HEADER_INVALID, "expected a request id header"
             )
-        resume_after = request.headers.get(names.RESUME_AFTER, "")
+        resume_after = request.headers.get(names.RESUME_AFTER)
         dropped = names.CONNECTION_HEADERS | names.OWN_REQUEST_HEADERS
         return inboundrequest.InboundRequest(
             request_id=request_id,
@@ -125,7 +125,7 @@
             key=request.headers.get(names.KEY, ""),
             timeout_s=_timeout_s(request),
             received_at=self.clock.monotonic(),
-            resume_after=int(resume_after) if resume_after.isdigit() else None,
+            resume_after=documents.parse_integer(resume_after),
         )
 
 
@@ -136,8 +136,8 @@
 def _milliseconds(
     request: message.Request, name: str, default_s: float
 ) -> float:
-    value = request.headers.get(name, "")
-    return int(value) / 1000 if value.isdigit() else default_s
+    value = documents.parse_integer(request.headers.get(name))
+    return default_s if value is None else value / 1000
 
 
 def _query(request: message.Request, name: str) -> str:
@@ -145,12 +145,13 @@
 
 
 def _decode_position(value: str) -> int:
-    if not value.isdigit():
+    position = documents.parse_integer(value)
+    if position is None:
         raise errors.ServiceError(
             errors.ResultCode.HEADER_INVALID,
             f"position: expected a number, found {value[:20]!r}",
         )
-    return int(value)
+    return position
 
 
 def encode_error(error: errors.ServiceError) -> message.Response:
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -131,9 +131,9 @@
             return serverclient.EngineStatus(
                 documents.decode_versions(fields["models"]),
                 bool(fields["busy"]),
-                int(fields["sequence"]),
+                documents.integer(fields, "sequence"),
             )
-        except (ValueError, KeyError, TypeError) as e:
+        except (ValueError, KeyError, TypeError, AttributeError) as e:
             raise serverclient.ServerError(f"report: {e!r}", False) from e
 
     async def _fetch(
@@ -207,7 +207,7 @@
         not_executed=names.NOT_RUN in headers or response.status == 421,
         wrong_server=response.status == 421,
         signature=headers.get(names.SIGNATURE, ""),
-        version=_parse_int(headers.get(names.WEIGHT_VERSION)) or 0,
+        version=documents.parse_integer(headers.get(names.WEIGHT_VERSION)) or 0,
         load=_decode_load(headers.get(names.SERVER_LOAD)),
         body=response.chunks or _empty_body(),
     )
@@ -220,17 +220,14 @@
 
 def _decode_load(value: str | None) -> int | None:
     """Returns the running plus waiting requests of "running,waiting,slots"."""
-    numbers = [_parse_int(part) for part in (value or "").split(",")]
+    numbers = [
+        documents.parse_integer(part) for part in (value or "").split(",")
+    ]
     if len(numbers) != 3 or None in numbers:
         return None
     return (numbers[0] or 0) + (numbers[1] or 0)
 
 
-def _parse_int(value: str | None) -> int | None:
-    text = (value or "").strip()
-    return int(text) if text.isdigit() else None
-
-
 def _decode_event(block: bytes, version: int) -> serverclient.StreamEvent:
     number: int | None = None
     data: list[str] = []
@@ -238,11 +235,11 @@
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
-            number = _parse_int(value)
+            number = documents.parse_integer(value)
         elif name == "data":
             data.append(value)
         elif name == names.WEIGHT_VERSION:
-            version = _parse_int(value) or version
+            version = documents.parse_integer(value) or version
     if number is None:
         raise serverclient.ServerError("event without a numeric id", True)
     return serverclient.StreamEvent(number, "\n".join(data), version)
--- a/src/kingcupscale/storage/decoding.py
+++ b/src/kingcupscale/storage/decoding.py
@@ -1,14 +1,12 @@
 """Decoding of values in the store, which may be invalid.
 
 Other software writes to the store as well, so an invalid value is logged and
-ignored.
+ignored, whatever error it causes.
 """
 
 from collections.abc import Callable
 from typing import TypeVar
 
-import cattrs
-
 from kingcupscale import events
 from kingcupscale.storage import store as stores
 
@@ -20,15 +18,16 @@
 
     Args:
         entry: A present entry.
-        decode: Decodes the value; raises ``ValueError`` or
-            ``cattrs.BaseValidationError`` if it is invalid.
+        decode: Decodes the value; raises an exception if it is invalid.
     """
     try:
         return decode(entry.value or b"")
-    except (ValueError, cattrs.BaseValidationError) as e:
+    except Exception as e:
+        # Not only ``ValueError``: a value that is nested deeply causes a
+        # ``RecursionError``, a large number an ``OverflowError``.
         events.log(
             events.Event.STORE_ENTRY_UNREADABLE,
             key=entry.key,
-            reason=repr(e)[:200],
+            reason=f"{type(e).__name__}: {e}"[:200],
         )
         return None
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -221,3 +221,95 @@
                 servers.PlatformServers, "order", fail_for_one
             ):
                 await self._load_and_run(site)
+
+
+class ReportTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("nested", with_raw("sequence", NESTED)),
+            ("huge", with_raw("sequence", b"1e300")),
+            ("list", b"[]"),
+            ("too_deep", TOO_DEEP),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_foreign_report_ends_no_node(self, _, body):
+        async with harness.launch(nodes=2) as site:
+            spoiled = site.servers["e1"]
+            handle = spoiled.handle
+
+            async def report(request):
+                if request.path == "/report":
+                    return message.Response(200, {}, body)
+                return await handle(request)
+
+            spoiled.handle = report
+            site.set_target_version(2)
+            await trio.sleep(6)
+            node = site.nodes[0]
+            self.assertEqual((await site.submit(node, minimum=2)).status, 202)
+            self.assertEqual(len(await site.read_all(node)), 4)
+
+
+# Digits by ``str.isdigit`` that ``int`` refuses, and one that is too long.
+FOREIGN_NUMBERS = (("superscript", "\u00b2"), ("long", "9" * 5000))
+
+
+class HeaderTest(unittest.TestCase):
+    @parameterized.parameterized.expand(FOREIGN_NUMBERS)
+    @virtual.on_virtual_time
+    async def test_foreign_number_of_a_server_fails_no_call(self, _, number):
+        async with harness.launch(nodes=1) as site:
+            for server in site.servers.values():
+                server.response_headers = add_headers(
+                    server.response_headers,
+                    {
+                        names.SERVER_LOAD: f"{number},0,4",
+                        names.WEIGHT_VERSION: number,
+                    },
+                )
+            status = await self._call(site)
+            self.assertEqual(status, 200)
+
+    @parameterized.parameterized.expand(FOREIGN_NUMBERS)
+    @virtual.on_virtual_time
+    async def test_foreign_number_of_a_caller_fails_no_call(self, _, number):
+        async with harness.launch(nodes=1) as site:
+            status = await self._call(
+                site, **{names.DEADLINE_MS: number, names.RESUME_AFTER: number}
+            )
+            self.assertEqual(status, 200)
+
+    async def _call(self, site, **headers):
+        response = await site.call(
+            site.nodes[0],
+            "POST",
+            harness.CALL_PATH + "1",
+            b"?",
+            **{names.REQUEST_ID: "q1", names.DEADLINE_MS: "2000"} | headers,
+        )
+        return response.status
+
+
+def add_headers(make_headers, added):
+    return lambda request: make_headers(request) | added
+
+
+class DecoderErrorTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (kind.__name__, kind)
+            for kind in (
+                RecursionError,
+                OverflowError,
+                AttributeError,
+                KeyError,
+            )
+        ]
+    )
+    def test_any_error_of_a_decoder_leaves_the_entry_out(self, _, kind):
+        def fail(value):
+            raise kind("unreadable")
+
+        entry = stores.Entry("servers/x", b"{}", 1)
+        self.assertIsNone(decoding.decode_entry(entry, fail))
