Reset a connection of HTTP/1.0 whose answer was broken off

Cause here: an answer to a client of HTTP/1.0 ends with its connection. When a node gave up in the middle of a body, hypercorn closed the connection in order, so that the part looked whole. Clients of HTTP/1.1 were not affected, as chunks have an end of their own, and an answer is never continued by another server.

Why it works: the client gets a reset, which no end of a body is.

--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -6,7 +6,10 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import functools
+import socket
+import struct
 from typing import Any
 
 import hypercorn.app_wrappers
@@ -26,6 +29,8 @@
 # On shutdown, a connection without requests so far stays open for this long,
 # because its client may already have sent its first request.
 FIRST_REQUEST_TIMEOUT_S = 0.5
+# SO_LINGER with timeout 0 closes a connection with a TCP reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Interval between checks for expired connections.
 EXPIRY_CHECK_INTERVAL_S = 0.5
 # The same interval during shutdown.
@@ -145,6 +150,10 @@
         stream.requests += 1
         try:
             await self.application(scope, receive, send)
+        except BaseException:
+            if scope.get("http_version") == "1.0":
+                stream.reset_on_close()
+            raise
         finally:
             stream.requests -= 1
             stream.mark_handled()
@@ -189,6 +198,7 @@
         requests: Number of requests being handled.
         has_bytes: Whether bytes of a further request have been read.
         is_used: Whether any request has been handled.
+        is_reset_on_close: Whether closing it is a reset.
         waiting_since: Time of the event loop at which it became idle, or at
             which the first byte of a request arrived.
     """
@@ -200,6 +210,7 @@
         self.requests = 0
         self.has_bytes = False
         self.is_used = False
+        self.is_reset_on_close = False
         self.waiting_since = trio.current_time()
 
     def mark_handled(self) -> None:
@@ -208,6 +219,18 @@
         self.is_used = True
         self.waiting_since = trio.current_time()
 
+    def reset_on_close(self) -> None:
+        """Has the connection reset when it is closed.
+
+        A response to a client of HTTP/1.0 ends with its connection, so it would
+        look complete if the connection were closed in order.
+        """
+        self.is_reset_on_close = True
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being read or handled."""
         if not self.has_bytes:
@@ -243,8 +266,9 @@
         await self.stream.wait_send_all_might_not_block()
 
     async def send_eof(self) -> None:
-        """Closes the sending side of the connection."""
-        await self.stream.send_eof()
+        """Closes the sending side, unless the connection is to be reset."""
+        if not self.is_reset_on_close:
+            await self.stream.send_eof()
 
     async def aclose(self) -> None:
         """Closes the connection."""
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -66,7 +66,7 @@
 class Setup:
     """A forwarder and a generator that use one endless server."""
 
-    def __init__(self, server):
+    def __init__(self, server, configuration=None):
         self.clock = clocks.SystemClock()
         self.http_client = httpclient.PooledHttpClient()
         self.client = servers.PlatformServers(self.http_client)
@@ -91,7 +91,7 @@
                 )
             )
         configured = documents.decode_catalogue(
-            orjson.dumps(harness.make_configuration())
+            orjson.dumps(configuration or harness.make_configuration())
         )
         self.catalogue = configured
         self.forwarder = forwarder.Forwarder(
