Deliver the start of a large answer once

Callers on routes that do not stream got every answer of more than 64 KB with its first part repeated at its end, framed as whole (MIXED). It took no disruption; it was found by a test for broken answers.

Cause: what a node had read before it began to stream stayed in Response.body, which the HTTP server sends as the last piece of a streamed body, while the stream itself began with it too.

Why it works: what has been read moves into the stream and is sent from there only.

--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -323,12 +323,11 @@
         state.tried.add(server.id)
         self._record_success(state, server, started_at)
         if not is_complete:
+            # The stream begins with what has been read. A body that is left in
+            # the response would be sent again after it.
+            received, response.body = response.body, b""
             response.chunks = responsestream.stream_body(
-                stack,
-                response.body,
-                server_response,
-                state.deadline,
-                self.clock,
+                stack, received, server_response, state.deadline, self.clock
             )
         return response
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -271,6 +271,16 @@
 ]
 
 
+def make_large_answers(size):
+    """Returns whole answers with a body of a size, by their framing."""
+    text = "".join(f"{number:07d}\n" for number in range(size // 8 + 1))[:size]
+    pieces = [text[i : i + 20_000] for i in range(0, size, 20_000)]
+    return (
+        ("length", OK + f"Content-Length: {size}\r\n\r\n", text),
+        ("chunks", CHUNKED, "".join(map(chunk, [*pieces, ""]))),
+    )
+
+
 # The connection of a client of HTTP/1.0 ends with the body.
 CLIENTS = [
     *((f"{route}_http_1_1", path, "1.1") for route, path in PATHS.items()),
@@ -324,3 +334,35 @@
             self.assertNotIn(b"fail", body)
             self.assertFalse(is_complete)
         self.assertNotIn(b"HTTP/", body)
+
+
+class WholeAnswerTest(unittest.TestCase):
+    """Answers that are whole, which must not be mistaken for broken ones."""
+
+    @parameterized.parameterized.expand(
+        [
+            (f"{kind}_{route}", text, path)
+            for kind, text in UNFRAMED.items()
+            for route, path in PATHS.items()
+        ]
+    )
+    def test_answer_without_a_length_ends_with_its_connection(
+        self, _, text, path
+    ):
+        status, body, is_complete = play(Server(text, False, WHOLE), path)
+        self.assertEqual((status, is_complete), (200, True))
+        self.assertEqual(body.decode(), text.partition("\r\n\r\n")[2])
+
+    @parameterized.parameterized.expand(
+        [
+            (f"{framing}_{size}_{client}", head, body, path, version)
+            for size in (1, 65_536, 65_537, 300_000)
+            for framing, head, body in make_large_answers(size)
+            for client, path, version in CLIENTS
+        ]
+    )
+    def test_large_answer_is_delivered_once(self, _, head, body, path, version):
+        whole = Server(head + body, False, WHOLE)
+        status, received, is_complete = play(whole, path, version)
+        self.assertEqual((status, is_complete), (200, True))
+        self.assertEqual(received, parse((head + body).encode(), True)[1])
