Reject the head of an answer that contains another head

The users' own runs showed MIXED: callers got a success where the server had answered with a failure, on deployments whose servers answer twice, the second time late. No line of the node named the request.

Cause: a late copy that breaks off inside a header value or the reason phrase, followed by the status line of the answer to the next request on the connection, is a valid line of a head. The status came from the copy, the id, the signature and the body from the answer, as the last of two headers with one name counts.

Why it works: the second status line always stands in a value or in the reason phrase; elsewhere it makes the head invalid.

--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import re
 import socket
 import struct
 from typing import Any
@@ -93,6 +94,10 @@
 )
 
 
+# The beginning of a status line.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+
+
 # A connection is closed if sent bytes stay unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 # TCP keep-alive: seconds until the first probe and between probes, and number
@@ -257,6 +262,7 @@
                 raise RequestError(
                     "no response headers in time", may_have_been_sent=True
                 )
+            _check_head(response)
             yield message.Response(
                 response.status,
                 _decode_headers(response.headers),
@@ -284,6 +290,24 @@
         raise RequestError(repr(e), may_have_been_sent=True) from e
 
 
+def _check_head(response: httpcore.Response) -> None:
+    """Checks that the head of a response is not made of two heads.
+
+    If a server breaks off in a head and sends another response after it, the
+    second status line becomes part of a header value or of the reason phrase.
+    Status and headers would then come from different responses.
+
+    Raises:
+        RequestError: If the head contains a second status line.
+    """
+    values = [value for _, value in response.headers]
+    values.append(response.extensions.get("reason_phrase", b""))
+    if any(_STATUS_LINE.search(value) for value in values):
+        raise RequestError(
+            "response head contains another one", may_have_been_sent=True
+        )
+
+
 def _url(address: str, request: message.Request) -> str:
     query = f"?{request.query}" if request.query else ""
     return f"http://{address}{request.path}{query}"
