Reuse a connection only after a signed success

Cause: an answer is matched to its request by the request's id. A call that is repeated has the same id and often goes to the same server over the same connection, so that the late copy of its first answer, a failure, passed for the second one. The second answer then passed for the third: a success where the server had last answered with a failure. Scoring calls are repeated most.

Why it works: after any other answer the connection is shut down, so the copy has no way to come. It costs a new connection to the server for each failure.

--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -67,7 +67,14 @@
                     raise serverclient.ServerError(
                         f"answer has another request's id: {echoed}", True
                     )
-                yield answer
+                try:
+                    yield answer
+                finally:
+                    if not answer.is_success:
+                        # The request may be sent again under the same id. A
+                        # late second copy of this answer would then be taken
+                        # for the next one.
+                        response.retire_connection()
         except httpclient.RequestError as e:
             raise serverclient.ServerError(
                 e.reason, e.may_have_been_sent
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import functools
 import re
 import socket
 import struct
@@ -267,6 +268,7 @@
                 response.status,
                 _decode_headers(response.headers),
                 chunks=response.aiter_stream(),
+                retire_connection=functools.partial(_retire, response),
             )
     except _NOT_SENT_ERRORS as e:
         raise RequestError(repr(e), may_have_been_sent=False) from e
@@ -308,6 +310,18 @@
         )
 
 
+def _retire(response: httpcore.Response) -> None:
+    """Shuts the connection of a response down.
+
+    The pool closes an idle connection whose peer seems to have closed it.
+    """
+    stream = response.extensions.get("network_stream")
+    sock = stream.get_extra_info("socket") if stream else None
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
+
 def _url(address: str, request: message.Request) -> str:
     query = f"?{request.query}" if request.query else ""
     return f"http://{address}{request.path}{query}"
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -19,6 +19,10 @@
     """Allows every request; the default of ``Request.before_send``."""
 
 
+def keep_connection() -> None:
+    """Leaves a connection as it is; the default of ``retire_connection``."""
+
+
 @attrs.define
 class Request:
     """An HTTP request.
@@ -71,6 +75,8 @@
         body: The whole body if ``chunks`` is None.
         chunks: Chunks of the body as they arrive.
         signature: The backend server's signature; empty if it gave none.
+        retire_connection: Has the connection that the response came on carry
+            no further request.
     """
 
     status: int = 200
@@ -78,6 +84,7 @@
     body: bytes = b""
     chunks: AsyncIterator[bytes] | None = None
     signature: str = ""
+    retire_connection: Callable[[], None] = keep_connection
 
     async def read(self) -> bytes:
         """Reads and returns the whole body."""
--- a/tests/platform/test_stuttering_servers.py
+++ b/tests/platform/test_stuttering_servers.py
@@ -7,9 +7,11 @@
 import contextlib
 import unittest
 
+import parameterized
 import trio
 
 from kingcupscale import errors
+from tests.platform import harness
 from tests.platform import stutteringserver
 from tests.platform import test_endless
 
@@ -130,3 +132,23 @@
                 self.assertIn(
                     results[1], [(500, second.body), (502, b""), (504, b"")]
                 )
+
+
+class SameIdTest(unittest.TestCase):
+    """A second copy of a failure, before the answer to the repeated call."""
+
+    @parameterized.parameterized.expand([("whole",), ("head",)])
+    def test_repeated_call_does_not_get_the_first_answer(self, part):
+        failed = make_answer("r1", 500, "first").encode()
+        served = make_answer("r1", 200, "second")
+        later = make_answer("r1", 500, "third")
+        head_length = failed.index(b"\r\n\r\n") + 4
+        copy = failed if part == "whole" else failed[:head_length]
+        results, server = send_in_turn(
+            [(b"", failed), (copy, served.encode()), (b"", later.encode())],
+            [1],
+            harness.CALL_PATH,
+            "other",
+        )
+        self.assertEqual(results, [(200, served.body)])
+        self.assertEqual(server.requests, 2)
