Reject a body without a length that contains a second answer

Cause: such an answer ends with its connection, and nothing else tells where.

Why it works: a status line that is followed by a header does not occur in a body by chance. Bodies with a length or in chunks are not searched.

--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -95,8 +95,14 @@
 )
 
 
-# The beginning of a status line.
+# The beginning of a status line, and of a head with at least one header.
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+_HEAD = re.compile(
+    rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]{0,100}\r\n[0-9A-Za-z-]{1,60}:"
+)
+_MAX_HEAD_START_BYTES = 200
+# Headers of which a response has one, unless its body ends with the connection.
+_FRAMING_HEADERS = {"content-length", "transfer-encoding"}
 
 
 # A connection is closed if sent bytes stay unacknowledged for this long.
@@ -264,10 +270,14 @@
                     "no response headers in time", may_have_been_sent=True
                 )
             _check_head(response)
+            headers = _decode_headers(response.headers)
+            chunks = response.aiter_stream()
+            if not headers.keys() & _FRAMING_HEADERS:
+                chunks = _read_unframed(chunks)
             yield message.Response(
                 response.status,
-                _decode_headers(response.headers),
-                chunks=response.aiter_stream(),
+                headers,
+                chunks=chunks,
                 retire_connection=functools.partial(_retire, response),
             )
     except _NOT_SENT_ERRORS as e:
@@ -310,6 +320,27 @@
         )
 
 
+async def _read_unframed(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yields a body that ends with its connection.
+
+    Nothing but the head of a second response shows that such a body has ended
+    before.
+
+    Raises:
+        RequestError: If it contains the head of a response.
+    """
+    tail = b""
+    async for chunk in chunks:
+        window = tail + chunk
+        if _HEAD.search(window):
+            raise RequestError(
+                "response body contains another response",
+                may_have_been_sent=True,
+            )
+        yield chunk
+        tail = window[-_MAX_HEAD_START_BYTES:]
+
+
 def _retire(response: httpcore.Response) -> None:
     """Shuts the connection of a response down.
 
--- a/tests/platform/test_stuttering_servers.py
+++ b/tests/platform/test_stuttering_servers.py
@@ -4,16 +4,26 @@
 own request.
 """
 
+import collections
 import contextlib
+import random
+import tempfile
 import unittest
 
+import orjson
 import parameterized
 import trio
 
 from kingcupscale import errors
+from kingcupscale.platform import names
+from kingcupscale.web import httpclient
+from kingcupscale.web import message
 from tests.platform import harness
 from tests.platform import stutteringserver
 from tests.platform import test_endless
+from tests.platform import test_foreign_entries
+from tests.soak import callers
+from tests.soak import world as worlds
 
 TEST_TIMEOUT_S = 60.0
 SERVERS = 3
@@ -152,3 +162,139 @@
         )
         self.assertEqual(results, [(200, served.body)])
         self.assertEqual(server.requests, 2)
+
+
+class UnframedTest(unittest.TestCase):
+    """A second answer behind one that has no length."""
+
+    @parameterized.parameterized.expand([(200,), (500,)])
+    def test_second_answer_does_not_become_part_of_a_body(self, status):
+        first = make_answer("r1", 200, "one", is_framed=False)
+        second = make_answer("r1", status, "two", is_framed=False)
+        results, _ = send_in_turn(
+            [(b"", first.encode() + second.encode())], [1], "/once/", "other"
+        )
+        self.assertEqual(results, [(502, b"")])
+
+
+class Traffic:
+    """Callers before real nodes and stuttering servers.
+
+    Attributes:
+        statuses: Number of answers by status.
+        mixed: Answers that are not one answer of a server.
+    """
+
+    def __init__(self, world, servers, path):
+        self.world = world
+        self.servers = servers
+        self.path = path
+        self.statuses = collections.Counter()
+        self.mixed = []
+
+    async def run(self):
+        with trio.move_on_after(TRAFFIC_S):
+            async with trio.open_nursery() as nursery:
+                for node in self.world.nodes:
+                    for number in range(CALLERS_PER_NODE):
+                        nursery.start_soon(
+                            self._call, node, f"{node.name}-{number}"
+                        )
+
+    async def _call(self, node, name):
+        client = httpclient.PooledHttpClient()
+        for number in range(100_000):
+            request_id = f"{name}-{number}"
+            headers = {
+                "host": harness.HOST,
+                names.KEY: harness.KEY,
+                names.REQUEST_ID: request_id,
+                names.DEADLINE_MS: "2000",
+            }
+            request = message.Request(
+                "POST", f"{self.path}{number}", "", headers, b"?"
+            )
+            try:
+                response = await httpclient.fetch(
+                    client, node.caller_address, request, 3.0
+                )
+            except httpclient.RequestError as e:
+                self.statuses[e.reason] += 1
+                continue
+            self.statuses[response.status] += 1
+            self._check(request_id, response)
+
+    def _check(self, request_id, response):
+        signature = response.headers.get(names.SIGNATURE)
+        if signature is None and response.status != 200:
+            return
+        found = [s.answers.get(signature) for s in self.servers]
+        answers = [answer for answer in found if answer is not None]
+        given = (request_id, response.status, response.body)
+        if given not in [(a.request, a.status, a.body) for a in answers]:
+            self.mixed.append((given, answers))
+
+
+async def add_servers(world, nursery, rng):
+    """Replaces the plain servers of a world by stuttering ones."""
+    for name, known in list(world.servers.items()):
+        if known.service == "plain":
+            world.store.remove(names.SERVERS_PREFIX + name)
+            del world.servers[name]
+    servers = []
+    for number in range(SERVERS):
+        server = stutteringserver.Server(f"p{number}", rng)
+        await nursery.start(server.serve, world.host.name)
+        entry = test_foreign_entries.ENTRY | {
+            "service": "plain",
+            "address": server.address,
+            "models": [],
+        }
+        world.store.put(names.SERVERS_PREFIX + server.id, orjson.dumps(entry))
+        servers.append(server)
+    return servers
+
+
+class StutteringServerTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("idempotent", harness.CALL_PATH, 1),
+            ("once", "/once/", 2),
+        ]
+    )
+    def test_client_gets_one_answer_to_its_own_request(self, _, path, seed):
+        results = []
+
+        async def main():
+            with (
+                trio.fail_after(TEST_TIMEOUT_S),
+                tempfile.TemporaryDirectory() as folder,
+            ):
+                async with trio.open_nursery() as nursery:
+                    results.append(await play(folder, nursery, path, seed))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        (traffic,) = results
+        self.assertEqual(traffic.mixed, [], traffic.statuses)
+        self.assertGreater(traffic.statuses[200], 100)
+        self.assertGreater(sum(s.copies for s in traffic.servers), 100)
+
+
+async def play(folder, nursery, path, seed):
+    """Returns the traffic of one seed."""
+    rng = random.Random(seed)
+    world = worlds.World(folder, nursery, rng)
+    try:
+        await world.open()
+        servers = await add_servers(world, nursery, rng)
+        for node in world.nodes:
+            while not await callers.is_ready(node):
+                await trio.sleep(0.1)
+        await trio.sleep(2.0)
+        traffic = Traffic(world, servers, path)
+        await traffic.run()
+    finally:
+        with trio.CancelScope(shield=True):
+            await world.close()
+    return traffic
