Send paths and queries as they came

Cause: the client built a URL as a text, and httpcore parses it with urlparse, which splits off the parameters of the last segment and everything after a '#'.

Why it works: the URL is made of its parts, and nothing parses the path.

--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -105,6 +105,8 @@
 _FRAMING_HEADERS = {"content-length", "transfer-encoding"}
 
 
+MAX_PORT = 65535
+_PORT = re.compile(r"[0-9]{1,5}")
 # A connection is closed if sent bytes stay unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 # TCP keep-alive: seconds until the first probe and between probes, and number
@@ -247,7 +249,7 @@
         RequestError: If no response arrives, or it is cut off.
     """
     try:
-        url = httpcore.URL(_url(address, request))
+        url = _url(address, request)
     except (ValueError, TypeError) as e:
         reason = f"invalid address or path: {e}"
         raise RequestError(reason, may_have_been_sent=False) from e
@@ -353,9 +355,26 @@
             sock.shutdown(socket.SHUT_RDWR)
 
 
-def _url(address: str, request: message.Request) -> str:
+def _url(address: str, request: message.Request) -> httpcore.URL:
+    """Returns the URL of a request.
+
+    Its parts are not parsed from a text, which would change some paths: the
+    parser drops parameters of the last segment and everything after a "#".
+
+    Raises:
+        ValueError: If the address is no ``host:port``, or the path cannot be
+            sent.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{address[:60]!r} is not a host and a port")
     query = f"?{request.query}" if request.query else ""
-    return f"http://{address}{request.path}{query}"
+    return httpcore.URL(
+        scheme=b"http",
+        host=host.strip("[]").encode("ascii"),
+        port=int(port),
+        target=(request.path + query).encode("latin-1"),
+    )
 
 
 def _extensions(request: message.Request, timeout_s: float) -> dict[str, Any]:
