Fail a sample only after answers of 500 to its scoring call

Cause: every answer without a score counted, such as a 504 of a server whose time limit had passed.

Evidence: test_scoring_call_that_may_succeed_later_is_repeated, 504, 502 and 409, failed before.

Why it works: only 500 counts, as for runs of samples; after any other answer the call is repeated, and after maxAttempts of 500 the item still fails.

--- a/src/kingcupscale/batches/sample.py
+++ b/src/kingcupscale/batches/sample.py
@@ -37,8 +37,8 @@
         stage: Stage of its processing.
         events: Events of its text so far.
         failures: Number of runs that the engine itself reported as failed.
-        score_failures: Number of scoring calls that were answered without a
-            score.
+        score_failures: Number of scoring calls that the server itself reported
+            as failed.
         not_before: Monotonic time before which it is not sent again.
         result: Its result; None until it is finished.
         server: Id of the engine of its latest run.
--- a/src/kingcupscale/batches/scoring.py
+++ b/src/kingcupscale/batches/scoring.py
@@ -17,6 +17,8 @@
 # Time limit of one scoring call, including the time in the queue and retries.
 # Each attempt also has the time limit of its route, which is shorter.
 CALL_TIMEOUT_S = 30.0
+# Status by which a server says that it has run a call and failed.
+FAILED_STATUS = 500
 # Pause before a failed scoring call is repeated.
 RETRY_PAUSE_S = 0.1
 
@@ -83,8 +85,13 @@
     def _record_score_failure(
         self, sample: samples.Sample, status: int
     ) -> None:
-        """Counts a response without a score; fails a sample with too many."""
-        sample.score_failures += 1
+        """Records a response without a score; fails a sample with too many.
+
+        Only failures that the server itself reports count: status 500. A time
+        limit that has passed, for example, says nothing about the sample.
+        """
+        is_failure = status == FAILED_STATUS
+        sample.score_failures += is_failure
         events.log(
             events.Event.SCORING_FAILED,
             item=sample.id,
@@ -94,7 +101,7 @@
         )
         scorer = sample.item.scorer
         configured = self.current_catalogue()
-        if scorer is None or configured is None:
+        if not is_failure or scorer is None or configured is None:
             return
         route = configured.find_route(scorer.host, scorer.path)
         if route and sample.score_failures >= route.max_attempts:
--- a/tests/platform/test_batches.py
+++ b/tests/platform/test_batches.py
@@ -205,6 +205,21 @@
             (result,) = await site.read_all(site.nodes[0])
             self.assertEqual(result["state"], "errored")
 
+    @parameterized.parameterized.expand(
+        [("time_limit", 504), ("bad_gateway", 502), ("conflict", 409)]
+    )
+    @virtual.on_virtual_time
+    async def test_scoring_call_that_may_succeed_later_is_repeated(
+        self, _, status
+    ):
+        async with harness.launch() as site:
+            for name in ("p1", "p2"):
+                site.servers[name].statuses = [status] * 20
+            await site.submit(site.nodes[0])
+            results = await site.read_all(site.nodes[1])
+            self.assertEqual({r["state"] for r in results}, {"done"})
+            self.assertTrue(all(r["score"] for r in results))
+
     @virtual.on_virtual_time
     async def test_samples_move_from_a_slow_engine_to_a_faster_one(self):
         async with harness.launch() as site:
