Send headers as they came, also outside of ASCII

A call with a header value outside of ASCII ended with a 500 (seen by the review).

Cause: httpcore encodes headers that are texts as ASCII.

Evidence: test_header_arrives_as_it_was_sent, 2 of 3 cases failed before.

Why it works: headers are decoded from latin-1 and encoded as latin-1 again, so any byte comes out as it went in.

--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -103,10 +103,9 @@
 _MAX_HEAD_START_BYTES = 200
 # Headers of which a response has one, unless its body ends with the connection.
 _FRAMING_HEADERS = {"content-length", "transfer-encoding"}
-
-
-MAX_PORT = 65535
 _PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
+
 # A connection is closed if sent bytes stay unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 # TCP keep-alive: seconds until the first probe and between probes, and number
@@ -250,13 +249,14 @@
     """
     try:
         url = _url(address, request)
-    except (ValueError, TypeError) as e:
-        reason = f"invalid address or path: {e}"
+        headers = _encode_headers(request.headers)
+    except ValueError as e:
+        reason = f"invalid address, path or header: {e}"
         raise RequestError(reason, may_have_been_sent=False) from e
     stream = pool.stream(
         request.method,
         url,
-        headers=list(request.headers.items()),
+        headers=headers,
         content=request.body,
         extensions=_extensions(request, timeout_s),
     )
@@ -272,13 +272,13 @@
                     "no response headers in time", may_have_been_sent=True
                 )
             _check_head(response)
-            headers = _decode_headers(response.headers)
+            received = _decode_headers(response.headers)
             chunks = response.aiter_stream()
-            if not headers.keys() & _FRAMING_HEADERS:
+            if not received.keys() & _FRAMING_HEADERS:
                 chunks = _read_unframed(chunks)
             yield message.Response(
                 response.status,
-                headers,
+                received,
                 chunks=chunks,
                 retire_connection=functools.partial(_retire, response),
             )
@@ -295,12 +295,12 @@
     """Sends a request and returns the response once its headers are read.
 
     Raises:
-        RequestError: If a part of the request or of the response's headers has
-            a form that the libraries cannot process.
+        RequestError: If the name of the host or the response's headers have a
+            form that the libraries cannot process.
     """
     try:
         return await stack.enter_async_context(stream)
-    except (ValueError, TypeError) as e:
+    except ValueError as e:
         raise RequestError(repr(e), may_have_been_sent=True) from e
 
 
@@ -393,6 +393,14 @@
     return extensions
 
 
+def _encode_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    """Returns headers as they were decoded: values may be outside of ASCII."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+    ]
+
+
 def _decode_headers(headers: list[tuple[bytes, bytes]]) -> dict[str, str]:
     return {
         name.decode("latin-1").lower(): value.decode("latin-1")
