--- a/tests/platform/endlessserver.py
+++ b/tests/platform/endlessserver.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from tests.platform import rawserver
+
 FILLER = b"x" * 16_384
 EVENTS_PER_CHUNK = 50
 # A response ends here after all, so that a client that keeps reading fails the
@@ -45,7 +47,7 @@
 }
 
 
-class Server:
+class Server(rawserver.RawServer):
     """Sends an endless response to every request.
 
     Attributes:
@@ -55,25 +57,16 @@
         sent: Bytes sent so far, without the starts.
         connections: Connections accepted so far.
         closed: Connections that the client has closed.
-        address: ``host:port``.
     """
 
     def __init__(self, kind):
+        super().__init__()
         self.start, self.repeated = KINDS[kind]
         self.sent = 0
         self.connections = 0
         self.closed = 0
-        self.address = ""
-
-    async def serve(self, *, task_status):
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        host, port = listener.socket.getsockname()
-        self.address = f"{host}:{port}"
-        await trio.serve_listeners(
-            self._respond, [listener], task_status=task_status
-        )
 
-    async def _respond(self, stream):
+    async def serve_connection(self, stream):
         self.connections += 1
         request = b""
         try:
@@ -110,7 +103,7 @@
         super().__init__("head")
         self.duplicates = 0
 
-    async def _respond(self, stream):
+    async def serve_connection(self, stream):
         previous = b""
         request = b""
         try:
--- a/tests/platform/stutteringserver.py
+++ b/tests/platform/stutteringserver.py
@@ -9,6 +9,8 @@
 import attrs
 import trio
 
+from tests.platform import rawserver
+
 _ID = re.compile(rb"(?i)x-kingcupscale-request-id: (\S+)")
 _LENGTH = re.compile(rb"(?i)content-length: (\d+)")
 
@@ -39,7 +41,7 @@
         return head.encode() + self.body
 
 
-class Server:
+class Server(rawserver.RawServer):
     """Answers requests with 200 or 500, some of them twice.
 
     Args:
@@ -52,10 +54,10 @@
         failure_share: Share of the requests that are answered with 500.
         copy_share: Share of the answers that are sent a second time.
         unframed_share: Share of the answers that have no length.
-        address: ``host:port``.
     """
 
     def __init__(self, server_id, rng):
+        super().__init__()
         self.id = server_id
         self.rng = rng
         self.answers = {}
@@ -63,17 +65,8 @@
         self.failure_share = 0.3
         self.copy_share = 0.5
         self.unframed_share = 0.1
-        self.address = ""
-
-    async def serve(self, host="127.0.0.1", *, task_status):
-        (listener,) = await trio.open_tcp_listeners(0, host=host)
-        name, port = listener.socket.getsockname()
-        self.address = f"{name}:{port}"
-        await trio.serve_listeners(
-            self._serve_connection, [listener], task_status=task_status
-        )
 
-    async def _serve_connection(self, stream):
+    async def serve_connection(self, stream):
         pending = b""
         copy = b""
         try:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -21,6 +21,7 @@
 from kingcupscale.web import limits
 from kingcupscale.web import server as web_server
 from tests.platform import harness
+from tests.platform import rawserver
 from tests.platform import test_endless
 
 TEST_TIMEOUT_S = 20.0
@@ -87,28 +88,20 @@
 }
 
 
-class Server:
+class Server(rawserver.RawServer):
     """Answers the first request with given bytes, then breaks off.
 
     Later requests get another answer, which is whole.
     """
 
     def __init__(self, first, is_reset, second):
+        super().__init__()
         self.first = first
         self.is_reset = is_reset
         self.second = second
         self.requests = []
-        self.address = ""
-
-    async def serve(self, *, task_status):
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        host, port = listener.socket.getsockname()
-        self.address = f"{host}:{port}"
-        await trio.serve_listeners(
-            self._serve_connection, [listener], task_status=task_status
-        )
 
-    async def _serve_connection(self, stream):
+    async def serve_connection(self, stream):
         request = b""
         with contextlib.suppress(trio.BrokenResourceError):
             while data := await stream.receive_some():
--- a/tests/platform/test_stuttering_servers.py
+++ b/tests/platform/test_stuttering_servers.py
@@ -19,6 +19,7 @@
 from kingcupscale.web import httpclient
 from kingcupscale.web import message
 from tests.platform import harness
+from tests.platform import rawserver
 from tests.platform import stutteringserver
 from tests.platform import test_endless
 from tests.platform import test_foreign_entries
@@ -31,7 +32,7 @@
 TRAFFIC_S = 4.0
 
 
-class ScriptedServer:
+class ScriptedServer(rawserver.RawServer):
     """Sends the next step of a script at each request.
 
     A step is the copy of an earlier answer, which is sent only on a connection
@@ -39,20 +40,12 @@
     """
 
     def __init__(self, script):
+        super().__init__()
         self.script = list(script)
         self.requests = 0
         self.copies = 0
-        self.address = ""
-
-    async def serve(self, *, task_status):
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        host, port = listener.socket.getsockname()
-        self.address = f"{host}:{port}"
-        await trio.serve_listeners(
-            self._serve_connection, [listener], task_status=task_status
-        )
 
-    async def _serve_connection(self, stream):
+    async def serve_connection(self, stream):
         received = b""
         is_used = False
         with contextlib.suppress(trio.BrokenResourceError):
