End a batch whose items do not fit into one value

A trainer could not end a batch of very many small items: every DELETE got 503, and its items ran on. An item larger than a value was refused after 7 s only.

An end rewrites all items, without their bodies, as one value; the store refuses a value of more than 1 MB each time it is sent.

Evidence: test_batch_of_many_small_items_can_be_ended (15,000 items, accepted in 4 values, 1.8 MB as one) and test_item_larger_than_a_value_is_refused_at_once failed before, with a stand-in for the store that limits values.

Why it works: whether a transaction fits is decided by its entries and by the size of its values.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -176,7 +176,7 @@
     Break(
         "a batch of many values can be ended",
         "batches/transactions.py",
-        "return stripping if stripping.fits() else end",
+        "return stripping if stripping.fits(value_bytes) else end",
         "return stripping",
         SITE + "test_many_values",
     ),
--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -95,6 +95,7 @@
         self.mirror = mirror
         self.store = store
         self.clock = clock
+        self.value_bytes = value_bytes
         self.part_bytes = int(value_bytes * VALUE_SHARE)
         self.fetcher = fetching.BatchFetcher(
             mirror, store, clock, fetch_snapshot
@@ -293,10 +294,12 @@
             return False
         now_ms = int(self.clock.now().timestamp() * 1000)
         transaction = transactions.make_acceptance(new, now_ms, self.part_bytes)
-        if not transaction.fits():
+        if not transaction.fits(self.value_bytes):
+            largest = max(len(put.value) for put in transaction.puts)
             raise errors.ServiceError(
                 errors.ResultCode.BODY_TOO_LARGE,
-                f"the batch needs {len(transaction.puts)} stored values",
+                f"the batch needs {len(transaction.puts)} stored values,"
+                f" the largest of {largest} bytes",
             )
         self._mark_read(new.id)
         reload_count = self.reload_count
@@ -442,7 +445,9 @@
         """
         if record.is_ended:
             return
-        transaction = transactions.make_end(record, self._count_parts(record))
+        transaction = transactions.make_end(
+            record, self._count_parts(record), self.value_bytes
+        )
         await transactions.commit_with_retries(
             self.store, self.clock, transaction, timeout_s, record.batch.id
         )
--- a/src/kingcupscale/batches/transactions.py
+++ b/src/kingcupscale/batches/transactions.py
@@ -45,7 +45,9 @@
     )
 
 
-def make_end(record: records.Record, parts: int) -> stores.Transaction:
+def make_end(
+    record: records.Record, parts: int, value_bytes: int
+) -> stores.Transaction:
     """Returns the transaction that ends a batch unless it has ended already.
 
     The transaction also removes the request bodies from the store. They may not
@@ -57,6 +59,7 @@
         parts: Number of stored values that the items are split over; 0 to leave
             the stored items unchanged. They are also left unchanged if they do
             not fit into the transaction.
+        value_bytes: Maximum size of a stored value in bytes.
     """
     key = records.batch_key(record.batch.id, records.END)
     conditions = [stores.Condition(key, stores.ABSENT)]
@@ -64,7 +67,7 @@
     stripping = stores.Transaction(
         conditions, [*end.puts, *_make_stripped_parts(record, parts)]
     )
-    return stripping if stripping.fits() else end
+    return stripping if stripping.fits(value_bytes) else end
 
 
 def _make_stripped_parts(
--- a/src/kingcupscale/storage/store.py
+++ b/src/kingcupscale/storage/store.py
@@ -94,13 +94,18 @@
     puts: list[Put] = attrs.field(factory=list)
     removals: list[str] = attrs.field(factory=list)
 
-    def fits(self) -> bool:
-        """Returns whether every supported store accepts its number of entries.
+    def fits(self, value_bytes: int) -> bool:
+        """Returns whether the store accepts its number of entries and values.
 
         A transaction that does not fit is refused each time it is sent.
+
+        Args:
+            value_bytes: Maximum size of a value in bytes.
         """
         count = len(self.conditions) + len(self.puts) + len(self.removals)
-        return count <= MAX_TRANSACTION_ENTRIES
+        return count <= MAX_TRANSACTION_ENTRIES and all(
+            len(put.value) <= value_bytes for put in self.puts
+        )
 
 
 class Store(Protocol):
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -16,8 +16,9 @@
     )
 
 
-# Most entries of a transaction.
+# Most entries of a transaction, and most bytes of a value.
 MAX_ENTRIES = 32
+MAX_VALUE_BYTES = 1 << 20
 
 
 class Store:
@@ -163,6 +164,9 @@
         entries = (body["expectedRev"], body["puts"], body["remove"])
         if sum(map(len, entries)) > MAX_ENTRIES:
             return message.Response(400)
+        values = [base64.b64decode(put["value"]) for put in body["puts"]]
+        if any(len(value) > MAX_VALUE_BYTES for value in values):
+            return message.Response(400)
         for condition in body["expectedRev"]:
             revision = self.items.get(condition["key"], {}).get("revision", 0)
             if revision != condition["revision"]:
--- a/tests/platform/test_many_values.py
+++ b/tests/platform/test_many_values.py
@@ -31,13 +31,27 @@
     return orjson.dumps(batch)
 
 
+def make_small_items(items):
+    """Returns a batch of many items whose bodies are small."""
+    batch = orjson.loads(harness.make_batch("b1", 1, scored=False))
+    (item,) = batch["items"]
+    batch["items"] = [
+        item | {"id": f"item-{number}", "body": "AAAA"}
+        for number in range(items)
+    ]
+    return orjson.dumps(batch)
+
+
 class ManyValuesTest(unittest.TestCase):
     async def _submit(self, site, items):
+        return await self._submit_body(site, make_body(items))
+
+    async def _submit_body(self, site, body):
         return await site.call(
             site.nodes[0],
             "POST",
             harness.BATCH_PATH + "b1",
-            make_body(items),
+            body,
             **{names.REQUEST_ID: "b1", names.DEADLINE_MS: "12000"},
         )
 
@@ -71,6 +85,32 @@
             self.assertEqual(site.runs, [])
             self.assertEqual([k for k in site.store.items if "b1" in k], [])
 
+    @virtual.on_virtual_time
+    async def test_batch_of_many_small_items_can_be_ended(self):
+        # Without their bodies, all items together exceed one value.
+        async with harness.launch(nodes=1) as site:
+            response = await self._submit_body(site, make_small_items(15_000))
+            self.assertEqual(response.status, 202)
+            # Only then does the node know of the values that it may rewrite.
+            await trio.sleep(1)
+            response = await site.call(
+                site.nodes[0], "DELETE", names.BATCHES_PATH + "b1"
+            )
+            self.assertEqual(response.status, 200)
+
+    @virtual.on_virtual_time
+    async def test_item_larger_than_a_value_is_refused_at_once(self):
+        async with harness.launch(nodes=1) as site:
+            batch = orjson.loads(make_body(1))
+            batch["items"][0]["body"] = base64.b64encode(
+                b"p" * 900_000
+            ).decode()
+            before = trio.current_time()
+            response = await self._submit_body(site, orjson.dumps(batch))
+            self.assertEqual(response.status, 413)
+            self.assertLess(trio.current_time() - before, 0.1)
+            self.assertEqual([k for k in site.store.items if "b1" in k], [])
+
     @virtual.on_virtual_time
     async def test_interrupted_removal_is_completed(self):
         async with fleets.running_pair(items=0) as pair:
