Measure texts in bytes for a write and for a page of results

Results of texts in Sinhala or Tamil that piled up during an outage of the store were never listed; a page of results could exceed its 1 MB.

Cause: sizes were counted in characters. The store refuses a value of more than 1 MB each time it is sent, and the same results are collected for the next write.

Why it works: texts are measured as they are encoded, escapes included. A write holds at most 400 kB and one more text of 512 KiB, below the limit.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -180,6 +180,13 @@
         "return stripping",
         SITE + "test_many_values",
     ),
+    Break(
+        "a write of results is within the store's limit",
+        "batches/resultwriter.py",
+        "size += records.encoded_bytes(sample.result)",
+        "size += len(sample.result.text)",
+        SITE + "test_large_texts",
+    ),
     Break(
         "an answer that is broken off never looks complete",
         "web/worker.py",
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -9,6 +9,7 @@
 import contextlib
 import functools
 
+import orjson
 import trio
 
 from kingcupscale import clock as clocks
@@ -33,8 +34,8 @@
 # The idle timeout of a sample doubles with each one that it has met, up to
 # this, so that engines which are slow but healthy can finish it.
 MAX_IDLE_TIMEOUT_S = 10.0
-# Upper limit of the size of a text. A value of the store has to hold a result
-# together with other results.
+# Upper limit of the size of a text as encoded. A value of the store has to hold
+# a result together with other results.
 MAX_TEXT_BYTES = 512 * 1024
 # Tokens per event that are assumed until a run has been measured.
 DEFAULT_EVENT_TOKENS = 30.0
@@ -232,7 +233,7 @@
                 exceeds a limit.
         """
         stream = self.client.events(response)
-        size = sum(len(event.data) for event in sample.events)
+        size = sum(_encoded_bytes(event) for event in sample.events)
         async with contextlib.aclosing(stream):
             while True:
                 event = None
@@ -252,7 +253,7 @@
                         f" {len(sample.events)}",
                         True,
                     )
-                size += len(event.data)
+                size += _encoded_bytes(event)
                 if size > MAX_TEXT_BYTES or sample.exceeds_token_limit():
                     sample.events.clear()
                     raise serverclient.ServerError(
@@ -317,3 +318,8 @@
             in_flight=server.in_flight,
             view_age_s=round(view_age_s, 3),
         )
+
+
+def _encoded_bytes(event: serverclient.StreamEvent) -> int:
+    """Returns the size of an event's data as part of an encoded text."""
+    return len(orjson.dumps(event.data))
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 import attrs
+import orjson
 
 from kingcupscale import codec
 from kingcupscale.batches import batch
@@ -177,7 +178,7 @@
         page: list[batch.Result] = []
         estimated_bytes = 0
         for result in self.results[after:]:
-            estimated_bytes += len(result.text) + RESULT_OVERHEAD_BYTES
+            estimated_bytes += encoded_bytes(result)
             if page and estimated_bytes > MAX_PAGE_BYTES:
                 break
             page.append(result)
@@ -198,6 +199,14 @@
         )
 
 
+def encoded_bytes(result: batch.Result) -> int:
+    """Returns the estimated size of a result in the store or in a response.
+
+    Its text is measured as encoded: a character may take several bytes.
+    """
+    return len(orjson.dumps(result.text)) + RESULT_OVERHEAD_BYTES
+
+
 def without_bodies(whole: batch.Batch) -> batch.Batch:
     """Returns a batch without request bodies, headers and scoring calls.
 
--- a/src/kingcupscale/batches/resultwriter.py
+++ b/src/kingcupscale/batches/resultwriter.py
@@ -20,7 +20,7 @@
 # Results that finish within this time are written by one transaction.
 BATCHING_DELAY_S = 0.2
 RETRY_PAUSE_S = 0.3
-# A write takes no further result once its texts exceed this size.
+# A write takes no further result once its results exceed this size.
 MAX_WRITE_BYTES = 400_000
 # Maximum number of batches in one write, each with a condition and a put.
 MAX_WRITE_BATCHES = stores.MAX_TRANSACTION_ENTRIES // 2
@@ -98,7 +98,7 @@
                 continue
             if size > MAX_WRITE_BYTES:
                 break
-            size += len(sample.result.text) + 200
+            size += records.encoded_bytes(sample.result)
             _, results = unwritten.setdefault(record.batch.id, (record, {}))
             results.setdefault(sample.id, sample.result)
         return [
