Count request bodies in the memory of complete batches

Nodes would have kept the request bodies of every complete batch that its sender does not end, beyond the 8 MB meant for such batches.

Bodies are dropped at the end of a batch, and the size that eviction goes by counted texts only.

Evidence: test_complete_batches_without_an_end_use_bounded_memory failed before: 12 MB were kept.

Why it works: an evicted batch is loaded from the store when it is read. Ended batches have no bodies, so their number in memory is as before.

--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -167,8 +167,12 @@
         )
 
     def estimated_bytes(self) -> int:
-        """Returns the estimated size of all results in bytes."""
-        return sum(len(r.text) + RESULT_OVERHEAD_BYTES for r in self.results)
+        """Returns the estimated size of all results and bodies in bytes.
+
+        The bodies are dropped when the batch ends, not when it is complete.
+        """
+        results = sum(len(r.text) + RESULT_OVERHEAD_BYTES for r in self.results)
+        return results + sum(len(item.body) for item in self.batch.items)
 
     def page(self, after: int) -> list[batch.Result]:
         """Returns results from a position on, as many as fit in a response.
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -14,6 +14,7 @@
 
 from kingcupscale import errors
 from kingcupscale.batches import batch
+from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
 from kingcupscale.batches import retention
 from kingcupscale.storage import store as stores
@@ -21,6 +22,15 @@
 from tests.batches import fleets
 
 
+def make_complete_record(batch_id, body_bytes):
+    """Returns the record of a batch that is complete and was not ended."""
+    item = batch.Item("i0", "/", {}, b"p" * body_bytes, 1, "g", None)
+    whole = batch.Batch(batch_id, "o", "r", "h", 0, "alpha", 1, 1, [item])
+    record = records.Record(whole, 0)
+    record.add_chunk(0, [batch.Result("i0", batch.ResultState.DONE, "i0")])
+    return record
+
+
 class CacheScheduleTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
@@ -227,6 +237,23 @@
             await batch_retention.remove_older_than(10.0)
             self.assertEqual(pair.store.entries, {})
 
+    @virtual.on_virtual_time
+    async def test_complete_batches_without_an_end_use_bounded_memory(self):
+        async with fleets.running_pair(items=0) as pair:
+            batch_cache = pair.leader.batch_cache
+            for number in range(12):
+                record = make_complete_record(f"b{number}", 1_000_000)
+                batch_cache.records[record.batch.id] = record
+            # Eviction runs once a second.
+            await trio.sleep(2)
+            kept = sum(
+                len(item.body)
+                for record in batch_cache.records.values()
+                for item in record.batch.items
+            )
+            self.assertGreater(kept, 0)
+            self.assertLessEqual(kept, maintenance.MAX_CLOSED_BYTES)
+
     @virtual.on_virtual_time
     async def test_old_open_batch_is_kept_if_it_is_not_cached(self):
         async with fleets.running_pair() as pair:
