Refuse a batch with foreign values as invalid

A trainer whose batch had a number beyond 64 bits or a nested field got a 500, which it repeats in vain; a model or a group that is no text was accepted.

Why it works: the numbers and texts of a batch go through the functions that check those of an entry.

--- a/src/kingcupscale/platform/documents.py
+++ b/src/kingcupscale/platform/documents.py
@@ -257,10 +257,10 @@
             organisation=organisation,
             route=route.name,
             host=route.host,
-            step=int(document.get("step", 0)),
-            model=str(document.get("model", "")),
-            minimum_version=int(document.get("minVersion", 0)),
-            wanted_groups=int(document.get("desired", 0)),
+            step=_count(document, "step"),
+            model=_string(document, "model") if "model" in document else "",
+            minimum_version=_count(document, "minVersion"),
+            wanted_groups=_count(document, "desired"),
             items=items,
         )
     except (KeyError, TypeError, AttributeError) as e:
@@ -275,8 +275,8 @@
         path=_path(item),
         headers=headers,
         body=_base64(item["body"]),
-        tokens=int(item.get("tokens", 0)),
-        group=str(item.get("group", item["id"])),
+        tokens=_count(item, "tokens"),
+        group=_string(item, "group" if "group" in item else "id"),
         scorer=None
         if scorer is None
         else batch.Scorer(
@@ -289,6 +289,11 @@
     )
 
 
+def _count(fields: dict[str, Any], name: str) -> int:
+    """Returns an optional field that is an integer; 0 if it is missing."""
+    return integer(fields, name) if name in fields else 0
+
+
 def _headers(fields: dict[str, Any]) -> dict[str, str]:
     """Returns the headers that a sender may set for an item."""
     headers = {}
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -16,6 +16,14 @@
 from tests.platform import harness
 
 ITEM = {"id": "a", "path": "/x", "body": ""}
+BATCH = {"items": [ITEM]}
+# Values that no field of a batch may have.
+FOREIGN_VALUES = {
+    "nested": b"[" * 1000 + b"]" * 1000,
+    "huge": b"1e300",
+    "beyond_64_bits": b"18446744073709551616",
+    "null": b"null",
+}
 
 
 class SubmissionTest(unittest.TestCase):
@@ -95,6 +103,21 @@
                 ),
                 422,
             ),
+            *(
+                (f"{name}_{kind}", orjson.dumps(BATCH | {name: "@"}), 422, raw)
+                for name in ("step", "minVersion", "desired", "model")
+                for kind, raw in FOREIGN_VALUES.items()
+            ),
+            *(
+                (
+                    f"item_{name}_{kind}",
+                    orjson.dumps({"items": [ITEM | {name: "@"}]}),
+                    422,
+                    raw,
+                )
+                for name in ("tokens", "group")
+                for kind, raw in FOREIGN_VALUES.items()
+            ),
             (
                 "scorer_without_path",
                 b'{"items":[{"id":"a","path":"/x","body":"",'
@@ -105,8 +128,9 @@
     )
     @virtual.on_virtual_time
     async def test_invalid_batch_is_rejected_and_not_stored(
-        self, _, body, status
+        self, _, body, status, raw=b""
     ):
+        body = body.replace(b'"@"', raw)
         async with harness.launch(nodes=1) as site:
             revision = site.store.revision
             response = await site.call(
