Move the checks of framing out of the HTTP client

What tells that two responses were sent into each other is a matter of its own and stands in web/framing.py now; it does the same.

The soak's store holds the entries of other writers that the tests know, from the start.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -204,15 +204,15 @@
     Break(
         "status and headers are of one answer",
         "web/httpclient.py",
-        "            _check_head(response)\n",
+        "            framing.check_head(response)\n",
         "",
         SITE + "test_stuttering_servers.SecondHeadTest",
     ),
     Break(
         "a second answer does not become part of a body",
-        "web/httpclient.py",
-        "chunks = _read_unframed(chunks)",
-        "pass",
+        "web/framing.py",
+        "    return _search_for_heads(chunks)\n",
+        "    return chunks\n",
         SITE + "test_stuttering_servers.UnframedTest",
     ),
     Break(
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -13,6 +13,7 @@
 import httpcore
 import trio
 
+from kingcupscale.web import framing
 from kingcupscale.web import message
 
 
@@ -95,14 +96,6 @@
 )
 
 
-# The beginning of a status line, and of a head with at least one header.
-_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
-_HEAD = re.compile(
-    rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]{0,100}\r\n[0-9A-Za-z-]{1,60}:"
-)
-_MAX_HEAD_START_BYTES = 200
-# Headers of which a response has one, unless its body ends with the connection.
-_FRAMING_HEADERS = {"content-length", "transfer-encoding"}
 _PORT = re.compile(r"[0-9]{1,5}")
 MAX_PORT = 65535
 
@@ -271,19 +264,17 @@
                 raise RequestError(
                     "no response headers in time", may_have_been_sent=True
                 )
-            _check_head(response)
-            received = _decode_headers(response.headers)
-            chunks = response.aiter_stream()
-            if not received.keys() & _FRAMING_HEADERS:
-                chunks = _read_unframed(chunks)
+            framing.check_head(response)
             yield message.Response(
                 response.status,
-                received,
-                chunks=chunks,
+                _decode_headers(response.headers),
+                chunks=framing.read_body(response),
                 retire_connection=functools.partial(_retire, response),
             )
     except _NOT_SENT_ERRORS as e:
         raise RequestError(repr(e), may_have_been_sent=False) from e
+    except framing.FramingError as e:
+        raise RequestError(str(e), may_have_been_sent=True) from e
     except _HTTP_ERRORS as e:
         raise RequestError(repr(e), may_have_been_sent=True) from e
 
@@ -304,45 +295,6 @@
         raise RequestError(repr(e), may_have_been_sent=True) from e
 
 
-def _check_head(response: httpcore.Response) -> None:
-    """Checks that the head of a response is not made of two heads.
-
-    If a server breaks off in a head and sends another response after it, the
-    second status line becomes part of a header value or of the reason phrase.
-    Status and headers would then come from different responses.
-
-    Raises:
-        RequestError: If the head contains a second status line.
-    """
-    values = [value for _, value in response.headers]
-    values.append(response.extensions.get("reason_phrase", b""))
-    if any(_STATUS_LINE.search(value) for value in values):
-        raise RequestError(
-            "response head contains another one", may_have_been_sent=True
-        )
-
-
-async def _read_unframed(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Yields a body that ends with its connection.
-
-    Nothing but the head of a second response shows that such a body has ended
-    before.
-
-    Raises:
-        RequestError: If it contains the head of a response.
-    """
-    tail = b""
-    async for chunk in chunks:
-        window = tail + chunk
-        if _HEAD.search(window):
-            raise RequestError(
-                "response body contains another response",
-                may_have_been_sent=True,
-            )
-        yield chunk
-        tail = window[-_MAX_HEAD_START_BYTES:]
-
-
 def _retire(response: httpcore.Response) -> None:
     """Shuts the connection of a response down.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,7 +2,7 @@
 
 Runs a fake store, fake backend servers and a fake usage reporting endpoint in
 this process, and real node processes that reach them through fault-injecting
-proxies.
+proxies. The store holds entries of other writers from the start.
 """
 
 import contextlib
@@ -24,6 +24,7 @@
 from tests.platform import fakeservers
 from tests.platform import fakestore
 from tests.platform import harness
+from tests.platform import test_foreign_entries
 from tests.soak import proxy as proxies
 
 NODES = 4
@@ -280,6 +281,8 @@
                 "ab"[number % 2],
                 harness.MODEL if is_engine else "",
             )
+        for name, value in test_foreign_entries.VALUES.items():
+            self.store.put(f"{names.SERVERS_PREFIX}x-{name}", value)
         self.write_configuration(harness.make_configuration())
         for number in range(NODES):
             node = NodeProcess(self, f"n{number}", "ab"[number % 2])
