Send nothing to servers of an evacuated zone

Cause: an operator evacuates a zone by a key of the store, which no code read. Calls, samples, scoring calls, load orders and polls went on to its servers.

Change: a zone is excluded from the moment its key is seen until the key is seen to be deleted, whatever the key's value. Placement skips its servers, and the check right before the first byte blocks what was placed before; a blocked call chooses another server. Orders and polls to engines are checked at the same point. The autoscaler treats the zone as one where no server can be ordered. Before the first read of the store no server is usable. Idle nodes poll often enough for bounds.evacuateMs.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -99,7 +99,10 @@
         self.service = service
         self.batch_cache = batch_cache
         self.servers = servers
-        self.generator = generation.Generator(client, clock, guard, self._fail)
+        self.eligibility = call_forwarder.eligibility
+        self.generator = generation.Generator(
+            client, clock, guard, self._fail, self.eligibility
+        )
         self.scorer = scoring.Scorer(
             call_forwarder,
             clock,
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -17,6 +17,7 @@
 from kingcupscale.batches import placement
 from kingcupscale.batches import sample as samples
 from kingcupscale.batches import sendguard
+from kingcupscale.fleet import eligibility as eligibilities
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
 
@@ -61,6 +62,7 @@
         guard: Checks that requests may still be sent.
         on_failed: Called with a sample that can't be completed and the
             reason.
+        eligibility: Checks that requests may still be sent to their server.
 
     Attributes:
         token_s: Average seconds per token.
@@ -74,7 +76,9 @@
         clock: clocks.Clock,
         guard: sendguard.SendGuard,
         on_failed: Callable[[samples.Sample, str], None],
+        eligibility: eligibilities.Eligibility,
     ) -> None:
+        self.eligibility = eligibility
         self.client = client
         self.clock = clock
         self.guard = guard
@@ -97,7 +101,7 @@
         sample.begin_run()
         started_at = self.clock.monotonic()
         resumed_events = len(sample.events)
-        call = self._make_call(sample, version)
+        call = self._make_call(sample, server, version)
         outcome = "cancelled before its end"
         view_age_s = self.guard.view.age_s()
         try:
@@ -146,7 +150,7 @@
             yield response
 
     def _make_call(
-        self, sample: samples.Sample, version: int
+        self, sample: samples.Sample, server: registry.Server, version: int
     ) -> serverclient.Call:
         return serverclient.Call(
             request_id=sample.id,
@@ -161,7 +165,9 @@
             expected_version=version or None,
             resume_after=sample.resume_after(),
             priority=min(9, sample.route.priority),
-            before_send=functools.partial(self.guard.check, sample),
+            before_send=self.eligibility.guard(
+                server, functools.partial(self.guard.check, sample)
+            ),
         )
 
     async def _read_response(
--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -217,7 +217,11 @@
         self._report_state(load, load.version, trial_s, 2 * self.load_s)
         await self.clock.sleep(trial_s)
         deadline = started_at + LOAD_TIMEOUT_S
-        while self.clock.monotonic() < deadline and not load.server.is_removed:
+        while (
+            self.clock.monotonic() < deadline
+            and not load.server.is_removed
+            and not load.server.is_evacuated()
+        ):
             await self.clock.sleep(POLL_PAUSE_S)
             if await self._refresh_status(load):
                 took_s = self.clock.monotonic() - started_at
@@ -242,8 +246,10 @@
         """Requests an engine's status and updates what is known of it.
 
         Returns:
-            Whether it has loaded the version.
+            Whether it has loaded the version; False if its zone is evacuated.
         """
+        if load.server.is_evacuated():
+            return False
         try:
             status = await self.client.fetch_engine_status(load.server)
         except serverclient.ServerError as e:
--- a/src/kingcupscale/capacity/autoscaler.py
+++ b/src/kingcupscale/capacity/autoscaler.py
@@ -191,6 +191,7 @@
             self.initial_servers, self.demand.required_servers(service.slots)
         )
         unavailable = {z for z, until in self.retry_at.items() if until > now}
+        unavailable |= self.servers.evacuations.zones()
         wanted = wanted_by_zone(service.scaling, total, unavailable)
         for zone, number in wanted.items():
             present_in_zone = sum(
@@ -205,7 +206,8 @@
     async def _order(self, order: Order) -> None:
         if self.ordered.get(order.zone) == order.number:
             return
-        if not self.duty_lock.is_held():
+        is_evacuated = self.servers.evacuations.is_evacuated(order.zone)
+        if is_evacuated or not self.duty_lock.is_held():
             return
         now = self.clock.monotonic()
         try:
--- a/src/kingcupscale/clusterstate.py
+++ b/src/kingcupscale/clusterstate.py
@@ -44,6 +44,7 @@
         mirror.subscribe(keys.configuration, self._apply_configuration)
         mirror.subscribe(keys.servers, self._apply_server)
         mirror.subscribe(keys.versions, self._apply_target_version)
+        mirror.subscribe(keys.evacuations, self._apply_evacuation)
 
     def _apply_configuration(self, entry: stores.Entry) -> None:
         if entry.value is None:
@@ -69,6 +70,14 @@
         if found is not None:
             self.servers.register(found)
 
+    def _apply_evacuation(self, entry: stores.Entry) -> None:
+        """Applies the existence of a key; its value has no meaning."""
+        zone = entry.key.removeprefix(self.keys.evacuations)
+        if entry.value is None:
+            self.servers.evacuations.end(zone)
+        else:
+            self.servers.evacuations.begin(zone)
+
     def _apply_target_version(self, entry: stores.Entry) -> None:
         if entry.value is None:
             return
--- a/src/kingcupscale/dependencies.py
+++ b/src/kingcupscale/dependencies.py
@@ -29,6 +29,7 @@
         versions: Prefix of the target weight versions that trainers set.
         retirements: Prefix of requests to retire a VM.
         retirement_states: Prefix of the responses to these requests.
+        evacuations: Prefix of the evacuated zones' keys.
     """
 
     configuration: str
@@ -36,6 +37,7 @@
     versions: str
     retirements: str
     retirement_states: str
+    evacuations: str
 
 
 @attrs.frozen
--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -22,6 +22,7 @@
         cancel_s: Time after the end of a batch within which its requests
             stop being sent.
         retention_s: Time for which an ended batch can still be read.
+        evacuate_s: Time until an evacuation of a zone is in effect.
     """
 
     contact_s: float = 3.0
@@ -34,6 +35,7 @@
     late_s: float = 10.0
     cancel_s: float = 3.0
     retention_s: float = 120.0
+    evacuate_s: float = 5.0
 
 
 @attrs.frozen
@@ -57,6 +59,7 @@
         reports_usage: Whether to send usage reports.
         orders_servers: Whether to order servers.
         bounds: Time limits.
+        zone_regions: The region of each zone; empty if there are no regions.
     """
 
     node: str
@@ -74,3 +77,4 @@
     reports_usage: bool
     orders_servers: bool
     bounds: Bounds
+    zone_regions: dict[str, str] = attrs.field(factory=dict)
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -11,6 +11,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.fleet import evacuation
 
 # After the store has recovered, servers have this long to register again before
 # a missing entry means that they have stopped.
@@ -90,6 +91,7 @@
         is_removed: Whether its entry has been removed.
         removed_at: Monotonic time at which the entry went missing; None while
             it exists.
+        evacuations: The evacuated zones; None if there can be none.
     """
 
     entry: ServerEntry
@@ -106,6 +108,7 @@
     is_leaving: bool = False
     is_removed: bool = False
     removed_at: float | None = None
+    evacuations: evacuation.Evacuations | None = None
 
     @property
     def id(self) -> str:
@@ -119,6 +122,16 @@
             and not self.is_leaving
             and self.entry.state is ServerState.READY
             and now >= self.ejected_until
+            and not self.is_evacuated()
+        )
+
+    def is_evacuated(self) -> bool:
+        """Returns whether its zone is evacuated, so that it gets no request.
+
+        This includes orders and polls. Requests that run there finish.
+        """
+        return self.evacuations is not None and self.evacuations.is_evacuated(
+            self.entry.zone
         )
 
     def load(self, now: float) -> float:
@@ -188,6 +201,7 @@
         clock: The clock.
         recovered_at: Returns the monotonic time of the store's last recovery.
         is_store_unreachable: Returns whether the store is out of reach.
+        evacuations: The evacuated zones; by default none.
 
     Attributes:
         servers: The servers by id.
@@ -200,8 +214,10 @@
         clock: clocks.Clock,
         recovered_at: Callable[[], float],
         is_store_unreachable: Callable[[], bool],
+        evacuations: evacuation.Evacuations | None = None,
     ) -> None:
         self.clock = clock
+        self.evacuations = evacuations or evacuation.Evacuations(clock)
         self.recovered_at = recovered_at
         self.is_store_unreachable = is_store_unreachable
         self.servers: dict[str, Server] = {}
@@ -217,6 +233,7 @@
                 entry,
                 versions=dict(entry.versions),
                 is_leaving=self.leaving_starts.get(entry.id) == entry.start_ms,
+                evacuations=self.evacuations,
             )
             events.log(
                 events.Event.SERVER_ENTERED,
--- a/src/kingcupscale/fleet/serverclient.py
+++ b/src/kingcupscale/fleet/serverclient.py
@@ -37,6 +37,10 @@
         super().__init__(reason, may_have_run=False)
 
 
+class IneligibleError(NotSentError):
+    """A call was blocked because of its server; another one may be chosen."""
+
+
 @attrs.frozen
 class Call:
     """One request to a backend server.
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from kingcupscale import events
 from kingcupscale import metrics
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import eligibility as eligibilities
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import admission as admissions
@@ -68,6 +69,7 @@
         clock: The clock.
         rng: Picks services by weight, breaks ties and adds jitter.
         zone: Availability zone of this node.
+        eligibility: Excludes servers; by default those of evacuated zones.
 
     Attributes:
         latency_s: Moving average of the latency, by service.
@@ -83,7 +85,9 @@
         clock: clocks.Clock,
         rng: random.Random,
         zone: str,
+        eligibility: eligibilities.Eligibility | None = None,
     ) -> None:
+        self.eligibility = eligibility or eligibilities.Eligibility(servers)
         self.admission = admission
         self.servers = servers
         self.client = client
@@ -228,7 +232,7 @@
         timeout_s = left_s
         if state.route.allows_retry() and not state.route.is_streaming:
             timeout_s = min(left_s, self._attempt_timeout_s(state))
-        call = self._make_call(inbound, state, left_s)
+        call = self._make_call(inbound, state, server, left_s)
         server.in_flight += 1
         response: message.Response | None = None
         try:
@@ -240,6 +244,8 @@
                 state.failure_reason = f"no response within {timeout_s:.2f} s"
                 self._update_latency(state.service, timeout_s)
                 server.record_failure(self.clock.monotonic())
+        except serverclient.IneligibleError:
+            state.unavailable.add(server.id)
         except serverclient.NotSentError:
             raise
         except serverclient.ServerError as e:
@@ -276,6 +282,7 @@
         self,
         inbound: inboundrequest.InboundRequest,
         state: callstate.CallState,
+        server: registry.Server,
         left_s: float,
     ) -> serverclient.Call:
         organisation = state.organisation
@@ -290,7 +297,7 @@
             timeout_s=left_s,
             organisation=organisation.name if organisation else None,
             resume_after=inbound.resume_after,
-            before_send=inbound.before_send,
+            before_send=self.eligibility.guard(server, inbound.before_send),
         )
 
     async def _send_call(
--- a/src/kingcupscale/platform/names.py
+++ b/src/kingcupscale/platform/names.py
@@ -29,6 +29,7 @@
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
 VERSIONS_PREFIX = "op/version/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 RETIREMENTS_PREFIX = "op/retire/"
 RETIREMENT_STATES_PREFIX = "status/retire/"
 
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -47,6 +47,7 @@
     names.VERSIONS_PREFIX,
     names.RETIREMENTS_PREFIX,
     names.RETIREMENT_STATES_PREFIX,
+    names.EVACUATIONS_PREFIX,
 )
 DECODERS = dependencies.Decoders(
     documents.decode_catalogue,
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -1,7 +1,9 @@
 """HTTP client for backend servers."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
+import functools
 
 import orjson
 
@@ -147,6 +149,9 @@
         self, server: registry.Server, request: message.Request
     ) -> message.Response:
         request.headers["host"] = server.entry.address
+        request.before_send = functools.partial(
+            _check_zone, server, request.before_send
+        )
         try:
             response = await httpclient.fetch(
                 self.http_client,
@@ -169,6 +174,15 @@
         return response
 
 
+def _check_zone(
+    server: registry.Server, before_send: Callable[[], None]
+) -> None:
+    """Blocks an order or a poll of a server whose zone is evacuated."""
+    before_send()
+    if server.is_evacuated():
+        raise serverclient.IneligibleError("the server's zone is evacuated")
+
+
 def _mark_leaving(server: registry.Server, response: message.Response) -> None:
     """Marks a server as leaving if its own answer says so.
 
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -35,6 +35,7 @@
         reports_usage="metering" in duties,
         orders_servers="autoscaling" in duties,
         bounds=_read_bounds(reader),
+        zone_regions=reader.group("zones."),
     )
     if reader.problems:
         raise settings.SettingsError(path, reader.problems)
@@ -58,6 +59,9 @@
         retention_s=reader.number(
             "bounds.statusRetentionS", defaults.retention_s
         ),
+        evacuate_s=reader.milliseconds(
+            "bounds.evacuateMs", defaults.evacuate_s
+        ),
     )
 
 
@@ -76,6 +80,14 @@
     def text(self, name: str) -> str:
         return self.fields.get(name, "")
 
+    def group(self, prefix: str) -> dict[str, str]:
+        """Returns the fields whose names begin with a prefix, without it."""
+        return {
+            name.removeprefix(prefix): value
+            for name, value in self.fields.items()
+            if name.startswith(prefix) and name != prefix and value
+        }
+
     def required(self, name: str) -> str:
         value = self.text(name)
         if not value:
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -18,6 +18,7 @@
 from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import evacuation
 from kingcupscale.fleet import peers
 from kingcupscale.fleet import registry
 from kingcupscale.gateway import admission as admissions
@@ -128,6 +129,11 @@
             self.clock,
             lambda: self.mirror.recovered_at,
             lambda: self.mirror.is_unreachable,
+            evacuation.Evacuations(
+                self.clock,
+                lambda: self.mirror.essential_at >= 0,
+                settings.zone_regions.keys(),
+            ),
         )
         self.batch_cache = caches.BatchCache(
             self.mirror,
@@ -342,7 +348,8 @@
         if self.mirror.is_following and is_needed:
             return ACTIVE_POLL_INTERVAL_S
         return polling.idle_poll_interval_s(
-            len(self.candidates.names()), self.settings.bounds.apply_s
+            len(self.candidates.names()),
+            min(self.settings.bounds.apply_s, self.settings.bounds.evacuate_s),
         )
 
     def is_ready(self) -> bool:
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -111,6 +111,7 @@
                 views.View(CurrentMirror(), self.clock, "n", 3.0, lambda: None)
             ),
             lambda *_: None,
+            self.forwarder.eligibility,
         )
 
     async def send(self, number, path):
