Use load reports that contain the server's slowness

A load report with a fourth figure was discarded as a whole, so a node knew neither the load nor the slowness of the servers that send one.

The report is decoded into registry.LoadReport. Numbers of requests or slots that are negative, larger than 100,000 or not numbers, and reports without slots, are ignored. A slowness outside of 25 to 2000 percent is ignored alone. Server.slowness is valid for 0.6 s after its report, then 1.0. The placement of calls and of samples multiplies the latency of a server by it.

tests.platform.test_load_reports fails for a report with four figures without the decoder, and for the placements without the factor; it passes now.

--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -78,7 +78,8 @@
         has_prompt: Whether its prefix cache holds the group's prompt.
     """
     others = server.load(now)
-    cost = server.relative_latency * (1 + SLOWDOWN_PER_REQUEST * others)
+    latency = server.relative_latency * server.slowness(now)
+    cost = latency * (1 + SLOWDOWN_PER_REQUEST * others)
     queue = max(0.0, others + 1 - server.entry.slots)
     cost += queue / max(1, server.entry.slots)
     if has_prompt:
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -23,6 +23,8 @@
 LATENCY_WEIGHT = 0.15
 # The reported load of other nodes decays linearly to zero within this time.
 LOAD_DECAY_S = 1.0
+# A reported slowness is valid for this long, because it changes that often.
+SLOWNESS_VALID_S = 0.6
 # Most removed servers whose leaving notice is kept.
 MAX_LEAVING_STARTS = 1000
 
@@ -64,6 +66,24 @@
     warmup_s: float = 0.0
 
 
+@attrs.frozen
+class LoadReport:
+    """The load that a server reports with a response.
+
+    Attributes:
+        running: Requests that it runs, from all nodes.
+        waiting: Requests that wait on it for a slot.
+        slots: Requests that it runs concurrently.
+        slowness: How long work takes relative to normal; 1.0 is normal, 2.5
+            is 2.5 times as long.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
 @attrs.define(eq=False)
 class Server:
     """A backend server and its state as this node has observed it.
@@ -74,6 +94,7 @@
         other_requests: Requests of other nodes that run there, by the last
             response that reported a load.
         load_reported_at: Monotonic time of that response.
+        reported_slowness: Slowness by that response; 1.0 is normal.
         failures: Number of consecutive failures.
         ejected_until: Monotonic time before which it gets no requests.
         versions: Weight version by model, from entries, orders and responses.
@@ -96,6 +117,7 @@
     in_flight: int = 0
     other_requests: int = 0
     load_reported_at: float = -1e9
+    reported_slowness: float = 1.0
     failures: int = 0
     ejected_until: float = 0.0
     versions: dict[str, int] = attrs.field(factory=dict)
@@ -128,9 +150,20 @@
             0.0, 1 - age_s / LOAD_DECAY_S
         )
 
-    def update_load(self, load: int, now: float) -> None:
-        """Records the number of requests on it that a response reported."""
-        self.other_requests = max(0, load - self.in_flight)
+    def slowness(self, now: float) -> float:
+        """Returns how long work on it takes; 1.0 is normal.
+
+        Without a report within ``SLOWNESS_VALID_S`` it is assumed normal.
+        """
+        if now - self.load_reported_at > SLOWNESS_VALID_S:
+            return 1.0
+        return self.reported_slowness
+
+    def update_load(self, report: LoadReport, now: float) -> None:
+        """Records the load that a response reported."""
+        total = report.running + report.waiting
+        self.other_requests = max(0, total - self.in_flight)
+        self.reported_slowness = report.slowness
         self.load_reported_at = now
 
     def update_relative_latency(self, ratio: float) -> None:
--- a/src/kingcupscale/fleet/serverclient.py
+++ b/src/kingcupscale/fleet/serverclient.py
@@ -103,7 +103,7 @@
             one with other weights, than expected.
         signature: The signature; empty if there is none.
         version: Weight version; 0 if not given.
-        load: Requests running and queued on the server; None if not given.
+        load: Load that the server reported; None if not given or invalid.
         body: Chunks of the body as they arrive.
     """
 
@@ -113,7 +113,7 @@
     wrong_server: bool
     signature: str
     version: int
-    load: int | None
+    load: registry.LoadReport | None
     body: AsyncIterator[bytes]
 
     @property
--- a/src/kingcupscale/gateway/placement.py
+++ b/src/kingcupscale/gateway/placement.py
@@ -47,9 +47,8 @@
     costs of recent failures and of another zone.
     """
     utilisation = server.load(now) / max(1, server.entry.slots)
-    total = (
-        1.0 + utilisation
-    ) * server.relative_latency + FAILURE_COST * server.failures
+    latency = server.relative_latency * server.slowness(now)
+    total = (1.0 + utilisation) * latency + FAILURE_COST * server.failures
     return total if server.entry.zone == zone else total + OTHER_ZONE_COST
 
 
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -19,6 +19,12 @@
 MAX_REPORT_BYTES = 256 * 1024
 # An event holds a few tokens. A longer one is assumed never to end.
 MAX_EVENT_BYTES = 64 * 1024
+# Valid numbers of requests and slots in a load report. A larger number would
+# exclude the server from all calls.
+MAX_REPORTED_REQUESTS = 100_000
+# Valid slowness in percent. A smaller one would draw all calls to the server.
+MIN_SLOWNESS_PERCENT = 25
+MAX_SLOWNESS_PERCENT = 2000
 
 _ORDER_OUTCOMES = {
     202: serverclient.OrderOutcome.ACCEPTED,
@@ -225,14 +231,28 @@
     yield b""
 
 
-def _decode_load(value: str | None) -> int | None:
-    """Returns the running plus waiting requests of "running,waiting,slots"."""
-    numbers = [
-        documents.parse_integer(part) for part in (value or "").split(",")
-    ]
-    if len(numbers) != 3 or None in numbers:
+def _decode_load(value: str | None) -> registry.LoadReport | None:
+    """Decodes "running,waiting,slots" or "running,waiting,slots,PERCENT".
+
+    Returns None if the numbers of requests or slots are invalid. An invalid
+    slowness is ignored alone, because the other figures are still of use.
+    """
+    parts = (value or "").split(",")
+    if len(parts) not in (3, 4):
+        return None
+    numbers = [documents.parse_integer(part) for part in parts]
+    running, waiting, slots = (
+        number if number is not None and number <= MAX_REPORTED_REQUESTS else -1
+        for number in numbers[:3]
+    )
+    if running < 0 or waiting < 0 or slots < 1:
         return None
-    return (numbers[0] or 0) + (numbers[1] or 0)
+    percent = numbers[3] if len(numbers) == 4 else None
+    if percent is None or not (
+        MIN_SLOWNESS_PERCENT <= percent <= MAX_SLOWNESS_PERCENT
+    ):
+        percent = 100
+    return registry.LoadReport(running, waiting, slots, percent / 100)
 
 
 def _decode_event(block: bytes, version: int) -> serverclient.StreamEvent:
