Learn how many engines may load weights at once

42 % of the engines could load at the same time.

LoadLimit starts at that share, grows by one while loads are as fast as the shortest ones and shrinks by a factor when they are not. The first poll of a load no longer waits for a share of the average load time, which would keep the average high once loads were slow. Orders whose engine does not answer, at most two, do not count, and loads that another leader ordered do.

--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -11,6 +11,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.batches import loadlimit
 from kingcupscale.batches import weights
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import registry
@@ -34,6 +35,12 @@
 LOAD_TIMEOUT_S = 8.0
 # Pause before an engine gets another order after one that did not succeed.
 FAILED_PAUSE_S = 0.5
+# After this many polls in a row without a response, a load does not count as
+# being in progress: an engine that does not answer must not block the others.
+MAX_UNANSWERED_POLLS = 2
+# Most loads that are left out for this reason. If more engines do not answer,
+# this node may be what is slow, and they may all be loading.
+MAX_SILENT_LOADS = 2
 
 
 @attrs.define
@@ -45,11 +52,19 @@
         ordered_at: Monotonic time of the order.
         start_ms: Start time of the engine that got the order; another value
             means that the engine has restarted.
+        peak: Most loads that were in progress at the same time since.
+        unanswered_polls: Number of latest polls that got no response.
     """
 
     load: weights.Load
     ordered_at: float
     start_ms: int
+    peak: int = 1
+    unanswered_polls: int = 0
+
+    def is_silent(self) -> bool:
+        """Returns whether the engine no longer answers."""
+        return self.unanswered_polls >= MAX_UNANSWERED_POLLS
 
 
 class Loader:
@@ -69,6 +84,9 @@
         not_before: Monotonic times before which engines get no order, by
             engine id.
         load_s: Moving average of the seconds that a load takes.
+        limit: How many engines may load at the same time.
+        other_loads: Monotonic times until which engines are assumed to load
+            by another leader's order, by engine id.
         assigned: Ids of the engines assigned to each model.
     """
 
@@ -92,6 +110,8 @@
         self.loading: dict[str, PendingOrder] = {}
         self.not_before: dict[str, float] = {}
         self.load_s = DEFAULT_LOAD_S
+        self.limit = loadlimit.LoadLimit()
+        self.other_loads: dict[str, float] = {}
         self.assigned: dict[str, set[str]] = {}
 
     async def step(self, nursery: trio.Nursery) -> None:
@@ -112,12 +132,25 @@
             self.assigned,
             ALLOWED_LAG,
             set(self.loading),
+            self.limit.current(len(servers)) - self.count_in_progress(now),
         )
         for load in due:
             self.loading[load.server.id] = PendingOrder(
                 load, now, load.server.entry.start_ms
             )
             nursery.start_soon(self._load, load)
+        in_progress = self.count_in_progress(now)
+        for pending in self.loading.values():
+            pending.peak = max(pending.peak, in_progress)
+
+    def count_in_progress(self, now: float) -> int:
+        """Returns how many engines load now, as far as they answer."""
+        silent = sum(pending.is_silent() for pending in self.loading.values())
+        others = sum(
+            until > now and server_id not in self.loading
+            for server_id, until in self.other_loads.items()
+        )
+        return len(self.loading) - min(silent, MAX_SILENT_LOADS) + others
 
     def _service_targets(self) -> dict[str, int]:
         """Returns the newest version of each model of the service."""
@@ -131,10 +164,11 @@
         server = load.server
         started_at = self.clock.monotonic()
         outcome = "lost"
+        pending = self.loading[server.id]
         try:
             outcome = await self._order(load)
             if outcome is serverclient.OrderOutcome.ACCEPTED:
-                await self._await_version(load)
+                await self._await_version(load, pending)
             elif outcome is serverclient.OrderOutcome.ALREADY_LOADED:
                 self._report_state(load, load.version)
         except serverclient.ServerError as e:
@@ -194,6 +228,8 @@
             load.server.sequence = order.expected_sequence + 1
         elif outcome is serverclient.OrderOutcome.BUSY:
             await self._refresh_status(load)
+            until = self.clock.monotonic() + self.limit.shortest_s()
+            self.other_loads[load.server.id] = until
         return outcome
 
     def _keeps_running_requests(self) -> bool:
@@ -207,7 +243,9 @@
         routes = configured.routes_to(self.duty_lock.name)
         return not any(route.single_version for route in routes)
 
-    async def _await_version(self, load: weights.Load) -> None:
+    async def _await_version(
+        self, load: weights.Load, pending: PendingOrder
+    ) -> None:
         """Polls an engine until it has loaded a version or time is up."""
         started_at = self.clock.monotonic()
         previous = load.server.versions.get(load.model, 0)
@@ -215,14 +253,19 @@
         # Requests name the version that they expect, so an engine that has not
         # loaded it yet rejects them without running them.
         self._report_state(load, load.version, trial_s, 2 * self.load_s)
-        await self.clock.sleep(trial_s)
+        # The average would not fall if no load was seen to end before it.
+        await self.clock.sleep(TRIAL_SHARE * self.limit.shortest_s())
         deadline = started_at + LOAD_TIMEOUT_S
         while self.clock.monotonic() < deadline and not load.server.is_removed:
             await self.clock.sleep(POLL_PAUSE_S)
             if await self._refresh_status(load):
-                took_s = self.clock.monotonic() - started_at
-                self.load_s += AVERAGE_WEIGHT * (took_s - self.load_s)
+                now = self.clock.monotonic()
+                self.load_s += AVERAGE_WEIGHT * (now - started_at - self.load_s)
+                self.limit.record(started_at, now, pending.peak)
                 return
+        if not load.server.is_removed and not pending.unanswered_polls:
+            # The engine answers, so the load is slow.
+            self.limit.record(started_at, self.clock.monotonic(), pending.peak)
         self._report_state(load, previous)
 
     def _report_state(
@@ -244,6 +287,7 @@
         Returns:
             Whether it has loaded the version.
         """
+        pending = self.loading.get(load.server.id)
         try:
             status = await self.client.fetch_engine_status(load.server)
         except serverclient.ServerError as e:
@@ -252,7 +296,11 @@
                 server=load.server.id,
                 reason=e.reason,
             )
+            if pending is not None:
+                pending.unanswered_polls += 1
             return False
+        if pending is not None:
+            pending.unanswered_polls = 0
         load.server.sequence = status.sequence
         for model, version in status.versions.items():
             if model != load.model or version >= load.version:
--- /dev/null
+++ b/src/kingcupscale/batches/loadlimit.py
@@ -0,0 +1,131 @@
+"""Limits how many engines load weights at the same time.
+
+Concurrent loads slow each other down beyond a number that depends on the
+deployment's storage and network and that no setting tells. The limit is
+therefore learned from how long loads take: it grows by one while loads are as
+fast as the fastest ones, and shrinks by a factor when they are slower.
+"""
+
+import collections
+import statistics
+
+import attrs
+
+# Share of the engines that may load at the same time until loads have been
+# measured.
+INITIAL_SHARE = 0.42
+MIN_LIMIT = 2
+# Factor of a decrease.
+DECREASE = 0.7
+# Loads are slow if their median exceeds the shortest ones by this share of
+# their time and at least by this time. An engine's status shows the end of a
+# load up to 0.4 s late, which alone moves the median by 0.2 s.
+SLOW_SHARE = 0.3
+SLOW_S = 0.45
+# Number of load times that are compared with the shortest ones.
+COMPARED = 8
+# Load times that are kept to find the shortest ones, and which share of them
+# counts as shortest. They span several changes of the limit: with fewer, loads
+# that are always slow would count as short. A single low value can come from a
+# load that another leader had begun.
+KEPT = 200
+SHORTEST_SHARE = 0.05
+# Load time that is assumed in place of this many first ones. A new leader may
+# begin with too many loads and would take their times for the shortest.
+EXPECTED_LOAD_S = 1.2
+EXPECTED_COUNT = 8
+# Rounds of loads at the limit that precede an increase, and those that precede
+# one to a limit at which loads have been slow.
+ROUNDS = 1
+ROUNDS_TO_SLOW = 8
+
+
+def _make_durations() -> collections.deque[float]:
+    return collections.deque(EXPECTED_COUNT * [EXPECTED_LOAD_S], maxlen=KEPT)
+
+
+@attrs.define
+class LoadLimit:
+    """How many engines may load at the same time.
+
+    Attributes:
+        limit: The limit; 0 until the number of engines is known.
+        durations: Latest load times in seconds.
+        compared: Load times in seconds that have not been compared yet.
+        at_limit: Number of loads since the last change of the limit that ran
+            while as many as allowed were in progress.
+        changed_at: Monotonic time of that change.
+        slow_limit: Limit at which loads were slow last; 0 if none.
+    """
+
+    limit: int = 0
+    durations: collections.deque[float] = attrs.field(factory=_make_durations)
+    compared: list[float] = attrs.field(factory=list)
+    at_limit: int = 0
+    changed_at: float = -1e9
+    slow_limit: int = 0
+
+    def current(self, engines: int) -> int:
+        """Returns the limit.
+
+        The number of engines sets only the first limit. What slows loads down
+        is shared by the engines and does not grow with them.
+
+        Args:
+            engines: Number of engines that accept work.
+        """
+        if not self.limit and engines:
+            self.limit = max(MIN_LIMIT, int(engines * INITIAL_SHARE))
+        return max(MIN_LIMIT, self.limit)
+
+    def shortest_s(self) -> float:
+        """Returns the seconds that a load takes while few others run."""
+        ordered = sorted(self.durations)
+        return ordered[int(len(ordered) * SHORTEST_SHARE)]
+
+    def record(self, ordered_at: float, now: float, peak: int) -> None:
+        """Records a completed load and adapts the limit.
+
+        A load that ended without its version must not be recorded: its time
+        tells something about its engine only.
+
+        Args:
+            ordered_at: Monotonic time of its order.
+            now: Monotonic time of its end.
+            peak: Most loads in progress during it, including itself.
+        """
+        self.durations.append(now - ordered_at)
+        # Others ran before the change, or too few to slow each other down.
+        if ordered_at < self.changed_at or 2 * peak < self.limit:
+            return
+        self.compared.append(now - ordered_at)
+        self.at_limit += peak >= self.limit
+        if len(self.compared) < COMPARED:
+            return
+        is_slow = self._is_slow()
+        if is_slow and self.limit <= MIN_LIMIT:
+            # So few loads do not slow each other down: loads take longer now.
+            self.durations = collections.deque(self.compared, maxlen=KEPT)
+            self.slow_limit = 0
+        elif is_slow:
+            self.slow_limit = self.limit
+            self._change(max(MIN_LIMIT, int(self.limit * DECREASE)), now)
+        elif self.at_limit >= self.limit * self._rounds():
+            self._change(self.limit + 1, now)
+        self.compared.clear()
+
+    def _is_slow(self) -> bool:
+        """Returns whether loads take longer than while few others run."""
+        shortest_s = self.shortest_s()
+        excess_s = statistics.median(self.compared) - shortest_s
+        return excess_s > max(SLOW_S, SLOW_SHARE * shortest_s)
+
+    def _rounds(self) -> int:
+        """Returns the rounds of loads at the limit before an increase."""
+        is_slow_next = 0 < self.slow_limit <= self.limit + 1
+        return ROUNDS_TO_SLOW if is_slow_next else ROUNDS
+
+    def _change(self, limit: int, now: float) -> None:
+        self.limit = limit
+        self.changed_at = now
+        self.at_limit = 0
--- a/src/kingcupscale/batches/weights.py
+++ b/src/kingcupscale/batches/weights.py
@@ -18,10 +18,6 @@
 # more often.
 ENGINES_PER_SHARE = 1.5
 MIN_ENGINES = 2
-# Share of the engines that may load at the same time. Concurrent loads slow
-# each other down.
-MAX_LOADING_SHARE = 0.42
-MIN_CONCURRENT_LOADS = 2
 
 
 @attrs.frozen
@@ -88,6 +84,7 @@
     assigned: dict[str, set[str]],
     allowed_lag: int,
     loading: set[str],
+    room: int,
 ) -> list[Load]:
     """Returns the loads to order now.
 
@@ -97,9 +94,8 @@
         assigned: Ids of the engines assigned to each model.
         allowed_lag: How many versions behind the newest may still be used.
         loading: Ids of the engines that are loading.
+        room: How many more engines may load.
     """
-    room = max(MIN_CONCURRENT_LOADS, int(len(servers) * MAX_LOADING_SHARE))
-    room -= len(loading)
     due: list[tuple[int, int, Load]] = []
     for model, newest in sorted(targets.items()):
         holders = [
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -235,7 +235,7 @@
     def test_engines_alternate_and_load_less_than_in_the_baseline(self):
         loads, unserved = self._simulate(
             lambda servers, targets, assigned: weights.choose_loads(
-                servers, targets, assigned, 1, set()
+                servers, targets, assigned, 1, set(), 2
             )
         )
         all_loads, _ = self._simulate(
@@ -253,7 +253,7 @@
         servers[3].versions["a"] = 5
         assigned = {m: {s.id for s in servers} for m in "ab"}
         due = weights.choose_loads(
-            servers, {"a": 5, "b": 5}, assigned, 1, {"e3"}
+            servers, {"a": 5, "b": 5}, assigned, 1, {"e3"}, 1
         )
         self.assertEqual([load.model for load in due], ["b"])
 
