Rank candidates for duties by the capacity of their VMs

Cause: the service's leader and the nodes that run models' samples were chosen by rendezvous hash alone. In a fleet of unequal VMs the leader was a node with 0.516 cores, whose followers timed out.

Change: a node's entry has its capacity in cores and its memory. Candidates with at least three quarters of the largest capacity come first, in a large fleet of the capacity per duty, so that a single strong node does not get all duties. Invalid entries, and those of an older release, count as one core. A node with a configured capacity waits after its start until no further nodes appear (at most 1 s) before it campaigns, as the first nodes of a starting fleet know only themselves. A surplus duty is not transferred to a node that ranks behind its holder.

--- a/src/kingcupscale/candidates.py
+++ b/src/kingcupscale/candidates.py
@@ -1,17 +1,23 @@
 """Ranks the nodes as candidates for each duty."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
 from kingcupscale import rendezvous
+from kingcupscale.fleet import nodeentry
 from kingcupscale.storage import locks
 from kingcupscale.storage import mirror as mirrors
 from kingcupscale.storage import store as stores
 
+# A node belongs to the first tier if it has at least this share of the largest
+# capacity. It is below 1 so that similar VMs count as equal.
+TIER_SHARE = 0.75
+
 
 class Candidates:
-    """The registered nodes, ranked by rendezvous hashing for each duty.
+    """The registered nodes, ranked by tier and rendezvous hash for each duty.
 
     Rankings are cached and recomputed when a node or a duty's holder changes.
 
@@ -25,19 +31,25 @@
         self.node = node
         self.rankings: dict[str, list[str]] = {}
         self.idle_rankings: dict[str, list[str]] = {}
-        self.cached_names: list[str] | None = None
+        self.cached_capacities: dict[str, float] | None = None
         self.cached_holders: dict[str, str] | None = None
         mirror.subscribe(locks.NODES_PREFIX, self._on_node_changed)
         mirror.subscribe(locks.DUTIES_PREFIX, self._on_duty_changed)
 
     def names(self) -> list[str]:
         """Returns the names of the registered nodes, including this one."""
-        if self.cached_names is None:
-            self.cached_names = [
-                entry.key.removeprefix(locks.NODES_PREFIX)
+        return list(self.capacities())
+
+    def capacities(self) -> dict[str, float]:
+        """Returns the capacity of each registered node, in cores."""
+        if self.cached_capacities is None:
+            self.cached_capacities = {
+                entry.key.removeprefix(locks.NODES_PREFIX): (
+                    nodeentry.decode(entry.value).cores
+                )
                 for entry in self.mirror.entries_under(locks.NODES_PREFIX)
-            ]
-        return self.cached_names
+            }
+        return self.cached_capacities
 
     def holders(self) -> dict[str, str]:
         """Returns the node that holds each duty, by name of the duty."""
@@ -51,19 +63,34 @@
         return self.cached_holders
 
     def ranking(self, duty: str) -> list[str]:
-        """Returns the candidates for a duty, best first."""
+        """Returns the candidates for a duty, the first tier first."""
         if duty not in self.rankings:
-            self.rankings[duty] = rendezvous.rank(duty, self.names())
+            first = first_tier(self.capacities())
+            self.rankings[duty] = sorted(
+                rendezvous.rank(duty, self.names()),
+                key=lambda name: name not in first,
+            )
         return self.rankings[duty]
 
     def idle_ranking(self, duty: str) -> list[str]:
-        """Returns the candidates, with holders of other duties at the end."""
+        """Returns the candidates for a duty of a large fleet, best first.
+
+        The tiers are those of the capacity that each node has per duty if it
+        gets this one. In each tier, holders of other duties come last.
+        """
         if duty not in self.idle_rankings:
-            busy = {
+            others = collections.Counter(
                 node for held, node in self.holders().items() if held != duty
-            }
+            )
+            first = first_tier(
+                {
+                    node: cores / (1 + others[node])
+                    for node, cores in self.capacities().items()
+                }
+            )
             self.idle_rankings[duty] = sorted(
-                self.ranking(duty), key=busy.__contains__
+                rendezvous.rank(duty, self.names()),
+                key=lambda name: (name not in first, name in others),
             )
         return self.idle_rankings[duty]
 
@@ -77,7 +104,7 @@
         """Clears all cached rankings."""
         self.rankings.clear()
         self.idle_rankings.clear()
-        self.cached_names = None
+        self.cached_capacities = None
 
     def _on_duty_changed(self, entry: stores.Entry) -> None:
         """Clears the cached rankings that depend on duties."""
@@ -85,6 +112,16 @@
         self.cached_holders = None
 
 
+def first_tier(capacities: Mapping[str, float]) -> frozenset[str]:
+    """Returns the nodes with at least ``TIER_SHARE`` of the largest capacity.
+
+    Args:
+        capacities: Capacity by node, in cores.
+    """
+    least = TIER_SHARE * max(capacities.values(), default=0.0)
+    return frozenset(n for n, cores in capacities.items() if cores >= least)
+
+
 def find_surplus_duty(
     duties: Sequence[str],
     holders: Mapping[str, str],
--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -57,6 +57,10 @@
         reports_usage: Whether to send usage reports.
         orders_servers: Whether to order servers.
         bounds: Time limits.
+        capacity_cores: Processor capacity of the node's VM, in cores of normal
+            speed; None if it is not configured.
+        memory_mb: Memory of the node's VM in megabytes; 0 if it is not
+            configured.
     """
 
     node: str
@@ -74,3 +78,5 @@
     reports_usage: bool
     orders_servers: bool
     bounds: Bounds
+    capacity_cores: float | None = None
+    memory_mb: float = 0.0
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -21,6 +21,7 @@
     MEMBER_CHANGED = (2101, "A member became alive, suspect, dead or left.")
     PEER_SILENT = (2103, "Another node does not answer.")
     PEER_BACK = (2104, "Another node answers again.")
+    FLEET_SETTLED = (2110, "A started node campaigns for duties from now on.")
     ADMISSION_CHANGED = (2102, "The node started or stopped admitting.")
     CONFIGURATION_APPLIED = (2201, "A configuration revision is in force.")
     CONFIGURATION_CHANGED = (2202, "An operator's change was accepted.")
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -4,12 +4,11 @@
 from collections.abc import Iterable
 import random
 
-import orjson
-
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale.batches import interest as interests
 from kingcupscale.batches import record as records
+from kingcupscale.fleet import nodeentry
 from kingcupscale.peering import calls
 from kingcupscale.peering import commits
 from kingcupscale.peering import relay
@@ -80,7 +79,7 @@
         found = {}
         for entry in self.mirror.entries_under(locks.NODES_PREFIX):
             name = entry.key.removeprefix(locks.NODES_PREFIX)
-            address = orjson.loads(entry.value or b"{}").get("peers", "")
+            address = nodeentry.decode(entry.value).peers
             if name != self.node and address:
                 found[name] = address
         return found
--- a/src/kingcupscale/leadership.py
+++ b/src/kingcupscale/leadership.py
@@ -106,6 +106,7 @@
                     await self.autoscaler.run_once()
                 await self._delete_expired_batches()
 
+            await self.runtime.settling.wait()
             await locks.run_while_held(
                 self.lock,
                 work,
@@ -273,6 +274,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._monitor_holder)
             nursery.start_soon(self.replicator.run)
+            await self.runtime.settling.wait()
             await locks.run_while_held(
                 self.lock, self._do_nothing, self._rank, DUTY_INTERVAL_S
             )
@@ -321,10 +323,17 @@
         return surplus == self.lock.name
 
     async def _transfer(self) -> None:
-        """Transfers the samples and the duty to a node without a duty."""
+        """Transfers the samples and the duty to a node without a duty.
+
+        The duty stays if this node would still rank before the other one. This
+        is the case if the other one is much weaker.
+        """
         target = self._find_successor()
-        holders = self.runtime.candidates.holders()
-        if target is None or target[0] in holders.values():
+        nodes = self.runtime.candidates
+        if target is None or target[0] in nodes.holders().values():
+            return
+        ranking = self._ranking()
+        if nodes.position(ranking) < ranking.index(target[0]):
             return
         if not await self.replicator.hand_over():
             return
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -35,12 +35,22 @@
         reports_usage="metering" in duties,
         orders_servers="autoscaling" in duties,
         bounds=_read_bounds(reader),
+        capacity_cores=_read_capacity(reader),
+        memory_mb=reader.number("limits.memoryMb", 0.0),
     )
     if reader.problems:
         raise settings.SettingsError(path, reader.problems)
     return loaded
 
 
+def _read_capacity(reader: "_Reader") -> float | None:
+    """Returns the VM's capacity in cores; None if it is not configured."""
+    names = ("limits.cpuShare", "limits.cores")
+    if not any(reader.text(name) for name in names):
+        return None
+    return math.prod(reader.number(name, 1.0) for name in names)
+
+
 def _read_bounds(reader: "_Reader") -> deployment.Bounds:
     defaults = deployment.Bounds()
     return deployment.Bounds(
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-import orjson
 import trio
 
 from kingcupscale import candidates
@@ -14,10 +13,12 @@
 from kingcupscale import metrics
 from kingcupscale import readiness
 from kingcupscale import retirements
+from kingcupscale import settling
 from kingcupscale.batches import cache as caches
 from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import nodeentry
 from kingcupscale.fleet import peers
 from kingcupscale.fleet import registry
 from kingcupscale.gateway import admission as admissions
@@ -147,7 +148,12 @@
             self.clock,
             settings.node,
             REGISTRATION_LEASES * ttl_s,
-            orjson.dumps({"peers": settings.peers}),
+            nodeentry.encode(
+                settings.peers, settings.capacity_cores, settings.memory_mb
+            ),
+        )
+        self.settling = settling.Settling(
+            self.clock, settings.capacity_cores is not None
         )
         self.candidates = candidates.Candidates(self.mirror, settings.node)
         self.mirror.subscribe(locks.NODES_PREFIX, self._on_node_changed)
@@ -334,6 +340,8 @@
             await self.clock.sleep_aligned(INTEREST_INTERVAL_S)
 
     def _poll_interval_s(self) -> float:
+        if self.settling.left_s() > 0:
+            return settling.POLL_INTERVAL_S
         if self.is_leader():
             return LEADER_POLL_INTERVAL_S
         is_needed = self.batch_cache.waiting_readers or any(
@@ -352,6 +360,8 @@
 
     def _on_node_changed(self, entry: stores.Entry) -> None:
         """Has this node's own entry written again if it was removed."""
+        if entry.value is not None:
+            self.settling.note_node(entry.key)
         is_own = entry.key == locks.NODES_PREFIX + self.settings.node
         if is_own and entry.value is None:
             self.registration.note_removed()
@@ -440,6 +450,7 @@
         """Campaigns for the usage duty, and reports while holding it."""
         if not self.settings.reports_usage:
             return
+        await self.settling.wait()
         await locks.run_while_held(
             self.reporter.duty_lock,
             self._run_usage_duty,
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -116,7 +116,7 @@
 class Node:
     """A node that runs on a site."""
 
-    def __init__(self, site, name, zone):
+    def __init__(self, site, name, zone, cores=None):
         self.site = site
         self.name = name
         settings = deployment.ProcessSettings(
@@ -135,6 +135,7 @@
             reports_usage=True,
             orders_servers=False,
             bounds=deployment.Bounds(),
+            capacity_cores=cores,
         )
         client = networks.MemoryHttpClient(site.network, name)
         self.runtime = process.make_runtime(
--- a/tests/platform/test_files.py
+++ b/tests/platform/test_files.py
@@ -37,6 +37,22 @@
         with tempfile.TemporaryDirectory() as folder:
             return settingsfile.load(write(folder, text))
 
+    @parameterized.parameterized.expand(
+        [
+            ("both", {"limits.cpuShare": "0.43", "limits.cores": "1.2"}, 0.516),
+            ("share", {"limits.cpuShare": "0.5"}, 0.5),
+            ("cores", {"limits.cores": "2.5"}, 2.5),
+            ("neither", {}, None),
+        ]
+    )
+    def test_capacity_is_the_share_of_a_core_times_its_speed(
+        self, _, fields, expected
+    ):
+        """Guards against weak nodes that count as strong."""
+        loaded = self._load(**fields, **{"limits.memoryMb": "560"})
+        self.assertEqual(loaded.capacity_cores, expected)
+        self.assertEqual(loaded.memory_mb, 560)
+
     def test_fields_are_converted_to_seconds(self):
         loaded = self._load()
         self.assertEqual(loaded.bounds.lease_s, 3.0)
