Distribute followers over the leaders and order loads in their own loop

Cause: every node followed the first leader and asked the second one only if the first failed, so one node served 54 others. On the leader, load orders waited for server orders and for deletions of batches, which may take seconds.

Change: a node orders the leaders by rendezvous hash of its own name and tries the others next. Load orders have a loop of their own, which runs only while the duty's lock is held.

Tests: tests.platform.test_followers. With a fixed order of leaders, the three distribution tests fail (limit: 1.5 times an even share); with load orders in the common loop, test_loads_do_not_wait_for fails in both cases.

--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -22,6 +22,7 @@
     PEER_SILENT = (2103, "Another node does not answer.")
     PEER_BACK = (2104, "Another node answers again.")
     FLEET_SETTLED = (2110, "A started node campaigns for duties from now on.")
+    FOLLOWED_CHANGED = (2111, "The node follows another node's changes.")
     ADMISSION_CHANGED = (2102, "The node started or stopped admitting.")
     CONFIGURATION_APPLIED = (2201, "A configuration revision is in force.")
     CONFIGURATION_CHANGED = (2202, "An operator's change was accepted.")
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -6,6 +6,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale import rendezvous
 from kingcupscale.batches import interest as interests
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import nodeentry
@@ -49,6 +50,7 @@
             changes, by node.
         failed_until: Monotonic time before which a node is sent no copies, by
             node.
+        followed: The node that returned changes last; empty for none.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self.unresponsive_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
         self.failed_until: dict[str, float] = {}
+        self.followed = ""
 
     def addresses(self) -> dict[str, str]:
         """Returns the other nodes' addresses by name."""
@@ -98,13 +101,14 @@
         return (entry.value or b"").decode() if entry else ""
 
     def leaders(self) -> list[str]:
-        """Returns the other nodes that watch the store, in a fixed order.
+        """Returns the other nodes that watch the store, preferred first.
 
         Changes are fetched from these only: nodes that fetch from each other
-        would only return each other's changes.
+        would only return each other's changes. The order differs by node, so
+        that the followers are distributed over the leaders.
         """
-        names = [self.holder(duty) for duty in sorted(self.watching_duties())]
-        return [n for n in dict.fromkeys(names) if n and n != self.node]
+        names = {self.holder(duty) for duty in self.watching_duties()}
+        return rendezvous.rank(self.node, names - {"", self.node})
 
     def peer_answered_at(self) -> float | None:
         """Returns when any node last responded; None if no other is known."""
@@ -146,9 +150,17 @@
                 name, addresses[name], position, interest
             )
             if changes is not None:
+                self._note_followed(name)
                 return changes
         return None
 
+    def _note_followed(self, name: str) -> None:
+        if name != self.followed:
+            events.log(
+                events.Event.FOLLOWED_CHANGED, node=self.node, followed=name
+            )
+            self.followed = name
+
     async def fetch_snapshot(
         self, batch_id: str, nodes: list[str]
     ) -> records.RecordSnapshot | None:
--- a/src/kingcupscale/leadership.py
+++ b/src/kingcupscale/leadership.py
@@ -99,9 +99,9 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self.coordinator.run)
+            nursery.start_soon(self._order_loads, nursery)
 
             async def work() -> None:
-                await self.loader.step(nursery)
                 if self.runtime.settings.orders_servers:
                     await self.autoscaler.run_once()
                 await self._delete_expired_batches()
@@ -114,6 +114,17 @@
                 DUTY_INTERVAL_S,
             )
 
+    async def _order_loads(self, nursery: trio.Nursery) -> None:
+        """Orders loads while the duty is held.
+
+        Engines without the newest weights run no samples, so loads do not wait
+        for server orders and deletions, which may take seconds.
+        """
+        while True:
+            if self.lock.is_held():
+                await self.loader.step(nursery)
+            await self.runtime.clock.sleep_aligned(DUTY_INTERVAL_S)
+
     async def _delete_expired_batches(self) -> None:
         now = self.runtime.clock.monotonic()
         if now - self.retention_ran_at < RETENTION_INTERVAL_S:
--- /dev/null
+++ b/tests/platform/test_followers.py
@@ -0,0 +1,166 @@
+"""Choice of the followed leader, and the leader's work under load.
+
+Guards against all nodes following the same leader, against a follower that
+stays without changes because one leader fails, and against load orders that
+wait for the leader's other work.
+"""
+
+import collections
+import random
+import unittest
+
+import attrs
+import parameterized
+import trio
+
+from kingcupscale.batches import interest
+from kingcupscale.fakes import virtualtime
+from kingcupscale.fleet import nodeentry
+from kingcupscale.fleet import peers
+from kingcupscale.peering import relay
+from kingcupscale.storage import changelog
+from kingcupscale.storage import locks
+from kingcupscale.storage import mirror as mirrors
+from kingcupscale.storage import store as stores
+from tests import virtual
+from tests.platform import harness
+
+FLEET = [f"n{number}" for number in range(55)]
+POSITION = changelog.Position("", 0, 0)
+# Most followers of a leader, as a multiple of an even share.
+MAX_SHARE = 1.5
+
+
+class FakeRelayClient:
+    """Returns no changes from each node that is not silent.
+
+    Attributes:
+        silent: Addresses of the nodes that do not respond.
+        asked: Addresses that were asked, in order.
+    """
+
+    def __init__(self):
+        self.silent = set()
+        self.asked = []
+
+    async def follow(self, address, position, interest):
+        self.asked.append(address)
+        if address in self.silent:
+            raise relay.RelayError("no response")
+        return changelog.Changes([], position, 0.0, 0)
+
+
+def make_peers(node, leaders):
+    """Returns a node's peers in a fleet whose services have these leaders."""
+    mirror = mirrors.StoreMirror(None, None, node, None, None)
+    duties = [f"service {number}" for number in range(len(leaders))]
+    for name in FLEET:
+        value = nodeentry.encode(name, None, 0.0)
+        mirror.apply(stores.Entry(locks.NODES_PREFIX + name, value, 1, 1))
+    for duty, leader in zip(duties, leaders, strict=True):
+        key, value = locks.DUTIES_PREFIX + duty, f"{leader} 7".encode()
+        mirror.apply(stores.Entry(key, value, 1, 1))
+    found = peers.Peers(
+        node,
+        FakeRelayClient(),
+        None,
+        virtualtime.VirtualClock(),
+        random.Random(1),
+        lambda: duties,
+    )
+    found.mirror = mirror
+    return found
+
+
+class FollowerTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("two", ["n3", "n7"]),
+            ("three", ["n3", "n7", "n40"]),
+            ("one_with_two_duties", ["n3", "n3", "n7"]),
+        ]
+    )
+    def test_followers_are_distributed_over_the_leaders(self, _, leaders):
+        preferred = collections.Counter()
+        for node in FLEET:
+            if node not in leaders:
+                found = make_peers(node, leaders).leaders()
+                self.assertEqual(sorted(found), sorted(set(leaders)))
+                preferred[found[0]] += 1
+        even = preferred.total() / len(set(leaders))
+        self.assertEqual(set(preferred), set(leaders))
+        self.assertLessEqual(max(preferred.values()), MAX_SHARE * even)
+
+    def test_followers_of_a_leader_that_stays_move_only_to_the_new_one(self):
+        for node in FLEET[20:]:
+            before = make_peers(node, ["n3", "n7"]).leaders()[0]
+            after = make_peers(node, ["n3", "n9"]).leaders()[0]
+            if before == "n3":
+                self.assertIn(after, ("n3", "n9"))
+
+    @virtual.on_virtual_time
+    async def test_other_leader_is_followed_while_the_preferred_one_fails(
+        self,
+    ):
+        found = make_peers("n20", ["n3", "n7"])
+        preferred, other = found.leaders()
+        found.client.silent = {preferred}
+        for _ in range(3):
+            self.assertIsNotNone(
+                await found.fetch_changes(POSITION, interest.EVERYTHING, False)
+            )
+        self.assertEqual(found.client.asked, [preferred, other, other, other])
+        self.assertEqual(found.followed, other)
+        found.client.silent = set()
+        await trio.sleep(2 * peers.RETRY_PAUSE_S)
+        await found.fetch_changes(POSITION, interest.EVERYTHING, False)
+        self.assertEqual(found.followed, preferred)
+
+    def test_leader_does_not_follow_itself(self):
+        self.assertEqual(make_peers("n3", ["n3", "n7"]).leaders(), ["n7"])
+
+
+class LoadOrderTest(unittest.TestCase):
+    @parameterized.parameterized.expand(["autoscaler", "deletions"])
+    @virtual.on_virtual_time
+    async def test_loads_do_not_wait_for(self, blocked):
+        async with harness.launch() as site:
+            leader = site.holder().runtime
+            duty = leader.services["engines"]
+            if blocked == "autoscaler":
+                leader.settings = attrs.evolve(
+                    leader.settings, orders_servers=True
+                )
+                duty.autoscaler.run_once = trio.sleep_forever
+            else:
+                duty.retention.remove_older_than = lambda _: (
+                    trio.sleep_forever()
+                )
+                duty.retention_ran_at = -1000.0
+            await trio.sleep(1)
+            site.set_target_version(2)
+            await trio.sleep(1)
+            versions = {order["version"] for _, order, _ in site.orders}
+            self.assertIn(2, versions)
+
+    @virtual.on_virtual_time
+    async def test_loads_are_ordered_only_while_the_duty_is_held(self):
+        async with harness.launch() as site:
+            other = site.other(site.holder()).runtime.services["engines"]
+            steps = []
+
+            async def step(nursery):
+                steps.append(other.lock.is_held())
+
+            other.loader.step = step
+            site.set_target_version(2)
+            await trio.sleep(2)
+            self.assertEqual(steps, [])
+            site.network.crash(site.holder().name)
+            await trio.sleep(5)
+            self.assertIn(True, steps)
+            self.assertNotIn(False, steps)
+
+
+if __name__ == "__main__":
+    unittest.main()
