--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -60,6 +60,10 @@
         orders_servers: Whether to order servers.
         bounds: Time limits.
         zone_regions: The region of each zone; empty if there are no regions.
+        capacity_cores: Processor capacity of the node's VM, in cores of normal
+            speed; None if it is not configured.
+        memory_mb: Memory of the node's VM in megabytes; 0 if it is not
+            configured.
     """
 
     node: str
@@ -78,3 +82,5 @@
     orders_servers: bool
     bounds: Bounds
     zone_regions: dict[str, str] = attrs.field(factory=dict)
+    capacity_cores: float | None = None
+    memory_mb: float = 0.0
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable
 import random
 
-import orjson
-
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale import rendezvous
 from kingcupscale.batches import interest as interests
 from kingcupscale.batches import record as records
+from kingcupscale.fleet import nodeentry
 from kingcupscale.peering import calls
 from kingcupscale.peering import commits
 from kingcupscale.peering import relay
@@ -50,6 +50,7 @@
             changes, by node.
         failed_until: Monotonic time before which a node is sent no copies, by
             node.
+        followed: The node that returned changes last; empty for none.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.unresponsive_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
         self.failed_until: dict[str, float] = {}
+        self.followed = ""
 
     def addresses(self) -> dict[str, str]:
         """Returns the other nodes' addresses by name."""
@@ -80,7 +82,7 @@
         found = {}
         for entry in self.mirror.entries_under(locks.NODES_PREFIX):
             name = entry.key.removeprefix(locks.NODES_PREFIX)
-            address = orjson.loads(entry.value or b"{}").get("peers", "")
+            address = nodeentry.decode(entry.value).peers
             if name != self.node and address:
                 found[name] = address
         return found
@@ -99,13 +101,14 @@
         return (entry.value or b"").decode() if entry else ""
 
     def leaders(self) -> list[str]:
-        """Returns the other nodes that watch the store, in a fixed order.
+        """Returns the other nodes that watch the store, preferred first.
 
         Changes are fetched from these only: nodes that fetch from each other
-        would only return each other's changes.
+        would only return each other's changes. The order differs by node, so
+        that the followers are distributed over the leaders.
         """
-        names = [self.holder(duty) for duty in sorted(self.watching_duties())]
-        return [n for n in dict.fromkeys(names) if n and n != self.node]
+        names = {self.holder(duty) for duty in self.watching_duties()}
+        return rendezvous.rank(self.node, names - {"", self.node})
 
     def peer_answered_at(self) -> float | None:
         """Returns when any node last responded; None if no other is known."""
@@ -147,9 +150,17 @@
                 name, addresses[name], position, interest
             )
             if changes is not None:
+                self._note_followed(name)
                 return changes
         return None
 
+    def _note_followed(self, name: str) -> None:
+        if name != self.followed:
+            events.log(
+                events.Event.FOLLOWED_CHANGED, node=self.node, followed=name
+            )
+            self.followed = name
+
     async def fetch_snapshot(
         self, batch_id: str, nodes: list[str]
     ) -> records.RecordSnapshot | None:
--- a/src/kingcupscale/leadership.py
+++ b/src/kingcupscale/leadership.py
@@ -99,13 +99,14 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self.coordinator.run)
+            nursery.start_soon(self._order_loads, nursery)
 
             async def work() -> None:
-                await self.loader.step(nursery)
                 if self.runtime.settings.orders_servers:
                     await self.autoscaler.run_once()
                 await self._delete_expired_batches()
 
+            await self.runtime.settling.wait()
             await locks.run_while_held(
                 self.lock,
                 work,
@@ -113,6 +114,17 @@
                 DUTY_INTERVAL_S,
             )
 
+    async def _order_loads(self, nursery: trio.Nursery) -> None:
+        """Orders loads while the duty is held.
+
+        Engines without the newest weights run no samples, so loads do not wait
+        for server orders and deletions, which may take seconds.
+        """
+        while True:
+            if self.lock.is_held():
+                await self.loader.step(nursery)
+            await self.runtime.clock.sleep_aligned(DUTY_INTERVAL_S)
+
     async def _delete_expired_batches(self) -> None:
         now = self.runtime.clock.monotonic()
         if now - self.retention_ran_at < RETENTION_INTERVAL_S:
@@ -273,6 +285,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._monitor_holder)
             nursery.start_soon(self.replicator.run)
+            await self.runtime.settling.wait()
             await locks.run_while_held(
                 self.lock, self._do_nothing, self._rank, DUTY_INTERVAL_S
             )
@@ -321,10 +334,17 @@
         return surplus == self.lock.name
 
     async def _transfer(self) -> None:
-        """Transfers the samples and the duty to a node without a duty."""
+        """Transfers the samples and the duty to a node without a duty.
+
+        The duty stays if this node would still rank before the other one. This
+        is the case if the other one is much weaker.
+        """
         target = self._find_successor()
-        holders = self.runtime.candidates.holders()
-        if target is None or target[0] in holders.values():
+        nodes = self.runtime.candidates
+        if target is None or target[0] in nodes.holders().values():
+            return
+        ranking = self._ranking()
+        if nodes.position(ranking) < ranking.index(target[0]):
             return
         if not await self.replicator.hand_over():
             return
