Limit the requests that a cold server gets from all nodes

Change: a server of a service with coldPerS is cold after its start, after a failed connection, after the evacuation of its zone and for as long as it reports. Its requests are shared by a few nodes, selected by rendezvous hashing, and by the models for samples; shares add up to half of the limit, so that a second list of senders in a partition or a handover fits. A node counts its requests in a sliding window, reserves a place when it chooses the server and checks the share right before the first byte. An invalid cold time no longer makes a server's entry invalid: it is logged and ignored, or shortened.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -361,6 +361,7 @@
         waiting = [
             s for s in self.open_samples() if s.stage is samples.Stage.WAITING
         ]
+        self.eligibility.hold_samples(self.service, self.active_models)
         self._move_slow_runs(now, waiting)
         usable = [
             s
@@ -381,6 +382,9 @@
             # between takes effect.
             assignment.sample.scope = trio.CancelScope()
             assignment.server.in_flight += 1
+            self.eligibility.reserve(
+                assignment.server, assignment.sample.record.batch.model
+            )
             self._record_prompt(assignment)
             nursery.start_soon(self._run_task, assignment)
 
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -166,7 +166,9 @@
             resume_after=sample.resume_after(),
             priority=min(9, sample.route.priority),
             before_send=self.eligibility.guard(
-                server, functools.partial(self.guard.check, sample)
+                server,
+                functools.partial(self.guard.check, sample),
+                sample.record.batch.model,
             ),
         )
 
@@ -200,6 +202,8 @@
         """Updates what is known of an engine that rejected a run."""
         now = self.clock.monotonic()
         model = sample.record.batch.model
+        if response.wrong_server:
+            self.eligibility.refund(server, model)
         if not response.wrong_server:
             server.no_samples_until[model] = now + REJECTED_PAUSE_S
         elif response.version:
--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -5,7 +5,7 @@
 
 @attrs.frozen
 class Bounds:
-    """Time limits that the deployment requires, in seconds.
+    """Limits that the deployment requires, times in seconds.
 
     Attributes:
         contact_s: Time without a disturbance after which a node is healthy;
@@ -23,6 +23,10 @@
             stop being sent.
         retention_s: Time for which an ended batch can still be read.
         evacuate_s: Time until an evacuation of a zone is in effect.
+        cold_overage: Factor by which a cold server may exceed its requests per
+            second (not a time).
+        cold_slack: Requests by which it may exceed them in addition (not a
+            time).
     """
 
     contact_s: float = 3.0
@@ -36,6 +40,8 @@
     cancel_s: float = 3.0
     retention_s: float = 120.0
     evacuate_s: float = 5.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 @attrs.frozen
--- a/src/kingcupscale/fleet/catalogue.py
+++ b/src/kingcupscale/fleet/catalogue.py
@@ -103,6 +103,10 @@
             without a model.
         models: Names of the models that its engines serve.
         scaling: Limits of autoscaling; None if it is not autoscaled.
+        cold_start_s: Seconds for which a server is cold after a start during
+            traffic; 0 for never.
+        cold_per_s: Requests per second that a cold server can handle; 0 for no
+            limit.
     """
 
     name: str
@@ -110,6 +114,8 @@
     slots: int = 0
     models: tuple[str, ...] = ()
     scaling: Scaling | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -8,56 +8,193 @@
 from collections.abc import Iterable
 import functools
 
+import attrs
+
+from kingcupscale import events
+from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import coldshares
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
 
+# Sender of single calls and scoring calls. Other senders are models: one node
+# sends all samples of a model.
+CALLS = ""
+# Samples of a model are held back from a cold server for this long, then its
+# share is computed again.
+HOLD_S = 0.05
+
+
+@attrs.frozen
+class ColdLimits:
+    """How many requests a cold server may get in a second.
+
+    Attributes:
+        overage: Factor of the requests per second that it can handle.
+        slack: Constant that is added.
+    """
+
+    overage: float = 1.5
+    slack: float = 5.0
+
+    def limit(self, per_s: float) -> float:
+        """Returns the limit of a service's cold servers."""
+        return per_s * self.overage + self.slack
+
 
 class Eligibility:
     """Applies the rules that exclude servers from requests.
 
     Args:
         servers: Registry of the backend servers.
+        senders: The nodes among which a cold server's requests are shared;
+            None if cold servers are not limited.
+        current_catalogue: Returns the configuration in force.
+        limits: Limits of cold servers.
     """
 
-    def __init__(self, servers: registry.ServerRegistry) -> None:
+    def __init__(
+        self,
+        servers: registry.ServerRegistry,
+        senders: coldshares.Senders | None = None,
+        current_catalogue: Callable[[], catalogue.Catalogue | None] = lambda: (
+            None
+        ),
+        limits: ColdLimits | None = None,
+    ) -> None:
         self.servers = servers
-
-    def find_exclusion(self, server: registry.Server) -> str:
-        """Returns why a server may not be sent a request; empty if it may."""
-        if server.is_evacuated():
-            return f"zone {server.entry.zone} is evacuated"
-        return ""
+        self.senders = senders
+        self.current_catalogue = current_catalogue
+        self.limits = limits or ColdLimits()
+        self.clock = servers.clock
 
     def filter(
-        self, servers: Iterable[registry.Server]
+        self, servers: Iterable[registry.Server], sender: str = CALLS
     ) -> list[registry.Server]:
-        """Returns the servers to which a request may be sent."""
-        return [s for s in servers if not self.find_exclusion(s)]
+        """Returns the servers to which a request may be sent.
+
+        Args:
+            servers: The candidates.
+            sender: The sample's model; ``CALLS`` for a call.
+        """
+        return [
+            s
+            for s in servers
+            if not s.is_evacuated() and self._has_room(s, sender)
+        ]
+
+    def hold_samples(self, service: str, models: Iterable[str]) -> None:
+        """Keeps samples off the cold servers that have no room for them."""
+        if self._limited(service) is None:
+            return
+        for server in self.servers.list_servers(service):
+            for model in models:
+                self._hold_if_full(server, model)
+
+    def _hold_if_full(self, server: registry.Server, model: str) -> None:
+        if not self._has_room(server, model):
+            server.no_samples_until[model] = max(
+                server.no_samples_until.get(model, 0.0),
+                self.clock.monotonic() + HOLD_S,
+            )
+
+    def reserve(self, server: registry.Server, sender: str = CALLS) -> None:
+        """Records that a request was placed on a server and is sent soon."""
+        if server.cold is None or self._limited(server.entry.service) is None:
+            return
+        server.cold.window(sender).reserve(self.clock.monotonic())
+        if sender != CALLS:
+            self._hold_if_full(server, sender)
+
+    def refund(self, server: registry.Server, sender: str = CALLS) -> None:
+        """Records that another server has answered the latest request."""
+        if server.cold is not None:
+            server.cold.window(sender).refund()
 
     def guard(
         self,
         server: registry.Server,
         before_send: Callable[[], None] | None = None,
+        sender: str = CALLS,
     ) -> Callable[[], None]:
         """Returns the check right before the first byte of a request.
 
         Args:
             server: The server that the request goes to.
             before_send: Another check that comes first; None for none.
+            sender: The sample's model; ``CALLS`` for a call.
 
         Returns:
             A function that raises ``IneligibleError`` if the server may not
-            be sent the request any more.
+            be sent the request any more, and else counts the request.
         """
-        return functools.partial(self._check, server, before_send)
+        return functools.partial(self._check, server, before_send, sender)
 
     def _check(
         self,
         server: registry.Server,
         before_send: Callable[[], None] | None,
+        sender: str,
     ) -> None:
         if before_send is not None:
             before_send()
-        reason = self.find_exclusion(server)
-        if reason:
-            raise serverclient.IneligibleError(reason)
+        if server.is_evacuated():
+            raise serverclient.IneligibleError("the server's zone is evacuated")
+        if server.cold is None or self._limited(server.entry.service) is None:
+            return
+        now = self.clock.monotonic()
+        window = server.cold.window(sender)
+        if self.is_cold(server) and window.count_sent(now) >= self._share(
+            server, sender
+        ):
+            raise serverclient.IneligibleError("the server is cold")
+        # Counted while the server is warm too: when it turns out to be cold,
+        # the requests of the last second are known.
+        window.send(now)
+
+    def is_cold(self, server: registry.Server) -> bool:
+        """Returns whether the requests to a server are limited at present."""
+        service = self._limited(server.entry.service)
+        if service is None or server.cold is None:
+            return False
+        until = server.cold.cold_until(
+            service.cold_start_s,
+            self.servers.evacuations.ended_at.get(server.entry.zone),
+        )
+        is_cold = self.clock.monotonic() < until
+        if is_cold != server.cold.was_cold:
+            server.cold.was_cold = is_cold
+            events.log(events.Event.SERVER_COLD, server=server.id, cold=is_cold)
+        return is_cold
+
+    def _has_room(self, server: registry.Server, sender: str) -> bool:
+        if server.cold is None or not self.is_cold(server):
+            return True
+        return server.cold.window(sender).has_room(
+            self._share(server, sender), self.clock.monotonic()
+        )
+
+    def _limited(self, name: str) -> catalogue.Service | None:
+        """Returns a service whose cold servers are limited, or None."""
+        configured = self.current_catalogue()
+        if configured is None or self.senders is None:
+            return None
+        service = configured.services.get(name)
+        if service is None or service.cold_per_s <= 0:
+            return None
+        return service
+
+    def _share(self, server: registry.Server, sender: str) -> int:
+        """Returns how many requests this node may send to a cold server."""
+        configured = self.current_catalogue()
+        service = self._limited(server.entry.service)
+        if configured is None or service is None or self.senders is None:
+            return 0
+        kinds = {r.kind for r in configured.routes_to(service.name)}
+        calls, samples = coldshares.split(
+            self.limits.limit(service.cold_per_s),
+            bool(kinds - {catalogue.RouteKind.BATCH}),
+            catalogue.RouteKind.BATCH in kinds,
+        )
+        if sender == CALLS:
+            return self.senders.share(server.id, calls)
+        return coldshares.share(server.id, service.models, sender, samples)
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -12,6 +12,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale.fleet import evacuation
+from kingcupscale.fleet import warmup
 
 # After the store has recovered, servers have this long to register again before
 # a missing entry means that they have stopped.
@@ -50,7 +51,8 @@
             under the same id means that the server has restarted.
         versions: Weight version by model.
         is_spot: Whether its VM is a spot VM, which may be reclaimed.
-        warmup_s: Seconds for which it is still slow after its start.
+        warmup_s: Seconds for which it remains cold, as it reports itself; None
+            if it does not. Any float, as nothing has checked the report.
     """
 
     id: str
@@ -62,7 +64,7 @@
     start_ms: int
     versions: dict[str, int] = attrs.field(factory=dict)
     is_spot: bool = False
-    warmup_s: float = 0.0
+    warmup_s: float | None = None
 
 
 @attrs.define(eq=False)
@@ -92,6 +94,7 @@
         removed_at: Monotonic time at which the entry went missing; None while
             it exists.
         evacuations: The evacuated zones; None if there can be none.
+        cold: Until when it is cold; None if this is not tracked.
     """
 
     entry: ServerEntry
@@ -109,6 +112,7 @@
     is_removed: bool = False
     removed_at: float | None = None
     evacuations: evacuation.Evacuations | None = None
+    cold: warmup.ColdState | None = None
 
     @property
     def id(self) -> str:
@@ -207,6 +211,8 @@
         servers: The servers by id.
         leaving_starts: Start times of removed servers that were leaving, by
             id.
+        services_seen_ms: Unix times in milliseconds at which the first server
+            of each service was seen.
     """
 
     def __init__(
@@ -222,11 +228,13 @@
         self.is_store_unreachable = is_store_unreachable
         self.servers: dict[str, Server] = {}
         self.leaving_starts: dict[str, int] = {}
+        self.services_seen_ms: dict[str, float] = {}
 
     def register(self, entry: ServerEntry) -> None:
         """Adds a server, or updates it, by its entry in the store."""
         known = self.servers.get(entry.id)
         if known is None or known.entry.start_ms != entry.start_ms:
+            cold = self._make_cold_state(entry, known is not None)
             if known is not None:
                 known.is_removed = True
             self.servers[entry.id] = Server(
@@ -234,6 +242,7 @@
                 versions=dict(entry.versions),
                 is_leaving=self.leaving_starts.get(entry.id) == entry.start_ms,
                 evacuations=self.evacuations,
+                cold=cold,
             )
             events.log(
                 events.Event.SERVER_ENTERED,
@@ -249,12 +258,29 @@
                 server=entry.id,
                 state=entry.state.value,
             )
+        if known.cold is not None:
+            known.cold.report(warmup.Source.ENTRY, entry.warmup_s)
         known.entry = entry
         known.removed_at = None
         known.is_removed = False
         for model, version in entry.versions.items():
             known.versions[model] = max(known.versions.get(model, 0), version)
 
+    def _make_cold_state(
+        self, entry: ServerEntry, is_restart: bool
+    ) -> warmup.ColdState:
+        """Returns the state of a server that was not known or has restarted."""
+        wall_s = self.clock.now().timestamp()
+        seen_ms = self.services_seen_ms.setdefault(entry.service, 1000 * wall_s)
+        started_at = None
+        if is_restart or entry.start_ms > seen_ms:
+            started_at = warmup.estimate_start(
+                entry.start_ms, wall_s, self.clock.monotonic(), is_restart
+            )
+        state = warmup.ColdState(entry.id, self.clock, started_at)
+        state.report(warmup.Source.ENTRY, entry.warmup_s)
+        return state
+
     def remove(self, server_id: str) -> None:
         """Records that a server's entry has been removed from the store."""
         known = self.servers.get(server_id)
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -214,6 +214,7 @@
             usable = [
                 s for s in usable if s.load(now) < max(1, s.entry.slots - 1)
             ]
+        usable = self.eligibility.filter(usable)
         untried = [s for s in usable if s.id not in state.tried]
         return placement.choose(untried or usable, self.zone, now, self.rng)
 
@@ -232,6 +233,7 @@
         timeout_s = left_s
         if state.route.allows_retry() and not state.route.is_streaming:
             timeout_s = min(left_s, self._attempt_timeout_s(state))
+        self.eligibility.reserve(server)
         call = self._make_call(inbound, state, server, left_s)
         server.in_flight += 1
         response: message.Response | None = None
@@ -351,6 +353,7 @@
             return False
         state.unavailable.add(server.id)
         if server_response.wrong_server:
+            self.eligibility.refund(server)
             server.record_failure(now)
         return True
 
--- a/src/kingcupscale/platform/documents.py
+++ b/src/kingcupscale/platform/documents.py
@@ -1,11 +1,13 @@
 """Decodes and encodes the platform's JSON documents."""
 
 import base64
+import math
 import re
 from typing import Any
 
 import orjson
 
+from kingcupscale import events
 from kingcupscale.batches import batch
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import registry
@@ -99,9 +101,25 @@
         slots=int(engine.get("slots", 0)),
         models=tuple(model["name"] for model in engine.get("models", ())),
         scaling=_decode_scaling(scaling) if scaling else None,
+        cold_start_s=_optional_number(service, "coldStartS"),
+        cold_per_s=_optional_number(service, "coldPerS"),
     )
 
 
+def _optional_number(fields: dict[str, Any], name: str) -> float:
+    """Returns an optional number; 0 if it is missing or invalid."""
+    value = fields.get(name, 0)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0 <= value < math.inf:
+        return float(value)
+    events.log(
+        events.Event.CONFIGURED_VALUE_IGNORED,
+        name=name,
+        found=_type_name(value),
+    )
+    return 0.0
+
+
 def _decode_scaling(scaling: dict[str, Any]) -> catalogue.Scaling:
     spot = scaling.get("spotPrice")
     return catalogue.Scaling(
@@ -153,10 +171,35 @@
         start_ms=integer(entry, "born") if "born" in entry else 0,
         versions=decode_versions(entry.get("models", [])),
         is_spot=bool(entry.get("spot", False)),
-        warmup_s=integer(entry, "coldRemainingMs") / 1000,
+        warmup_s=_cold_s(entry),
     )
 
 
+def _cold_s(entry: dict[str, Any]) -> float | None:
+    """Returns the cold time of an entry in seconds; None if it has none.
+
+    A value that is no number is returned as NaN, so that it is logged and
+    ignored. It does not make the entry invalid.
+    """
+    value = entry.get("coldRemainingMs")
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return math.nan
+    return value / 1000
+
+
+def parse_cold_s(text: str | None) -> float | None:
+    """Returns the seconds of a header in milliseconds; None if it is missing.
+
+    NaN if it is no number.
+    """
+    if text is None:
+        return None
+    milliseconds = parse_integer(text)
+    return math.nan if milliseconds is None else milliseconds / 1000
+
+
 def _address(entry: dict[str, Any]) -> str:
     """Returns the address of an entry as ``host:port``."""
     address = _string(entry, "address")
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -9,6 +9,7 @@
 
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
+from kingcupscale.fleet import warmup
 from kingcupscale.platform import documents
 from kingcupscale.platform import names
 from kingcupscale.storage import locks
@@ -59,7 +60,7 @@
             async with self.http_client.open(
                 server.entry.address, request, call.timeout_s
             ) as response:
-                _mark_leaving(server, response)
+                _observe(server, response)
                 answer = _decode_answer(response)
                 echoed = response.headers.get(names.REQUEST_ID)
                 # Every answer but a refusal must echo the request's id. One
@@ -78,6 +79,7 @@
                         # for the next one.
                         response.retire_connection()
         except httpclient.RequestError as e:
+            _note_failure(server, e)
             raise serverclient.ServerError(
                 e.reason, e.may_have_been_sent
             ) from e
@@ -161,6 +163,7 @@
                 MAX_REPORT_BYTES,
             )
         except httpclient.RequestError as e:
+            _note_failure(server, e)
             raise serverclient.ServerError(
                 e.reason, e.may_have_been_sent
             ) from e
@@ -170,7 +173,7 @@
             # Servers sign only answers to callers' requests, so this is a late
             # copy of such an answer.
             raise serverclient.ServerError("answer to another request", True)
-        _mark_leaving(server, response)
+        _observe(server, response)
         return response
 
 
@@ -183,6 +186,14 @@
         raise serverclient.IneligibleError("the server's zone is evacuated")
 
 
+def _note_failure(
+    server: registry.Server, error: httpclient.RequestError
+) -> None:
+    """Records that no connection to a server could be opened."""
+    if server.cold is not None and not error.may_have_been_sent:
+        server.cold.note_unreachable()
+
+
 def _mark_leaving(server: registry.Server, response: message.Response) -> None:
     """Marks a server as leaving if its own answer says so.
 
@@ -196,6 +207,18 @@
         server.mark_leaving()
 
 
+def _observe(server: registry.Server, response: message.Response) -> None:
+    """Records what an answer says of leaving and being cold."""
+    _mark_leaving(server, response)
+    is_own = response.status != 421
+    if server.cold is not None and is_own:
+        server.cold.note_response()
+        server.cold.report(
+            warmup.Source.RESPONSE,
+            documents.parse_cold_s(response.headers.get(names.COLD_MS)),
+        )
+
+
 def _encode_headers(
     server: registry.Server, call: serverclient.Call
 ) -> dict[str, str]:
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -62,6 +62,8 @@
         evacuate_s=reader.milliseconds(
             "bounds.evacuateMs", defaults.evacuate_s
         ),
+        cold_overage=reader.number("bounds.coldOverage", defaults.cold_overage),
+        cold_slack=reader.number("bounds.coldSlack", defaults.cold_slack),
     )
 
 
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -18,6 +18,8 @@
 from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import coldshares
+from kingcupscale.fleet import eligibility
 from kingcupscale.fleet import evacuation
 from kingcupscale.fleet import peers
 from kingcupscale.fleet import registry
@@ -74,6 +76,8 @@
     Attributes:
         candidates: Ranks the nodes for each duty.
         cluster_state: Configuration, servers and target weight versions.
+        eligibility: Excludes servers from requests.
+        cold_senders: The nodes that share the requests to cold servers.
         readiness: Decides whether the node may accept requests.
         callers: Handles callers' requests.
         services: This node's duty for each service, by the service's name.
@@ -135,6 +139,15 @@
                 settings.zone_regions.keys(),
             ),
         )
+        self.cold_senders = coldshares.Senders(self.clock, settings.node)
+        self.eligibility = eligibility.Eligibility(
+            self.server_registry,
+            self.cold_senders,
+            self.current_catalogue,
+            eligibility.ColdLimits(
+                settings.bounds.cold_overage, settings.bounds.cold_slack
+            ),
+        )
         self.batch_cache = caches.BatchCache(
             self.mirror,
             fallback.FallbackStore(deps.store, self.peers.commit),
@@ -200,6 +213,7 @@
             self.clock,
             deps.rng,
             settings.zone,
+            self.eligibility,
         )
         self.callers = callerservice.CallerService(
             admission,
@@ -358,7 +372,10 @@
         return not self.is_draining and not is_refusing
 
     def _on_node_changed(self, entry: stores.Entry) -> None:
-        """Has this node's own entry written again if it was removed."""
+        """Updates the senders; has this node's removed entry written again."""
+        self.cold_senders.note(
+            entry.key.removeprefix(locks.NODES_PREFIX), entry.value is not None
+        )
         is_own = entry.key == locks.NODES_PREFIX + self.settings.node
         if is_own and entry.value is None:
             self.registration.note_removed()
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -4,6 +4,7 @@
 to a server: calls, samples, scoring calls, load orders and status polls.
 """
 
+import datetime
 import unittest
 
 import parameterized
@@ -234,6 +235,9 @@
     def __init__(self):
         self.seconds = 0.0
 
+    def now(self):
+        return datetime.datetime.fromtimestamp(self.seconds, datetime.UTC)
+
     def monotonic(self):
         return self.seconds
 
