Count cold servers and evacuated zones; ignore a clock set back

Cause: a server's start was judged by the wall clocks of two VMs only. On a node whose clock is set back, every server whose entry reappears looked as if it had just started. The metrics told nothing of cold servers or evacuations.

Change: servers found by the first read of the store, and entries that reappear with the same start time, are no starts. New gauges servers_cold and zones_evacuated.

Tests: test_clock_set_back_makes_no_known_server_cold failed on both cases before.

--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -25,7 +25,7 @@
 LATENCY_WEIGHT = 0.15
 # The reported load of other nodes decays linearly to zero within this time.
 LOAD_DECAY_S = 1.0
-# Most removed servers whose leaving notice is kept.
+# Most removed servers whose start time or leaving notice is kept.
 MAX_LEAVING_STARTS = 1000
 
 
@@ -213,6 +213,7 @@
             id.
         services_seen_ms: Unix times in milliseconds at which the first server
             of each service was seen.
+        past_starts: Start times of removed servers, by id.
     """
 
     def __init__(
@@ -229,6 +230,7 @@
         self.servers: dict[str, Server] = {}
         self.leaving_starts: dict[str, int] = {}
         self.services_seen_ms: dict[str, float] = {}
+        self.past_starts: dict[str, int] = {}
 
     def register(self, entry: ServerEntry) -> None:
         """Adds a server, or updates it, by its entry in the store."""
@@ -269,11 +271,18 @@
     def _make_cold_state(
         self, entry: ServerEntry, is_restart: bool
     ) -> warmup.ColdState:
-        """Returns the state of a server that was not known or has restarted."""
+        """Returns the state of a server that was not known or has restarted.
+
+        Servers that are found by the first read of the store, or whose entry
+        reappears, have not started just now, whatever this node's clock says.
+        """
         wall_s = self.clock.now().timestamp()
         seen_ms = self.services_seen_ms.setdefault(entry.service, 1000 * wall_s)
         started_at = None
-        if is_restart or entry.start_ms > seen_ms:
+        is_known_start = self.past_starts.get(entry.id) == entry.start_ms
+        is_first_read = not self.evacuations.is_read()
+        is_start = is_restart or entry.start_ms > seen_ms
+        if is_start and not is_first_read and not is_known_start:
             started_at = warmup.estimate_start(
                 entry.start_ms, wall_s, self.clock.monotonic(), is_restart
             )
@@ -307,6 +316,9 @@
         server.is_removed = True
         if server.is_leaving:
             self._keep_leaving_start(server)
+        self.past_starts[server.id] = server.entry.start_ms
+        while len(self.past_starts) > MAX_LEAVING_STARTS:
+            del self.past_starts[next(iter(self.past_starts))]
         self.servers.pop(server.id, None)
         events.log(events.Event.SERVER_GONE, server=server.id)
 
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -43,6 +43,12 @@
             for server in runtime.server_registry.servers.values()
             if server.is_usable(runtime.clock.monotonic())
         ]
+        cold_servers = [
+            server
+            for server in runtime.server_registry.servers.values()
+            if runtime.eligibility.is_cold(server)
+        ]
+        evacuated_zones = runtime.server_registry.evacuations.zones()
         return [
             f"ready {int(runtime.is_ready())}",
             f"configuration_version {catalogue.version if catalogue else 0}",
@@ -51,6 +57,8 @@
             f"duties_held {runtime.count_held_duties()}",
             f"servers_known {len(runtime.server_registry.servers)}",
             f"servers_usable {len(usable_servers)}",
+            f"servers_cold {len(cold_servers)}",
+            f"zones_evacuated {len(evacuated_zones)}",
             f"batches_known {len(runtime.batch_cache.records)}",
             f"readers_waiting {runtime.batch_cache.waiting_readers}",
         ]
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -535,6 +535,26 @@
         self.clock.seconds -= 20
         self.assertAlmostEqual(self._cold_for_s("old"), seconds, delta=0.11)
 
+    @parameterized.parameterized.expand(
+        [
+            ("entry_reappears", True, 0.0),
+            ("first_read", False, 0.0),
+            ("new_start", True, COLD_S),
+        ]
+    )
+    def test_clock_set_back_makes_no_known_server_cold(
+        self, name, is_read, seconds
+    ):
+        self.servers.register(make_entry("new", "a", 500.0))
+        if name == "entry_reappears":
+            self.servers._drop(self.servers.servers["new"])
+        if name == "first_read":
+            del self.servers.servers["new"]
+        self.servers.evacuations.is_read = lambda: is_read
+        start = 501.0 if name == "new_start" else 500.0
+        self.servers.register(make_entry("new", "a", start))
+        self.assertAlmostEqual(self._cold_for_s("new"), seconds, delta=0.11)
+
     def test_service_without_a_limit_has_no_cold_servers(self):
         self.configured = make_catalogue(per_s=0.0)
         self._reconnect(self.servers.servers["old"])
