Compare ways to share a cold server's requests in a replay

Cause: the replay of many nodes was part of a test, so the ways that were weighed could not be compared on it.

Tests: tests.test_cold_servers, the same cases as before.

--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -6,8 +6,8 @@
 import parameterized
 import trio
 
+from bench import coldreplay
 from kingcupscale.platform import names
-from tests import test_cold_servers
 from tests import virtual
 from tests.platform import harness
 from tests.platform import test_evacuation
@@ -92,10 +92,10 @@
             ]
             # The first response reports the cold time, so one more may pass.
             cold = [at for at in times if at < COLD_S - 1.5]
-            self.assertLessEqual(test_cold_servers.worst_second(cold), LIMIT)
+            self.assertLessEqual(coldreplay.worst_second(cold), LIMIT)
             self.assertGreater(len(cold), 3)
             warm = [at for at in times if at > COLD_S]
-            self.assertGreater(test_cold_servers.worst_second(warm), LIMIT)
+            self.assertGreater(coldreplay.worst_second(warm), LIMIT)
             self.assertEqual(set(statuses), {200})
 
     @virtual.on_virtual_time
@@ -114,7 +114,7 @@
             self.assertEqual(len(results), 40)
             starts = [run.at for run in site.runs if run.server == "e1"]
             cold = [at for at in starts if at < 6.5 + COLD_S]
-            self.assertLessEqual(test_cold_servers.worst_second(cold), LIMIT)
+            self.assertLessEqual(coldreplay.worst_second(cold), LIMIT)
             self.assertGreater(len(cold), 3)
 
     @virtual.on_virtual_time
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -1,4 +1,4 @@
-"""Replays of many nodes that choose at once over cold servers, off the network.
+"""Replays of many nodes that choose at once over cold servers.
 
 Every node sends to a new server at once, because it has no load. Each test
 guards against more requests in a second than the server's limit, by the time
@@ -6,247 +6,34 @@
 """
 
 import contextlib
-import datetime
-import heapq
 import itertools
 import random
 import unittest
 
-import attrs
 import parameterized
 
+from bench import coldreplay
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import coldshares
 from kingcupscale.fleet import eligibility
-from kingcupscale.fleet import evacuation
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
 from kingcupscale.fleet import warmup
-from kingcupscale.gateway import placement
 
-NODES = 31
-CALLS_PER_S = 6.0
-COLD_S = 10.0
-PER_S = 3.0
-LIMIT = eligibility.ColdLimits().limit(PER_S)
-SERVICE = "plain"
-MODELS = ("alpha", "beta", "gamma")
-BORN_S = 1_000_000
-
-
-class SteppedClock:
-    def __init__(self):
-        self.seconds = 100.0
-
-    def now(self):
-        return datetime.datetime.fromtimestamp(
-            BORN_S + self.seconds, datetime.UTC
-        )
-
-    def monotonic(self):
-        return self.seconds
-
-
-def make_catalogue(kinds=(catalogue.RouteKind.IDEMPOTENT,), per_s=PER_S):
-    routes = tuple(
-        catalogue.Route(
-            kind.value,
-            "h",
-            f"/{kind.value}/",
-            kind,
-            [catalogue.Share(SERVICE, 1)],
-        )
-        for kind in kinds
-    )
-    service = catalogue.Service(
-        SERVICE, models=MODELS, cold_start_s=COLD_S, cold_per_s=per_s
-    )
-    return catalogue.Catalogue(1, routes, {SERVICE: service}, {})
-
-
-def make_entry(name, zone, started_at=0.0):
-    return registry.ServerEntry(
-        name,
-        SERVICE,
-        f"{name}:1",
-        zone,
-        registry.ServerState.READY,
-        8,
-        int(1000 * (BORN_S + started_at)),
-    )
-
-
-class ReplayedNode:
-    """A node's view and choices; the view is about 100 ms old."""
-
-    def __init__(self, replay, name, is_limited=True):
-        self.replay = replay
-        self.name = name
-        self.lag_s = replay.rng.uniform(*replay.lag_s)
-        self.is_cut = False
-        clock = replay.clock
-        self.servers = registry.ServerRegistry(
-            clock, lambda: 0.0, lambda: False, evacuation.Evacuations(clock)
-        )
-        self.senders = coldshares.Senders(clock, name)
-        self.eligibility = eligibility.Eligibility(
-            self.servers,
-            self.senders if is_limited else None,
-            lambda: replay.configured,
-        )
-
-    def choose(self, excluded):
-        now = self.replay.clock.seconds
-        usable = [
-            s
-            for s in self.servers.list_servers(SERVICE)
-            if s.is_usable(now) and s.id not in excluded
-        ]
-        for server in usable:
-            is_busy = server.id not in self.replay.cold_from
-            server.update_load(4 if is_busy else 0, now)
-        usable = self.eligibility.filter(usable)
-        return placement.choose(usable, "a", now, self.replay.rng)
-
-
-@attrs.define
-class Arrival:
-    server: str
-    zone: str
-    at: float
-
-
-class Replay:
-    """Runs nodes that send calls, and changes of the store."""
-
-    def __init__(self, seed, nodes=NODES, is_limited=True, lag_s=(0.05, 0.15)):
-        self.lag_s = lag_s
-        self.rng = random.Random(seed)
-        self.clock = SteppedClock()
-        self.configured = make_catalogue()
-        self.queue = []
-        self.order = itertools.count()
-        self.arrivals = []
-        self.unserved = 0
-        self.blocked = 0
-        self.cold_from = {}
-        self.nodes = []
-        for number in range(nodes):
-            self.add_node(f"n{number}", is_limited)
-
-    def at(self, seconds, action):
-        heapq.heappush(self.queue, (seconds, next(self.order), action))
-
-    def add_node(self, name, is_limited=True):
-        node = ReplayedNode(self, name, is_limited)
-        known = [n.name for n in self.nodes]
-        self.nodes.append(node)
-        for other in known:
-            node.senders.note(other, True)
-        self.publish(lambda n: n.senders.note(name, True))
-        for server in self.nodes[0].servers.servers.values():
-            # A server that started before this node reports that it is cold.
-            cold_until = self.cold_from.get(server.id, -COLD_S) + COLD_S
-            left_s = max(0.0, cold_until - self.clock.seconds)
-            node.servers.register(attrs.evolve(server.entry, warmup_s=left_s))
-        self.at(self.clock.seconds + self.rng.random(), lambda: self.call(node))
-
-    def publish(self, change):
-        """Applies a change of the store to each node that is not cut off."""
-        for node in self.nodes:
-
-            def apply(node=node):
-                if not node.is_cut:
-                    change(node)
-
-            self.at(self.clock.seconds + node.lag_s, apply)
-
-    def start_server(self, name, zone, is_cold=True):
-        started_at = self.clock.seconds if is_cold else 0.0
-        if is_cold:
-            self.cold_from[name] = started_at
-        entry = make_entry(name, zone, started_at)
-        self.publish(lambda node: node.servers.register(entry))
-
-    def evacuate(self, zone, is_evacuated):
-        self.publish(
-            lambda node: (
-                node.servers.evacuations.begin(zone)
-                if is_evacuated
-                else node.servers.evacuations.end(zone)
-            )
-        )
-
-    def call(self, node):
-        now = self.clock.seconds
-        self.at(
-            now + self.rng.expovariate(CALLS_PER_S), lambda: self.call(node)
-        )
-        self.connect(node, set())
-
-    def connect(self, node, excluded):
-        server = node.choose(excluded)
-        if server is None:
-            self.unserved += 1
-            return
-        node.eligibility.reserve(server)
-        check = node.eligibility.guard(server)
-        self.at(
-            self.clock.seconds + self.rng.uniform(0.002, 0.1),
-            lambda: self.send(node, server, check, excluded),
-        )
-
-    def send(self, node, server, check, excluded):
-        try:
-            check()
-        except serverclient.IneligibleError:
-            self.blocked += 1
-            self.connect(node, excluded | {server.id})
-            return
-        arrives_at = self.clock.seconds + self.rng.uniform(0.001, 0.1)
-        self.arrivals.append(Arrival(server.id, server.entry.zone, arrives_at))
-
-    def run_until(self, seconds):
-        while self.queue and self.queue[0][0] <= seconds:
-            self.clock.seconds, _, action = heapq.heappop(self.queue)
-            action()
-        self.clock.seconds = seconds
-
-    def times(self, server, start, end):
-        return sorted(
-            a.at
-            for a in self.arrivals
-            if a.server == server and start <= a.at < end
-        )
-
-
-def worst_second(times):
-    """Returns the most requests in any second, not only in whole ones."""
-    worst, first = 0, 0
-    for last, at in enumerate(times):
-        while times[first] <= at - 1.0:
-            first += 1
-        worst = max(worst, last - first + 1)
-    return worst
+COLD_S = coldreplay.COLD_S
+LIMIT = coldreplay.LIMIT
+PER_S = coldreplay.PER_S
 
 
 class ReplayTest(unittest.TestCase):
     def _assert_limited(self, replay, servers, start, seconds=COLD_S):
         for server in servers:
             times = replay.times(server, start, start + seconds)
-            self.assertLessEqual(worst_second(times), LIMIT, server)
-
-    def _start(self, seed, **options):
-        replay = Replay(seed, **options)
-        for number in range(5):
-            replay.start_server(f"w{number}", "c", is_cold=False)
-        replay.run_until(106)
-        replay.unserved = 0
-        return replay
+            self.assertLessEqual(coldreplay.worst_second(times), LIMIT, server)
 
     @parameterized.parameterized.expand([(1,), (2,), (3,)])
     def test_new_server_gets_no_more_than_its_limit(self, seed):
-        replay = self._start(seed)
+        replay = coldreplay.start(seed)
         replay.start_server("new", "c")
         replay.run_until(130)
         self._assert_limited(replay, ["new"], 106)
@@ -258,27 +45,26 @@
         self.assertGreater(len(replay.times("new", 117, 120)), 3 * LIMIT)
 
     def test_load_exceeds_the_limit_without_shares(self):
-        replay = self._start(1, is_limited=False)
+        replay = coldreplay.start(1, make_senders=None)
         replay.start_server("new", "c")
         replay.run_until(116)
         times = replay.times("new", 106, 116)
-        self.assertGreater(worst_second(times), 2 * LIMIT)
+        self.assertGreater(coldreplay.worst_second(times), 2 * LIMIT)
 
     @parameterized.parameterized.expand([(1,), (2,)])
     def test_evacuated_zone_whose_neighbours_are_cold(self, seed):
-        replay = self._start(seed)
+        replay = coldreplay.start(seed)
         for number in range(4):
             replay.start_server(f"a{number}", "a", is_cold=False)
         replay.run_until(110)
-        replay.evacuate("a", True)
+        replay.evacuate("a")
         for number in range(3):
             replay.start_server(f"b{number}", "b")
         replay.run_until(125)
         in_zone = [a.at for a in replay.arrivals if a.zone == "a"]
         self.assertLess(max(in_zone), 110.5)
         self._assert_limited(replay, ["b0", "b1", "b2"], 110)
-        replay.cold_from |= {f"a{n}": 125.0 for n in range(4)}
-        replay.evacuate("a", False)
+        replay.reopen("a")
         replay.run_until(140)
         self._assert_limited(replay, ["a0", "a1", "a2", "a3"], 125)
         self.assertGreater(len(replay.times("a0", 126, 135)), 10)
@@ -286,34 +72,32 @@
 
     @parameterized.parameterized.expand([(1, 1), (2, 10), (3, 15), (4, 30)])
     def test_partitioned_nodes_keep_their_shares(self, seed, cut_nodes):
-        replay = self._start(seed)
+        replay = coldreplay.start(seed)
         replay.start_server("new", "c")
         replay.run_until(107)
         cut = replay.nodes[:cut_nodes]
         for node in cut:
             node.is_cut = True
         for node in cut:
-            name = node.name
-            replay.publish(lambda n, name=name: n.senders.note(name, False))
+            replay.remove_entry(node.name)
         for number in range(5):
             replay.add_node(f"late{number}")
         replay.run_until(125)
         self._assert_limited(replay, ["new"], 106)
 
     def test_churn_of_nodes_keeps_the_sum(self):
-        replay = self._start(5)
+        replay = coldreplay.start(5)
         replay.start_server("new", "c")
         for number in range(40):
             replay.run_until(106 + number * 0.2)
-            gone = replay.nodes[number % NODES].name
-            replay.publish(lambda n, gone=gone: n.senders.note(gone, False))
+            replay.remove_entry(replay.nodes[number % coldreplay.NODES].name)
             replay.add_node(f"late{number}")
         replay.run_until(120)
         self._assert_limited(replay, ["new"], 106)
 
     def test_nodes_that_join_together_keep_the_sum(self):
         # The views of a loaded fleet are up to 4 s old.
-        replay = self._start(6, nodes=1, lag_s=(0.05, 3.9))
+        replay = coldreplay.start(6, nodes=1, lag_s=(0.05, 3.9))
         replay.start_server("new", "c")
         for number in range(150):
             replay.run_until(106 + number * 0.03)
@@ -324,8 +108,10 @@
 
 class ModelTest(unittest.TestCase):
     def test_samples_of_a_handover_keep_the_limit(self):
-        replay = Replay(1, nodes=4)
-        replay.configured = make_catalogue((catalogue.RouteKind.BATCH,))
+        replay = coldreplay.Replay(1, nodes=4)
+        replay.configured = coldreplay.make_catalogue(
+            (catalogue.RouteKind.BATCH,)
+        )
         replay.queue.clear()
         replay.start_server("old", "c", is_cold=False)
         replay.run_until(106)
@@ -334,15 +120,17 @@
         times = []
         for step in range(800):
             replay.clock.seconds = 107 + step / 100
-            for node, model in itertools.product(replay.nodes[:2], MODELS):
-                node.eligibility.hold_samples(SERVICE, [model])
+            for node, model in itertools.product(
+                replay.nodes[:2], coldreplay.MODELS
+            ):
+                node.eligibility.hold_samples(coldreplay.SERVICE, [model])
                 server = node.servers.servers["new"]
                 if server.no_samples_until.get(model, 0) > replay.clock.seconds:
                     continue
                 node.eligibility.reserve(server, model)
                 node.eligibility.guard(server, sender=model)()
                 times.append(replay.clock.seconds)
-        self.assertLessEqual(worst_second(times), LIMIT)
+        self.assertLessEqual(coldreplay.worst_second(times), LIMIT)
         self.assertGreater(len(times), PER_S * 8)
 
 
@@ -354,7 +142,7 @@
             if window.has_room(3, now):
                 window.send(now)
                 sent.append(now)
-        self.assertEqual(worst_second(sent), 3)
+        self.assertEqual(coldreplay.worst_second(sent), 3)
 
     @parameterized.parameterized.expand(
         [
@@ -389,7 +177,7 @@
 
     @parameterized.parameterized.expand([("join", True), ("leave", False)])
     def test_shares_add_up_in_views_of_different_age(self, _, joins):
-        clock, rng, budget = SteppedClock(), random.Random(1), 4
+        clock, rng, budget = coldreplay.SteppedClock(), random.Random(1), 4
         views = {f"n{n}": coldshares.Senders(clock, f"n{n}") for n in range(60)}
         lags = {name: rng.uniform(0.0, 3.9) for name in views}
         changes = []
@@ -413,7 +201,7 @@
                 self.assertLessEqual(total, budget)
 
     def test_new_node_waits_for_its_share(self):
-        clock = SteppedClock()
+        clock = coldreplay.SteppedClock()
         senders = coldshares.Senders(clock, "n")
         senders.note("n", True)
         self.assertEqual(senders.share("s", 4), 0)
@@ -425,12 +213,12 @@
     """What makes a server cold, and for how long."""
 
     def setUp(self):
-        self.clock = SteppedClock()
+        self.clock = coldreplay.SteppedClock()
         self.servers = registry.ServerRegistry(
             self.clock, lambda: 0.0, lambda: False
         )
-        self.servers.register(make_entry("old", "a"))
-        self.configured = make_catalogue()
+        self.servers.register(coldreplay.make_entry("old", "a"))
+        self.configured = coldreplay.make_catalogue()
         self.eligibility = eligibility.Eligibility(
             self.servers,
             coldshares.Senders(self.clock, "n"),
@@ -483,7 +271,9 @@
             ),
             (
                 "restarted",
-                lambda t, s: t.servers.register(make_entry("old", "a", 5.0)),
+                lambda t, s: t.servers.register(
+                    coldreplay.make_entry("old", "a", 5.0)
+                ),
                 COLD_S,
             ),
         ]
@@ -517,7 +307,7 @@
     )
     def test_start_of_a_new_server(self, _, offset_s, seconds):
         started_at = self.clock.seconds + offset_s + 0.01
-        self.servers.register(make_entry("new", "a", started_at))
+        self.servers.register(coldreplay.make_entry("new", "a", started_at))
         self.assertAlmostEqual(self._cold_for_s("new"), seconds, delta=0.11)
 
     @parameterized.parameterized.expand(
@@ -545,17 +335,17 @@
     def test_clock_set_back_makes_no_known_server_cold(
         self, name, is_read, seconds
     ):
-        self.servers.register(make_entry("new", "a", 500.0))
+        self.servers.register(coldreplay.make_entry("new", "a", 500.0))
         if name == "entry_reappears":
             self.servers._drop(self.servers.servers["new"])
         if name == "first_read":
             del self.servers.servers["new"]
         self.servers.evacuations.is_read = lambda: is_read
         start = 501.0 if name == "new_start" else 500.0
-        self.servers.register(make_entry("new", "a", start))
+        self.servers.register(coldreplay.make_entry("new", "a", start))
         self.assertAlmostEqual(self._cold_for_s("new"), seconds, delta=0.11)
 
     def test_service_without_a_limit_has_no_cold_servers(self):
-        self.configured = make_catalogue(per_s=0.0)
+        self.configured = coldreplay.make_catalogue(per_s=0.0)
         self._reconnect(self.servers.servers["old"])
         self.assertEqual(self._cold_for_s("old"), 0.0)
