--- a/src/kingcupscale/fleet/catalogue.py
+++ b/src/kingcupscale/fleet/catalogue.py
@@ -47,6 +47,8 @@
         due_s: Seconds after which a batch's results are due.
         single_version: Whether the whole text of an item must come from one
             weight version.
+        allowed_regions: Regions of the servers that may get its requests;
+            empty for all.
     """
 
     name: str
@@ -64,6 +66,7 @@
     max_age_s: float = 600.0
     due_s: float = 60.0
     single_version: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     def allows_retry(self) -> bool:
         """Returns whether a request may be sent more than once."""
@@ -103,6 +106,10 @@
             without a model.
         models: Names of the models that its engines serve.
         scaling: Limits of autoscaling; None if it is not autoscaled.
+        cold_start_s: Seconds for which a server is cold after a start during
+            traffic; 0 for never.
+        cold_per_s: Requests per second that a cold server can handle; 0 for no
+            limit.
     """
 
     name: str
@@ -110,6 +117,8 @@
     slots: int = 0
     models: tuple[str, ...] = ()
     scaling: Scaling | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -137,11 +146,14 @@
         name: Its label. Backend servers may see it.
         keys: Its API keys. Backend servers must never see them.
         priority: Overrides the priority of the routes; None to keep theirs.
+        allowed_regions: Regions of the servers that may get its requests;
+            empty for all.
     """
 
     name: str
     keys: frozenset[str]
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -12,6 +12,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale.fleet import evacuation
+from kingcupscale.fleet import warmup
 
 # After the store has recovered, servers have this long to register again before
 # a missing entry means that they have stopped.
@@ -26,7 +27,7 @@
 LOAD_DECAY_S = 1.0
 # A reported slowness is valid for this long, because it changes that often.
 SLOWNESS_VALID_S = 0.6
-# Most removed servers whose leaving notice is kept.
+# Most removed servers whose start time or leaving notice is kept.
 MAX_LEAVING_STARTS = 1000
 
 
@@ -52,7 +53,8 @@
             under the same id means that the server has restarted.
         versions: Weight version by model.
         is_spot: Whether its VM is a spot VM, which may be reclaimed.
-        warmup_s: Seconds for which it is still slow after its start.
+        warmup_s: Seconds for which it remains cold, as it reports itself; None
+            if it does not. Any float, as nothing has checked the report.
     """
 
     id: str
@@ -64,7 +66,7 @@
     start_ms: int
     versions: dict[str, int] = attrs.field(factory=dict)
     is_spot: bool = False
-    warmup_s: float = 0.0
+    warmup_s: float | None = None
 
 
 @attrs.frozen
@@ -113,6 +115,7 @@
         removed_at: Monotonic time at which the entry went missing; None while
             it exists.
         evacuations: The evacuated zones; None if there can be none.
+        cold: Until when it is cold; None if this is not tracked.
     """
 
     entry: ServerEntry
@@ -131,6 +134,7 @@
     is_removed: bool = False
     removed_at: float | None = None
     evacuations: evacuation.Evacuations | None = None
+    cold: warmup.ColdState | None = None
 
     @property
     def id(self) -> str:
@@ -240,6 +244,9 @@
         servers: The servers by id.
         leaving_starts: Start times of removed servers that were leaving, by
             id.
+        services_seen_ms: Unix times in milliseconds at which the first server
+            of each service was seen.
+        past_starts: Start times of removed servers, by id.
     """
 
     def __init__(
@@ -255,11 +262,14 @@
         self.is_store_unreachable = is_store_unreachable
         self.servers: dict[str, Server] = {}
         self.leaving_starts: dict[str, int] = {}
+        self.services_seen_ms: dict[str, float] = {}
+        self.past_starts: dict[str, int] = {}
 
     def register(self, entry: ServerEntry) -> None:
         """Adds a server, or updates it, by its entry in the store."""
         known = self.servers.get(entry.id)
         if known is None or known.entry.start_ms != entry.start_ms:
+            cold = self._make_cold_state(entry, known is not None)
             if known is not None:
                 known.is_removed = True
             self.servers[entry.id] = Server(
@@ -267,6 +277,7 @@
                 versions=dict(entry.versions),
                 is_leaving=self.leaving_starts.get(entry.id) == entry.start_ms,
                 evacuations=self.evacuations,
+                cold=cold,
             )
             events.log(
                 events.Event.SERVER_ENTERED,
@@ -282,12 +293,36 @@
                 server=entry.id,
                 state=entry.state.value,
             )
+        if known.cold is not None:
+            known.cold.report(warmup.Source.ENTRY, entry.warmup_s)
         known.entry = entry
         known.removed_at = None
         known.is_removed = False
         for model, version in entry.versions.items():
             known.versions[model] = max(known.versions.get(model, 0), version)
 
+    def _make_cold_state(
+        self, entry: ServerEntry, is_restart: bool
+    ) -> warmup.ColdState:
+        """Returns the state of a server that was not known or has restarted.
+
+        Servers that are found by the first read of the store, or whose entry
+        reappears, have not started just now, whatever this node's clock says.
+        """
+        wall_s = self.clock.now().timestamp()
+        seen_ms = self.services_seen_ms.setdefault(entry.service, 1000 * wall_s)
+        started_at = None
+        is_known_start = self.past_starts.get(entry.id) == entry.start_ms
+        is_first_read = not self.evacuations.is_read()
+        is_start = is_restart or entry.start_ms > seen_ms
+        if is_start and not is_first_read and not is_known_start:
+            started_at = warmup.estimate_start(
+                entry.start_ms, wall_s, self.clock.monotonic(), is_restart
+            )
+        state = warmup.ColdState(entry.id, self.clock, started_at)
+        state.report(warmup.Source.ENTRY, entry.warmup_s)
+        return state
+
     def remove(self, server_id: str) -> None:
         """Records that a server's entry has been removed from the store."""
         known = self.servers.get(server_id)
@@ -314,6 +349,9 @@
         server.is_removed = True
         if server.is_leaving:
             self._keep_leaving_start(server)
+        self.past_starts[server.id] = server.entry.start_ms
+        while len(self.past_starts) > MAX_LEAVING_STARTS:
+            del self.past_starts[next(iter(self.past_starts))]
         self.servers.pop(server.id, None)
         events.log(events.Event.SERVER_GONE, server=server.id)
 
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards single calls to backend servers, with retries and timeouts."""
 
+from collections.abc import Sequence
 import contextlib
 import random
 from typing import Protocol
@@ -109,12 +110,14 @@
             NotSentError: If the request's ``before_send`` check fails.
         """
         route, organisation = self.admission.admit(inbound)
+        owner = organisation.name if organisation else inbound.on_behalf_of
         state = callstate.CallState(
             route,
             organisation,
-            self._pick_service(route),
+            self._pick_service(self.eligibility.usable_shares(route, owner)),
             inbound.received_at + _time_limit_s(inbound, route),
             inbound.received_at + QUEUE_WAIT_FACTOR * route.target_latency_s,
+            zones=self.eligibility.allowed_zones(route, owner),
         )
         last_response: message.Response | None = None
         while True:
@@ -160,11 +163,11 @@
                 reason=state.failure_reason,
             )
 
-    def _pick_service(self, route: catalogue.Route) -> str:
-        weights = [share.weight for share in route.shares]
+    def _pick_service(self, shares: Sequence[catalogue.Share]) -> str:
+        weights = [share.weight for share in shares]
         if len(weights) == 1 or sum(weights) <= 0:
-            return route.shares[0].service
-        return self.rng.choices(route.shares, weights)[0].service
+            return shares[0].service
+        return self.rng.choices(shares, weights)[0].service
 
     def _may_retry(self, state: callstate.CallState) -> bool:
         return (
@@ -214,6 +217,7 @@
             usable = [
                 s for s in usable if s.load(now) < max(1, s.entry.slots - 1)
             ]
+        usable = self.eligibility.filter(usable, state.zones)
         untried = [s for s in usable if s.id not in state.tried]
         return placement.choose(untried or usable, self.zone, now, self.rng)
 
@@ -232,6 +236,7 @@
         timeout_s = left_s
         if state.route.allows_retry() and not state.route.is_streaming:
             timeout_s = min(left_s, self._attempt_timeout_s(state))
+        self.eligibility.reserve(server)
         call = self._make_call(inbound, state, server, left_s)
         server.in_flight += 1
         response: message.Response | None = None
@@ -297,7 +302,9 @@
             timeout_s=left_s,
             organisation=organisation.name if organisation else None,
             resume_after=inbound.resume_after,
-            before_send=self.eligibility.guard(server, inbound.before_send),
+            before_send=self.eligibility.guard(
+                server, inbound.before_send, zones=state.zones
+            ),
         )
 
     async def _send_call(
@@ -351,6 +358,7 @@
             return False
         state.unavailable.add(server.id)
         if server_response.wrong_server:
+            self.eligibility.refund(server)
             server.record_failure(now)
         return True
 
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -35,7 +35,7 @@
         reports_usage="metering" in duties,
         orders_servers="autoscaling" in duties,
         bounds=_read_bounds(reader),
-        zone_regions=reader.group("zones."),
+        zone_regions=_read_regions(reader),
         capacity_cores=_read_capacity(reader),
         memory_mb=reader.number("limits.memoryMb", 0.0),
     )
@@ -52,6 +52,14 @@
     return math.prod(reader.number(name, 1.0) for name in names)
 
 
+def _read_regions(reader: "_Reader") -> dict[str, str]:
+    """Returns the region of each zone; the node's own is given twice."""
+    regions = reader.group("zones.")
+    if reader.text("region"):
+        regions.setdefault(reader.text("zone"), reader.text("region"))
+    return regions
+
+
 def _read_bounds(reader: "_Reader") -> deployment.Bounds:
     defaults = deployment.Bounds()
     return deployment.Bounds(
@@ -72,6 +80,8 @@
         evacuate_s=reader.milliseconds(
             "bounds.evacuateMs", defaults.evacuate_s
         ),
+        cold_overage=reader.number("bounds.coldOverage", defaults.cold_overage),
+        cold_slack=reader.number("bounds.coldSlack", defaults.cold_slack),
     )
 
 
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -18,6 +18,8 @@
 from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
+from kingcupscale.fleet import coldshares
+from kingcupscale.fleet import eligibility
 from kingcupscale.fleet import evacuation
 from kingcupscale.fleet import nodeentry
 from kingcupscale.fleet import peers
@@ -75,6 +77,8 @@
     Attributes:
         candidates: Ranks the nodes for each duty.
         cluster_state: Configuration, servers and target weight versions.
+        eligibility: Excludes servers from requests.
+        cold_senders: The nodes that share the requests to cold servers.
         readiness: Decides whether the node may accept requests.
         callers: Handles callers' requests.
         services: This node's duty for each service, by the service's name.
@@ -136,6 +140,16 @@
                 settings.zone_regions.keys(),
             ),
         )
+        self.cold_senders = coldshares.Senders(self.clock, settings.node)
+        self.eligibility = eligibility.Eligibility(
+            self.server_registry,
+            self.cold_senders,
+            self.current_catalogue,
+            eligibility.ColdLimits(
+                settings.bounds.cold_overage, settings.bounds.cold_slack
+            ),
+            settings.zone_regions,
+        )
         self.batch_cache = caches.BatchCache(
             self.mirror,
             fallback.FallbackStore(deps.store, self.peers.commit),
@@ -206,6 +220,7 @@
             self.clock,
             deps.rng,
             settings.zone,
+            self.eligibility,
         )
         self.callers = callerservice.CallerService(
             admission,
@@ -366,9 +381,12 @@
         return not self.is_draining and not is_refusing
 
     def _on_node_changed(self, entry: stores.Entry) -> None:
-        """Has this node's own entry written again if it was removed."""
+        """Updates what depends on nodes; has this node's entry rewritten."""
         if entry.value is not None:
             self.settling.note_node(entry.key)
+        self.cold_senders.note(
+            entry.key.removeprefix(locks.NODES_PREFIX), entry.value is not None
+        )
         is_own = entry.key == locks.NODES_PREFIX + self.settings.node
         if is_own and entry.value is None:
             self.registration.note_removed()
