Load weights by need instead of on half of all engines

With four models on 36 engines, half of 14 engines each loaded every version: 28 loads every 4 s, more than seven at a time can do. Versions came 4 s late while steps waited for any engine.

Demand tells how many engines each model needs from the items of its step and the time between its versions; if all models need more loads than the limit allows, each gets the same share. choose_loads serves the model with the fewest usable engines relative to its need first, takes engines whose version can no longer be used before others, and leaves the present step as many engines as the next one has. A load that would end after the next version is published yields to other models'. An engine that is ejected for less than a load takes is not replaced. The limit grows only if it has delayed a load.

--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import traceback
 
 import attrs
@@ -11,7 +12,9 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.batches import demand
 from kingcupscale.batches import loadlimit
+from kingcupscale.batches import record as records
 from kingcupscale.batches import weights
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import registry
@@ -53,6 +56,7 @@
         start_ms: Start time of the engine that got the order; another value
             means that the engine has restarted.
         peak: Most loads that were in progress at the same time since.
+        is_limited: Whether the limit has since delayed another load.
         unanswered_polls: Number of latest polls that got no response.
     """
 
@@ -60,6 +64,7 @@
     ordered_at: float
     start_ms: int
     peak: int = 1
+    is_limited: bool = False
     unanswered_polls: int = 0
 
     def is_silent(self) -> bool:
@@ -78,6 +83,8 @@
         clock: Clock for times and pauses.
         current_catalogue: Returns the configuration in force.
         on_load_state: Called with each new state of a load.
+        known_batches: Returns the batches whose items tell how many engines
+            a model needs.
 
     Attributes:
         loading: Orders in progress, by engine id.
@@ -87,7 +94,7 @@
         limit: How many engines may load at the same time.
         other_loads: Monotonic times until which engines are assumed to load
             by another leader's order, by engine id.
-        assigned: Ids of the engines assigned to each model.
+        demand: What the trainers of the models have done so far.
     """
 
     def __init__(
@@ -99,7 +106,9 @@
         clock: clocks.Clock,
         current_catalogue: Callable[[], catalogue.Catalogue | None],
         on_load_state: Callable[[weightloads.WeightLoadState], None],
+        known_batches: Callable[[], Iterable[records.Record]] = tuple,
     ) -> None:
+        self.known_batches = known_batches
         self.on_load_state = on_load_state
         self.duty_lock = duty_lock
         self.servers = servers
@@ -112,36 +121,51 @@
         self.load_s = DEFAULT_LOAD_S
         self.limit = loadlimit.LoadLimit()
         self.other_loads: dict[str, float] = {}
-        self.assigned: dict[str, set[str]] = {}
+        self.demand = demand.Demand()
 
     async def step(self, nursery: trio.Nursery) -> None:
         """Orders the loads that are due, each in its own task."""
         now = self.clock.monotonic()
+        load_s = self.limit.typical_s()
+        # An engine that is ejected for less than a load takes is not replaced.
         servers = [
             server
             for server in self.servers.list_servers(self.duty_lock.name)
+            if server.is_usable(now + load_s)
+        ]
+        candidates = [
+            server
+            for server in servers
             if server.is_usable(now)
             and self.not_before.get(server.id, 0.0) <= now
         ]
-        self.assigned = weights.assign(
-            servers, self._service_targets(), self.assigned
-        )
+        limit = self.limit.current(len(servers))
+        room = max(0, limit - self.count_in_progress(now))
+        self.demand.observe(self._service_targets(), self.known_batches(), now)
+        # One more than allowed tells whether the limit delays a load.
         due = weights.choose_loads(
             servers,
-            self.target_versions,
-            self.assigned,
+            candidates,
+            self.demand.plan(servers, limit / load_s, now),
             ALLOWED_LAG,
-            set(self.loading),
-            self.limit.current(len(servers)) - self.count_in_progress(now),
+            {name: pending.load for name, pending in self.loading.items()},
+            room + 1,
+            load_s,
         )
-        for load in due:
+        for load in due[:room]:
             self.loading[load.server.id] = PendingOrder(
                 load, now, load.server.entry.start_ms
             )
             nursery.start_soon(self._load, load)
+        self.other_loads = {
+            name: until
+            for name, until in self.other_loads.items()
+            if until > now
+        }
         in_progress = self.count_in_progress(now)
         for pending in self.loading.values():
             pending.peak = max(pending.peak, in_progress)
+            pending.is_limited |= len(due) > room
 
     def count_in_progress(self, now: float) -> int:
         """Returns how many engines load now, as far as they answer."""
@@ -261,13 +285,22 @@
             if await self._refresh_status(load):
                 now = self.clock.monotonic()
                 self.load_s += AVERAGE_WEIGHT * (now - started_at - self.load_s)
-                self.limit.record(started_at, now, pending.peak)
+                self._record(started_at, pending)
                 return
         if not load.server.is_removed and not pending.unanswered_polls:
             # The engine answers, so the load is slow.
-            self.limit.record(started_at, self.clock.monotonic(), pending.peak)
+            self._record(started_at, pending)
         self._report_state(load, previous)
 
+    def _record(self, started_at: float, pending: PendingOrder) -> None:
+        """Adapts the limit to the time that a load took."""
+        self.limit.record(
+            started_at,
+            self.clock.monotonic(),
+            pending.peak,
+            pending.is_limited,
+        )
+
     def _report_state(
         self,
         load: weights.Load,
--- a/src/kingcupscale/batches/loadlimit.py
+++ b/src/kingcupscale/batches/loadlimit.py
@@ -22,8 +22,10 @@
 # load up to 0.4 s late, which alone moves the median by 0.2 s.
 SLOW_SHARE = 0.3
 SLOW_S = 0.45
-# Number of load times that are compared with the shortest ones.
+# Number of load times that are compared with the shortest ones, and how many
+# suffice if they are all long.
 COMPARED = 8
+COMPARED_IF_ALL_LONG = 4
 # Load times that are kept to find the shortest ones, and which share of them
 # counts as shortest. They span several changes of the limit: with fewer, loads
 # that are always slow would count as short. A single low value can come from a
@@ -34,10 +36,12 @@
 # begin with too many loads and would take their times for the shortest.
 EXPECTED_LOAD_S = 1.2
 EXPECTED_COUNT = 8
-# Rounds of loads at the limit that precede an increase, and those that precede
-# one to a limit at which loads have been slow.
+# Rounds of loads at the limit that precede an increase, those that precede one
+# to a limit at which loads were slow, which double each time that they are slow
+# there again, and their upper limit.
 ROUNDS = 1
 ROUNDS_TO_SLOW = 8
+MAX_ROUNDS = 64
 
 
 def _make_durations() -> collections.deque[float]:
@@ -53,9 +57,10 @@
         durations: Latest load times in seconds.
         compared: Load times in seconds that have not been compared yet.
         at_limit: Number of loads since the last change of the limit that ran
-            while as many as allowed were in progress.
+            while the limit did not allow another one that was due.
         changed_at: Monotonic time of that change.
         slow_limit: Limit at which loads were slow last; 0 if none.
+        rounds_to_slow: Rounds of loads before it is tried again.
     """
 
     limit: int = 0
@@ -64,6 +69,7 @@
     at_limit: int = 0
     changed_at: float = -1e9
     slow_limit: int = 0
+    rounds_to_slow: int = ROUNDS_TO_SLOW
 
     def current(self, engines: int) -> int:
         """Returns the limit.
@@ -83,7 +89,13 @@
         ordered = sorted(self.durations)
         return ordered[int(len(ordered) * SHORTEST_SHARE)]
 
-    def record(self, ordered_at: float, now: float, peak: int) -> None:
+    def typical_s(self) -> float:
+        """Returns the seconds that a load takes at the median."""
+        return statistics.median(self.durations)
+
+    def record(
+        self, ordered_at: float, now: float, peak: int, is_limited: bool
+    ) -> None:
         """Records a completed load and adapts the limit.
 
         A load that ended without its version must not be recorded: its time
@@ -93,21 +105,27 @@
             ordered_at: Monotonic time of its order.
             now: Monotonic time of its end.
             peak: Most loads in progress during it, including itself.
+            is_limited: Whether another load was due meanwhile that the limit
+                did not allow.
         """
         self.durations.append(now - ordered_at)
-        # Others ran before the change, or too few to slow each other down.
-        if ordered_at < self.changed_at or 2 * peak < self.limit:
+        # It began before the change, or so few ran that a decrease would not
+        # have delayed any of them.
+        if ordered_at < self.changed_at or peak < DECREASE * self.limit:
             return
         self.compared.append(now - ordered_at)
-        self.at_limit += peak >= self.limit
-        if len(self.compared) < COMPARED:
-            return
+        self.at_limit += is_limited
         is_slow = self._is_slow()
+        if not is_slow and len(self.compared) < COMPARED:
+            return
         if is_slow and self.limit <= MIN_LIMIT:
             # So few loads do not slow each other down: loads take longer now.
             self.durations = collections.deque(self.compared, maxlen=KEPT)
             self.slow_limit = 0
         elif is_slow:
+            is_again = self.limit == self.slow_limit
+            rounds = 2 * self.rounds_to_slow if is_again else ROUNDS_TO_SLOW
+            self.rounds_to_slow = min(MAX_ROUNDS, rounds)
             self.slow_limit = self.limit
             self._change(max(MIN_LIMIT, int(self.limit * DECREASE)), now)
         elif self.at_limit >= self.limit * self._rounds():
@@ -117,13 +135,16 @@
     def _is_slow(self) -> bool:
         """Returns whether loads take longer than while few others run."""
         shortest_s = self.shortest_s()
-        excess_s = statistics.median(self.compared) - shortest_s
-        return excess_s > max(SLOW_S, SLOW_SHARE * shortest_s)
+        slow_s = shortest_s + max(SLOW_S, SLOW_SHARE * shortest_s)
+        if len(self.compared) < COMPARED:
+            is_enough = len(self.compared) >= COMPARED_IF_ALL_LONG
+            return is_enough and min(self.compared) > slow_s
+        return statistics.median(self.compared) > slow_s
 
     def _rounds(self) -> int:
         """Returns the rounds of loads at the limit before an increase."""
         is_slow_next = 0 < self.slow_limit <= self.limit + 1
-        return ROUNDS_TO_SLOW if is_slow_next else ROUNDS
+        return self.rounds_to_slow if is_slow_next else ROUNDS
 
     def _change(self, limit: int, now: float) -> None:
         self.limit = limit
--- a/src/kingcupscale/batches/weights.py
+++ b/src/kingcupscale/batches/weights.py
@@ -1,24 +1,19 @@
-"""Assigns engines to models and schedules the loading of weight versions.
+"""Chooses which engines load which weight version.
 
 Trainers publish a version every few seconds, the previous version may still
-be used, and only a few engines can load at the same time. Each model is
-therefore assigned some of the engines. Half of them load the even and half
-the odd versions, so that an engine loads every other version while the other
-engines serve.
+be used, and only a few engines can load at the same time. Each version is
+therefore loaded by as many engines as the next step needs, preferably by those
+whose version can no longer be used: while they load, the engines with the
+previous version serve the present step.
 """
 
 from collections.abc import Iterable
+import math
 
 import attrs
 
 from kingcupscale.fleet import registry
 
-# Engines of a model, as a multiple of an even share of all engines. With more,
-# a model would have more engines left after a loss, but each engine would load
-# more often.
-ENGINES_PER_SHARE = 1.5
-MIN_ENGINES = 2
-
 
 @attrs.frozen
 class Load:
@@ -29,116 +24,176 @@
     version: int
 
 
-def engines_for_model(engines: int, models: int) -> int:
-    """Returns how many engines are assigned to each model."""
-    share = -(-int(ENGINES_PER_SHARE * 100) * engines // (100 * max(1, models)))
-    return min(engines, max(MIN_ENGINES, share))
+@attrs.frozen
+class Need:
+    """How many engines should hold which versions of a model.
+
+    Attributes:
+        newest: Newest version.
+        engines: Engines that should hold it before the next one is published.
+        usable_engines: Engines that should hold a version that may be used.
+        next_version_s: Expected seconds until the next version is published;
+            infinite if unknown.
+    """
 
+    newest: int
+    engines: int
+    usable_engines: int
+    next_version_s: float = math.inf
 
-def assign(
-    servers: list[registry.Server],
-    targets: dict[str, int],
-    current: dict[str, set[str]],
-) -> dict[str, set[str]]:
-    """Returns the ids of the engines of each model.
 
-    Changes few assignments. A node that has just taken over the duty lock has
-    no current assignments; it prefers engines whose weights are recent enough,
-    so that few engines have to load.
+@attrs.define
+class _Holdings:
+    """Which engines hold usable versions, including loads in progress.
 
-    Args:
-        servers: Engines that accept work.
-        targets: Newest version by model.
-        current: The engines assigned to each model so far.
+    Attributes:
+        needs: What each model needs.
+        allowed_lag: How many versions behind the newest may still be used.
+        current: Number of engines with the newest version, by model.
+        usable: Number of engines with a usable version, by model.
+        models: Number of models of which an engine has a usable version, by
+            the engine's id.
     """
-    number = engines_for_model(len(servers), len(targets))
-    by_id = {server.id: server for server in servers}
-    assigned = {
-        model: current.get(model, set()) & by_id.keys() for model in targets
-    }
-
-    def count_models(server_id: str) -> int:
-        return sum(server_id in ids for ids in assigned.values())
-
-    for model in sorted(targets, key=lambda m: (len(assigned[m]), m)):
-        ids = assigned[model]
-        while len(ids) > number:
-            ids.remove(max(ids, key=lambda i: (count_models(i), i)))
-        while len(ids) < number:
-            candidates = [s for s in servers if s.id not in ids]
-            best = min(
-                candidates,
-                key=lambda s: (
-                    s.versions.get(model, 0) < targets[model] - 1,
-                    count_models(s.id),
-                    s.id,
-                ),
-            )
-            ids.add(best.id)
-    return assigned
+
+    needs: dict[str, Need]
+    allowed_lag: int
+    current: dict[str, int]
+    usable: dict[str, int]
+    models: dict[str, int]
+
+    def is_usable(self, model: str, version: int) -> bool:
+        """Returns whether samples of the present step accept a version."""
+        return version >= self.needs[model].newest - self.allowed_lag
+
+    def add(self, server_id: str, model: str, version: int) -> None:
+        """Adds an engine's version of a model."""
+        self.current[model] += version >= self.needs[model].newest
+        if self.is_usable(model, version):
+            self.usable[model] += 1
+            self.models[server_id] += 1
+
+    def add_load(self, load: Load) -> None:
+        """Replaces an engine's version by the one that it loads."""
+        held = load.server.versions[load.model]
+        self.current[load.model] += 1
+        if not self.is_usable(load.model, held):
+            self.usable[load.model] += 1
+            self.models[load.server.id] += 1
+
+    def may_load(self, model: str, held: int) -> bool:
+        """Returns whether an engine with a version may load the newest one."""
+        need = self.needs[model]
+        if not 0 < held < need.newest:
+            return False
+        if not self.is_usable(model, held):
+            return self.usable[model] < need.usable_engines
+        # The present step keeps at least as many engines as the next one has.
+        return 2 * self.current[model] < self.usable[model]
+
+    def urgency(self, model: str, load_s: float) -> tuple[bool, float, float]:
+        """Returns a sort key; the model whose load is most urgent is lowest.
+
+        A load that would end after the next version is published yields to
+        others unless no engine would hold the present version then.
+        """
+        need = self.needs[model]
+        is_late = need.next_version_s < load_s and self.current[model] > 0
+        return (
+            is_late,
+            self.usable[model] / need.usable_engines,
+            self.current[model] / need.engines,
+        )
+
+    def has_enough(self, model: str) -> bool:
+        """Returns whether no further engine needs to load."""
+        need = self.needs[model]
+        return (
+            self.current[model] >= need.engines
+            and self.usable[model] >= need.usable_engines
+        )
 
 
 def choose_loads(
     servers: list[registry.Server],
-    targets: dict[str, int],
-    assigned: dict[str, set[str]],
+    candidates: list[registry.Server],
+    needs: dict[str, Need],
     allowed_lag: int,
-    loading: set[str],
+    loading: dict[str, Load],
     room: int,
+    load_s: float,
 ) -> list[Load]:
-    """Returns the loads to order now.
+    """Returns the loads to order now, the most urgent model's first.
 
     Args:
-        servers: Engines that accept work.
-        targets: Newest version by model.
-        assigned: Ids of the engines assigned to each model.
+        servers: Engines that accept work or soon will.
+        candidates: Those of them that may get an order.
+        needs: What each model needs.
         allowed_lag: How many versions behind the newest may still be used.
-        loading: Ids of the engines that are loading.
+        loading: Orders in progress, by the engine's id.
         room: How many more engines may load.
+        load_s: Expected seconds of a load.
     """
-    due: list[tuple[int, int, Load]] = []
-    for model, newest in sorted(targets.items()):
-        holders = [
-            server
-            for server in servers
-            if server.id in assigned.get(model, ()) and model in server.versions
-        ]
-        oldest = newest - allowed_lag
-        useful = sum(s.versions[model] >= oldest for s in holders)
-        engines = _engines_to_load(holders, model, newest, allowed_lag)
-        due += [
-            (useful + position, position, Load(server, model, newest))
-            for position, server in enumerate(engines)
-        ]
-    # Models with the fewest engines that can serve them come first.
-    due.sort(key=lambda entry: (entry[0], entry[1], entry[2].model))
+    holdings = _count_holdings(servers, needs, allowed_lag, loading)
+    idle = [server for server in candidates if server.id not in loading]
+    lacking = {model for model in needs if not holdings.has_enough(model)}
     loads: list[Load] = []
-    busy = set(loading)
-    for _, _, load in due:
-        if len(loads) < room and load.server.id not in busy:
-            busy.add(load.server.id)
-            loads.append(load)
+    while lacking and len(loads) < room:
+        model = min(lacking, key=lambda m: (holdings.urgency(m, load_s), m))
+        server = _best_engine(idle, model, holdings)
+        if server is None:
+            lacking.remove(model)
+            continue
+        load = Load(server, model, needs[model].newest)
+        holdings.add_load(load)
+        loads.append(load)
+        idle.remove(server)
+        if holdings.has_enough(model):
+            lacking.remove(model)
     return loads
 
 
-def _engines_to_load(
-    holders: list[registry.Server], model: str, newest: int, allowed_lag: int
-) -> list[registry.Server]:
-    """Returns the engines that should load the newest version.
-
-    Those with the oldest versions come first.
+def _count_holdings(
+    servers: list[registry.Server],
+    needs: dict[str, Need],
+    allowed_lag: int,
+    loading: dict[str, Load],
+) -> _Holdings:
+    holdings = _Holdings(
+        needs,
+        allowed_lag,
+        dict.fromkeys(needs, 0),
+        dict.fromkeys(needs, 0),
+        {server.id: 0 for server in servers},
+    )
+    for server in servers:
+        load = loading.get(server.id)
+        for model in needs:
+            version = server.versions.get(model, 0)
+            if load is not None and load.model == model:
+                version = max(version, load.version)
+            holdings.add(server.id, model, version)
+    return holdings
+
+
+def _best_engine(
+    idle: list[registry.Server], model: str, holdings: _Holdings
+) -> registry.Server | None:
+    """Returns the engine that should load a model's newest version.
+
+    Engines whose version can't be used come first, then those that serve the
+    fewest models, so that models share few engines.
     """
-    oldest = newest - allowed_lag
-    by_version = sorted(
-        holders, key=lambda s: (s.versions[model], s.in_flight, s.id)
+    return min(
+        (s for s in idle if holdings.may_load(model, s.versions.get(model, 0))),
+        key=lambda s: (
+            holdings.is_usable(model, s.versions[model]),
+            holdings.models[s.id],
+            -s.versions[model],
+            s.in_flight,
+            s.id,
+        ),
+        default=None,
     )
-    outdated = [s for s in by_version if s.versions[model] < oldest]
-    lagging = [s for s in by_version if oldest <= s.versions[model] < newest]
-    current = len(holders) - len(outdated) - len(lagging)
-    # At least half of the engines should hold this version: it may still be
-    # used after the next version is published.
-    missing = -(-len(holders) // 2) - len(outdated) - current
-    return outdated + lagging[: max(0, missing)]
 
 
 def choose_all(
--- a/src/kingcupscale/leadership.py
+++ b/src/kingcupscale/leadership.py
@@ -81,6 +81,7 @@
             deps.clock,
             runtime.current_catalogue,
             self._publish_load_state,
+            lambda: runtime.batch_cache.records.values(),
         )
         self.autoscaler = autoscaler.Autoscaler(
             self.lock,
