Pause longer for engines that keep rejecting samples

An engine that loads weights rejects the model's samples for about a second, and for several if many engines load. A rejection also shortened the pause that news of a load had set.

Rejections doubles the pause of an engine and model with each further round of rejections, up to 1.6 s. A run that the engine accepts or news of its load ends it, and the next pause is 0.1 s again.

--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -15,6 +15,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale.batches import placement
+from kingcupscale.batches import rejections
 from kingcupscale.batches import sample as samples
 from kingcupscale.batches import sendguard
 from kingcupscale.fleet import registry
@@ -39,8 +40,6 @@
 MAX_TEXT_BYTES = 512 * 1024
 # Tokens per event that are assumed until a run has been measured.
 DEFAULT_EVENT_TOKENS = 30.0
-# Pause before an engine that rejected an item gets another one of that model.
-REJECTED_PAUSE_S = 0.1
 # Pause before an item is sent again after a failed run.
 FAILED_PAUSE_S = 0.1
 # Pause before an item is sent again after the send guard blocked its request.
@@ -66,6 +65,7 @@
         token_s: Average seconds per token.
         event_s: Average seconds per event; 0 until a run has been measured.
         event_tokens: Geometric mean of the expected tokens per event.
+        rejections: Pauses of engines that reject samples.
     """
 
     def __init__(
@@ -82,6 +82,7 @@
         self.token_s = placement.DEFAULT_TOKEN_S
         self.event_s = 0.0
         self.event_tokens = DEFAULT_EVENT_TOKENS
+        self.rejections = rejections.Rejections()
 
     async def run(
         self, sample: samples.Sample, server: registry.Server
@@ -104,7 +105,7 @@
             with sample.run_scope:
                 async with self._open_request(server, call) as response:
                     outcome = await self._read_response(
-                        sample, server, response
+                        sample, server, response, started_at
                     )
             if sample.run_scope.cancelled_caught:
                 outcome = "moved"
@@ -169,13 +170,14 @@
         sample: samples.Sample,
         server: registry.Server,
         response: serverclient.ServerResponse,
+        sent_at: float,
     ) -> str:
         """Reads a response; returns "whole" or why the text is incomplete."""
         now = self.clock.monotonic()
         if response.load is not None:
             server.update_load(response.load, now)
         if response.not_executed:
-            await self._handle_rejection(sample, server, response)
+            await self._handle_rejection(sample, server, response, sent_at)
             return f"rejected without running, status {response.status}"
         if response.status == 422:
             self.on_failed(sample, "rejected by the engine as unprocessable")
@@ -183,6 +185,7 @@
         if not response.is_success:
             self._handle_failure(sample, response)
             return f"failed with status {response.status}"
+        self.rejections.end(server, sample.record.batch.model)
         return await self._read_events(sample, server, response)
 
     async def _handle_rejection(
@@ -190,12 +193,13 @@
         sample: samples.Sample,
         server: registry.Server,
         response: serverclient.ServerResponse,
+        sent_at: float,
     ) -> None:
         """Updates what is known of an engine that rejected a run."""
         now = self.clock.monotonic()
         model = sample.record.batch.model
         if not response.wrong_server:
-            server.no_samples_until[model] = now + REJECTED_PAUSE_S
+            self.rejections.record(server, model, sent_at, now)
         elif response.version:
             server.versions[model] = response.version
         else:
