Move a sample only from an engine that stays slow

15 % of the servers are 2.5 times slower for 0.6 s at a time.

A run moves only if it has been slow for 1.35 s without interruption, which two short slowdowns in a row do not reach. Whether it is slow now is told by its latest four events, so that a slowdown is not counted beyond its end.

--- a/src/kingcupscale/batches/moving.py
+++ b/src/kingcupscale/batches/moving.py
@@ -2,7 +2,9 @@
 
 An engine may become slow or stop sending while a whole step waits for one of
 its samples. Another engine can resume the text after a cheap prefill, so the
-sample moves as soon as this saves more time than it costs.
+sample moves once this saves more time than it costs. Engines are often slow for
+a moment; by the time that a sample has moved, they are fast again. A sample
+therefore moves only if its engine stays slow.
 """
 
 import attrs
@@ -12,6 +14,12 @@
 # A sample leaves an engine only if that engine is this many times slower than
 # the other one.
 MIN_SLOWDOWN = 1.5
+# Seconds for which a run must have been slow. Short slowdowns last 0.6 s, and
+# two of them may follow each other.
+MIN_SLOW_S = 1.35
+# Number of latest events that tell whether a run is slow now. With more, it
+# would still count as slow for a while after the end of a slowdown.
+LATEST_EVENTS = 4
 # Events that a run needs before its speed is used, and the most moves of
 # one sample.
 MIN_RUN_EVENTS = 4
@@ -31,12 +39,19 @@
         text_events: Number of events of the text, including earlier runs.
         event_s: Recent seconds per event on this engine; 0 if unknown.
         moves: How often the sample has moved.
+        slow_s: Seconds for which it has been slow without interruption.
     """
 
     events: int
     text_events: int
     event_s: float
     moves: int
+    slow_s: float
+
+
+def is_slow(event_s: float, other_event_s: float) -> bool:
+    """Tells whether a run is slow, by seconds per event; 0 is unknown."""
+    return 0 < MIN_SLOWDOWN * other_event_s <= event_s
 
 
 def remaining_events(text_events: int, expected_events: float) -> float:
@@ -62,9 +77,7 @@
     """
     if run.events < MIN_RUN_EVENTS or run.moves >= MAX_MOVES:
         return False
-    if other_event_s <= 0:
-        return False
-    if run.event_s < MIN_SLOWDOWN * other_event_s:
+    if run.slow_s < MIN_SLOW_S or not is_slow(run.event_s, other_event_s):
         return False
     remaining = remaining_events(run.text_events, expected_events)
     return remaining * (run.event_s - other_event_s) > MOVE_COST_S
--- a/src/kingcupscale/batches/sample.py
+++ b/src/kingcupscale/batches/sample.py
@@ -7,6 +7,7 @@
 import trio
 
 from kingcupscale.batches import batch
+from kingcupscale.batches import moving
 from kingcupscale.batches import record as records
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import serverclient
@@ -48,6 +49,8 @@
         moves: How often it has moved to another engine.
         event_times: Monotonic times of the latest events of its current run.
         run_events: Number of events of its current run.
+        slow_since: Monotonic time since which its current run has been slow;
+            None if it is not.
         idle_timeouts: Number of runs that ended because the engine sent no
             event for too long.
     """
@@ -70,6 +73,7 @@
         factory=lambda: collections.deque(maxlen=SPEED_WINDOW_EVENTS)
     )
     run_events: int = 0
+    slow_since: float | None = None
     idle_timeouts: int = 0
 
     @property
@@ -108,6 +112,7 @@
     def begin_run(self) -> None:
         """Resets what belongs to the previous run."""
         self.event_times.clear()
+        self.slow_since = None
         self.run_events = 0
         self.run_scope = trio.CancelScope()
 
@@ -132,18 +137,39 @@
         """Tells whether its text has more events than it may have tokens."""
         return 0 < self.item.tokens < len(self.events)
 
-    def seconds_per_event(self, now: float) -> float:
+    def seconds_per_event(
+        self, now: float, latest_events: int = SPEED_WINDOW_EVENTS
+    ) -> float:
         """Returns the recent seconds per event of its run; 0 if unknown.
 
         Args:
             now: Monotonic time; the time since the last event counts too.
+            latest_events: Number of events that are considered, at most
+                ``SPEED_WINDOW_EVENTS``.
         """
-        gaps = len(self.event_times) - 1
+        gaps = min(latest_events, len(self.event_times)) - 1
         if gaps < 1:
             return 0.0
-        first, last = self.event_times[0], self.event_times[-1]
+        first, last = self.event_times[-1 - gaps], self.event_times[-1]
         return max((last - first) / gaps, (now - first) / (gaps + 1))
 
+    def slow_s(self, now: float, typical_event_s: float) -> float:
+        """Returns for how long its run has been slow without interruption.
+
+        Must be called regularly, because it only compares the latest events.
+
+        Args:
+            now: Monotonic time.
+            typical_event_s: Usual seconds per event; 0 if unknown.
+        """
+        event_s = self.seconds_per_event(now, moving.LATEST_EVENTS)
+        if not moving.is_slow(event_s, typical_event_s):
+            self.slow_since = None
+            return 0.0
+        if self.slow_since is None:
+            self.slow_since = now
+        return now - self.slow_since
+
     def finish(self, score: str) -> None:
         """Sets the result of a scored text."""
         self.result = batch.Result(
