--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -15,6 +15,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale.batches import placement
+from kingcupscale.batches import rejections
 from kingcupscale.batches import sample as samples
 from kingcupscale.batches import sendguard
 from kingcupscale.fleet import eligibility as eligibilities
@@ -40,8 +41,6 @@
 MAX_TEXT_BYTES = 512 * 1024
 # Tokens per event that are assumed until a run has been measured.
 DEFAULT_EVENT_TOKENS = 30.0
-# Pause before an engine that rejected an item gets another one of that model.
-REJECTED_PAUSE_S = 0.1
 # Pause before an item is sent again after a failed run.
 FAILED_PAUSE_S = 0.1
 # Pause before an item is sent again after the send guard blocked its request.
@@ -68,6 +67,7 @@
         token_s: Average seconds per token.
         event_s: Average seconds per event; 0 until a run has been measured.
         event_tokens: Geometric mean of the expected tokens per event.
+        rejections: Pauses of engines that reject samples.
     """
 
     def __init__(
@@ -86,6 +86,7 @@
         self.token_s = placement.DEFAULT_TOKEN_S
         self.event_s = 0.0
         self.event_tokens = DEFAULT_EVENT_TOKENS
+        self.rejections = rejections.Rejections()
 
     async def run(
         self, sample: samples.Sample, server: registry.Server
@@ -108,7 +109,7 @@
             with sample.run_scope:
                 async with self._open_request(server, call) as response:
                     outcome = await self._read_response(
-                        sample, server, response
+                        sample, server, response, started_at
                     )
             if sample.run_scope.cancelled_caught:
                 outcome = "moved"
@@ -178,13 +179,14 @@
         sample: samples.Sample,
         server: registry.Server,
         response: serverclient.ServerResponse,
+        sent_at: float,
     ) -> str:
         """Reads a response; returns "whole" or why the text is incomplete."""
         now = self.clock.monotonic()
         if response.load is not None:
             server.update_load(response.load, now)
         if response.not_executed:
-            await self._handle_rejection(sample, server, response)
+            await self._handle_rejection(sample, server, response, sent_at)
             return f"rejected without running, status {response.status}"
         if response.status == 422:
             self.on_failed(sample, "rejected by the engine as unprocessable")
@@ -192,6 +194,7 @@
         if not response.is_success:
             self._handle_failure(sample, response)
             return f"failed with status {response.status}"
+        self.rejections.end(server, sample.record.batch.model)
         return await self._read_events(sample, server, response)
 
     async def _handle_rejection(
@@ -199,6 +202,7 @@
         sample: samples.Sample,
         server: registry.Server,
         response: serverclient.ServerResponse,
+        sent_at: float,
     ) -> None:
         """Updates what is known of an engine that rejected a run."""
         now = self.clock.monotonic()
@@ -206,7 +210,7 @@
         if response.wrong_server:
             self.eligibility.refund(server, model)
         if not response.wrong_server:
-            server.no_samples_until[model] = now + REJECTED_PAUSE_S
+            self.rejections.record(server, model, sent_at, now)
         elif response.version:
             server.versions[model] = response.version
         else:
