Announce accepted batches to the node that runs their model

Cause: a batch waited 0.2 to 2.7 s between its acceptance and its first sample, because its runner learned of it through the mirror that it follows.

Change: the node that has written a batch queues an announcement for the holder of the model's duty and answers the caller. A batch that the mirror does not deliver in time, or whose end the mirror is too old to know, is stopped. The send guard is unchanged. Events 2621 to 2624 show the ages; counters of announcements and of duties by tier are exposed.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -415,9 +415,8 @@
     Break(
         "an accepted batch is in the store",
         "batches/transactions.py",
-        "            revision = await store.commit(transaction)\n"
-        "            return revision is not None",
-        "            return True",
+        "            return await store.commit(transaction)",
+        "            return 1",
         SITE + "test_submissions",
     ),
     Break(
--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -82,6 +82,8 @@
         waiting_parts: Parts of specifications that are not complete yet, by
             batch id and part number.
         on_change: Called when a batch is added or ended.
+        on_accept: Called after a new batch was written, with the batch, its
+            submission time and the revision of the store.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.waiting_parts: dict[str, dict[str, bytes]] = {}
         self.follow_restarted_at = -MIN_RESTART_INTERVAL_S
         self.on_change: Callable[[], None] = _ignore
+        self.on_accept: Callable[[batch.Batch, int, int], None] = _ignore
         mirror.exclude_prefix(records.RESULTS_PREFIX)
         mirror.defer_prefix(records.PREFIX)
         mirror.subscribe(records.PREFIX, self._apply_batch_entry)
@@ -192,15 +195,15 @@
             if kind == records.SPECIFICATION:
                 self.mirror.discard_value(entry.key)
         elif kind == records.SPECIFICATION and entry.value is None:
-            self._remove(batch_id)
+            self.remove(batch_id)
         elif kind == records.SPECIFICATION:
             self._apply_specification(batch_id, number, entry)
         elif kind == records.END and batch_id in self.records:
             self.records[batch_id].mark_ended()
             self.on_change()
 
-    def _remove(self, batch_id: str) -> None:
-        """Drops a batch that has been removed from the store."""
+    def remove(self, batch_id: str) -> None:
+        """Drops a batch that is not in the store, and stops its samples."""
         self.summaries.pop(batch_id, None)
         self.last_read_at.pop(batch_id, None)
         self.load_candidates.discard(batch_id)
@@ -229,7 +232,7 @@
         self.summaries[batch_id] = BatchSummary(record.submitted_ms, model)
         # Ending a batch rewrites its specification, long after the results.
         is_new = entry.created == entry.revision
-        if not is_new or self._may_have_results(batch_id):
+        if not is_new or self.may_have_results(batch_id):
             self.load_candidates.add(batch_id)
         elif self.interest.includes(batch_id, model):
             self._add_record(record)
@@ -243,7 +246,16 @@
         self.records[batch_id] = record
         self.on_change()
 
-    def _may_have_results(self, batch_id: str) -> bool:
+    def add_announced(self, record: records.Record) -> None:
+        """Adds a batch that the mirror has yet to deliver."""
+        batch_id = record.batch.id
+        self.waiting_parts.pop(batch_id, None)
+        self.summaries[batch_id] = BatchSummary(
+            record.submitted_ms, record.batch.model
+        )
+        self._add_record(record)
+
+    def may_have_results(self, batch_id: str) -> bool:
         """Returns whether results may have arrived before the specification."""
         prefix = f"{records.RESULTS_PREFIX}{batch_id}/"
         return self.mirror.is_loading or bool(self.mirror.entries_under(prefix))
@@ -303,17 +315,19 @@
             )
         self._mark_read(new.id)
         reload_count = self.reload_count
-        is_new = await transactions.commit_with_retries(
+        revision = await transactions.commit_with_retries(
             self.store, self.clock, transaction, timeout_s, new.id
         )
-        if is_new:
-            self.mirror.skip_pause()
-        if is_new and self.reload_count == reload_count:
+        if revision is None:
+            return False
+        self.mirror.skip_pause()
+        if self.reload_count == reload_count:
             # A reload of the mirror in between delivers the batch but not its
             # first results, so the batch must not be added without results.
             for put in transaction.puts:
                 self._apply_batch_entry(stores.Entry(put.key, put.value, 0))
-        return is_new
+        self.on_accept(new, now_ms, revision)
+        return True
 
     def _mark_read(self, batch_id: str) -> None:
         self.last_read_at[batch_id] = self.clock.monotonic()
@@ -495,7 +509,7 @@
         return True
 
 
-def _ignore() -> None:
+def _ignore(*_: object) -> None:
     """Does nothing."""
 
 
--- a/src/kingcupscale/batches/transactions.py
+++ b/src/kingcupscale/batches/transactions.py
@@ -93,7 +93,7 @@
     transaction: stores.Transaction,
     timeout_s: float,
     batch_id: str,
-) -> bool:
+) -> int | None:
     """Commits a transaction, with retries until a time-out.
 
     Args:
@@ -106,7 +106,8 @@
         batch_id: Id of the batch, for the log.
 
     Returns:
-        Whether the condition held at the commit that was answered.
+        The revision of the commit; None if the condition did not hold at the
+        commit that was answered.
 
     Raises:
         ServiceError: ``STORE_UNAVAILABLE`` if the transaction was certainly not
@@ -117,8 +118,7 @@
     pause_s = RETRY_PAUSE_S
     while True:
         try:
-            revision = await store.commit(transaction)
-            return revision is not None
+            return await store.commit(transaction)
         except stores.StoreError as e:
             may_have_run = may_have_run or e.may_have_run
             events.log(
--- a/src/kingcupscale/candidates.py
+++ b/src/kingcupscale/candidates.py
@@ -62,6 +62,13 @@
             }
         return self.cached_holders
 
+    def count_duties_by_tier(self) -> tuple[int, int]:
+        """Returns how many duties the first tier and the other nodes hold."""
+        first = first_tier(self.capacities())
+        holders = [node for node in self.holders().values() if node]
+        held_by_first = sum(node in first for node in holders)
+        return held_by_first, len(holders) - held_by_first
+
     def ranking(self, duty: str) -> list[str]:
         """Returns the candidates for a duty, the first tier first."""
         if duty not in self.rankings:
--- a/src/kingcupscale/dependencies.py
+++ b/src/kingcupscale/dependencies.py
@@ -10,6 +10,7 @@
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
+from kingcupscale.peering import announcements
 from kingcupscale.peering import commits
 from kingcupscale.peering import counts
 from kingcupscale.peering import relay
@@ -73,6 +74,7 @@
         copies: Sends copies of unfinished texts to other nodes.
         loads: Sends the state of engines' weight loads to other nodes.
         counts: Sends usage counts to the node that reports usage.
+        announcements: Announces batches to the nodes that run them.
         keys: Keys of the platform's entries in the store.
         decoders: Decode and encode these entries.
     """
@@ -88,5 +90,6 @@
     copies: replication.ReplicationClient
     loads: weightloads.WeightLoadClient
     counts: counts.CountsClient
+    announcements: announcements.AnnouncementClient
     keys: Keys
     decoders: Decoders
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -79,6 +79,10 @@
     RESULTS_LISTED = (2615, "Results were stored.")
     RESULTS_UNLISTED = (2616, "A write of results failed; it is retried.")
     BATCH_UNREADABLE = (2617, "A batch could not be read; it is retried.")
+    BATCH_ANNOUNCED = (2621, "A batch was announced to the node that runs it.")
+    ANNOUNCEMENT_HANDLED = (2622, "An announced batch was started or ignored.")
+    ANNOUNCED_DELIVERED = (2623, "The mirror delivered an announced batch.")
+    ANNOUNCED_DROPPED = (2624, "The mirror lacks a batch; it was stopped.")
 
     def __init__(self, number: int, summary: str) -> None:
         self.number = number
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -1,5 +1,6 @@
 """Serves a node's metrics in the Prometheus text format."""
 
+from kingcupscale import announcing
 from kingcupscale import logs
 from kingcupscale import metrics
 from kingcupscale import runtime as runtimes
@@ -28,6 +29,8 @@
         """Returns all metrics for any path."""
         rows = [
             *self._gauges(),
+            *self._duties(),
+            *self._announcements(),
             *self._store_calls(),
             *self._events(),
             *self._histograms(),
@@ -55,6 +58,22 @@
             f"readers_waiting {runtime.batch_cache.waiting_readers}",
         ]
 
+    def _duties(self) -> list[str]:
+        """Returns the duties of the whole fleet by the holders' tier."""
+        first, other = self.runtime.candidates.count_duties_by_tier()
+        return [
+            f'fleet_duties{{tier="first"}} {first}',
+            f'fleet_duties{{tier="other"}} {other}',
+        ]
+
+    def _announcements(self) -> list[str]:
+        counts = self.runtime.metrics.counts
+        return [
+            f'announcements_total{{outcome="{outcome.value}"}}'
+            f" {counts.get(announcing.COUNTER + outcome.value, 0)}"
+            for outcome in announcing.Outcome
+        ]
+
     def _store_calls(self) -> list[str]:
         calls = self.runtime.dependencies.store.calls
         return [
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -16,6 +16,7 @@
 from kingcupscale import runtime as runtimes
 from kingcupscale import settings as settings_errors
 from kingcupscale.operating import exposition
+from kingcupscale.peering import announcements
 from kingcupscale.peering import commits
 from kingcupscale.peering import counts
 from kingcupscale.peering import relay
@@ -95,6 +96,7 @@
             replication.HttpReplicationClient(clients.peers),
             weightloads.HttpWeightLoadClient(clients.peers),
             counts.HttpCountsClient(clients.peers),
+            announcements.HttpAnnouncementClient(clients.peers),
             KEYS,
             DECODERS,
         ),
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from kingcupscale import announcing
 from kingcupscale import candidates
 from kingcupscale import clusterstate
 from kingcupscale import dependencies
@@ -14,6 +15,7 @@
 from kingcupscale import readiness
 from kingcupscale import retirements
 from kingcupscale import settling
+from kingcupscale.batches import announced
 from kingcupscale.batches import cache as caches
 from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
@@ -24,6 +26,7 @@
 from kingcupscale.gateway import admission as admissions
 from kingcupscale.gateway import callerservice
 from kingcupscale.gateway import forwarder
+from kingcupscale.peering import announcements
 from kingcupscale.peering import commits
 from kingcupscale.peering import counts
 from kingcupscale.peering import polling
@@ -138,6 +141,23 @@
             self._fetch_snapshot,
         )
         self.batch_cache.on_change = self._wake_coordinators
+        self.announcer = announcing.Announcer(
+            settings.node,
+            deps.announcements,
+            self.clock,
+            self.metrics,
+            self._find_runners,
+        )
+        self.batch_cache.on_accept = self.announcer.announce
+        self.announcement_receiver = announcing.AnnouncementReceiver(
+            announced.AnnouncedBatches(
+                self.batch_cache, self.clock, self.view.max_age_s
+            ),
+            self.clock,
+            self.metrics,
+            self._is_running,
+            lambda batch, sender: self.peers.fetch_snapshot(batch, [sender]),
+        )
         self.relay = relay.RelayHandler(self.mirror, self.batch_cache)
         ttl_s = max(settings.min_lease_s, LEASE_SHARE * settings.bounds.lease_s)
         self.session = locks.LeaseSession(
@@ -225,6 +245,11 @@
         if request.path == weightloads.PATH:
             self.apply_load_state(weightloads.decode(request.body))
             return message.Response(200)
+        if request.path == announcements.PATH:
+            self.announcement_receiver.receive(
+                announcements.decode(request.body)
+            )
+            return message.Response(200)
         return await self.relay(request)
 
     def _apply_copy(
@@ -327,6 +352,21 @@
         others = [n for n in dict.fromkeys(nodes) if n != self.settings.node]
         return await self.peers.fetch_snapshot(batch_id, others)
 
+    def _find_runners(self, model: str) -> list[tuple[str, str]]:
+        """Returns names and addresses of other nodes that run a model."""
+        addresses = self.peers.addresses()
+        holders = {
+            self.peers.holder(leadership.model_duty_name(service, model))
+            for service in self.services
+        }
+        return [(n, addresses[n]) for n in sorted(holders) if n in addresses]
+
+    def _is_running(self, model: str) -> bool:
+        """Returns whether this node runs a model's samples."""
+        return any(
+            duty.coordinator.is_active(model) for duty in self.services.values()
+        )
+
     async def _update_interest(self) -> None:
         """Keeps the set of batches up to date that this node's duties need."""
         while True:
@@ -373,6 +413,8 @@
                 self.mirror.run,
                 maintenance.CacheMaintainer(self.batch_cache, self.clock).run,
                 self._update_interest,
+                self.announcer.run,
+                self.announcement_receiver.run,
                 self.session.run,
                 self.registration.run,
                 self._remove_expired_servers,
--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from kingcupscale.batches import announced
 from kingcupscale.batches import batch
 from kingcupscale.batches import cache as caches
 from kingcupscale.batches import maintenance
@@ -21,6 +22,7 @@
 ITEMS = 30
 # Most entries of a transaction.
 MAX_ENTRIES = 32
+MAX_VIEW_AGE_S = 2.25
 
 
 class FakeStore:
@@ -143,6 +145,9 @@
             1 << 16,
             self._fetch_snapshot,
         )
+        self.announced = announced.AnnouncedBatches(
+            self.batch_cache, clock, MAX_VIEW_AGE_S
+        )
         self.handler = relay.RelayHandler(self.mirror, self.batch_cache)
         self.scope = trio.CancelScope()
 
@@ -150,6 +155,7 @@
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.mirror.run)
+                nursery.start_soon(self.announced.run)
                 nursery.start_soon(
                     maintenance.CacheMaintainer(
                         self.batch_cache, self.clock
--- a/tests/platform/test_tiers.py
+++ b/tests/platform/test_tiers.py
@@ -101,6 +101,11 @@
         self.assertEqual(found.ranking("duty")[0], "a")
         self.assertEqual(len(found.idle_ranking("duty")), 3)
 
+    def test_duties_are_counted_by_tier(self):
+        held = {"a": "s0", "b": "w0", "c": "gone", "d": "s1"}
+        found = make_candidates(make_fleet(2, 3), held)
+        self.assertEqual(found.count_duties_by_tier(), (2, 2))
+
     def test_single_strong_node_does_not_get_all_duties(self):
         names = {"s": 1.0} | {f"w{i}": 0.7 for i in range(54)}
         holders = {}
