--- a/bench/coldreplay.py
+++ b/bench/coldreplay.py
@@ -105,7 +105,7 @@
 
     def share(self, server: str, budget: int) -> int:
         """Returns one request while the node's turn lasts, else none."""
-        nodes = len(self.present_since)
+        nodes = len(self.present_since.keys() - self.removed_at.keys())
         if nodes <= budget:
             return budget // nodes
         period_s = warmup.WINDOW_S * nodes / budget
