Tell an exhausted pool of connections from a server out of reach

Cause: a request that waited too long for a place in the node's own pool made its server count as cold after its next response.

Change: only connections that were refused or timed out count.

Tests: test_failed_connection_2_own_pool failed before. A node that is cut off from the store learns of an evacuation from the others (test_evacuation).

--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -5,6 +5,7 @@
 import contextlib
 import functools
 
+import httpcore
 import orjson
 
 from kingcupscale.fleet import registry
@@ -189,9 +190,15 @@
 def _note_failure(
     server: registry.Server, error: httpclient.RequestError
 ) -> None:
-    """Records that no connection to a server could be opened."""
-    if server.cold is not None and not error.may_have_been_sent:
-        server.cold.note_unreachable()
+    """Records that no connection to a server could be opened.
+
+    Waiting too long for a place in this node's own pool says nothing of the
+    server.
+    """
+    is_own_limit = isinstance(error.__cause__, httpcore.PoolTimeout)
+    if server.cold is None or error.may_have_been_sent or is_own_limit:
+        return
+    server.cold.note_unreachable()
 
 
 def _mark_leaving(server: registry.Server, response: message.Response) -> None:
--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -2,12 +2,17 @@
 
 import unittest
 
+import httpcore
 import orjson
 import parameterized
 import trio
 
 from bench import coldreplay
+from kingcupscale.fleet import registry
+from kingcupscale.fleet import warmup
 from kingcupscale.platform import names
+from kingcupscale.platform import servers
+from kingcupscale.web import httpclient
 from tests import virtual
 from tests.platform import harness
 from tests.platform import test_evacuation
@@ -117,6 +122,23 @@
             self.assertLessEqual(coldreplay.worst_second(cold), LIMIT)
             self.assertGreater(len(cold), 3)
 
+    @parameterized.parameterized.expand(
+        [
+            ("refused", httpcore.ConnectError(), True),
+            ("timeout", httpcore.ConnectTimeout(), True),
+            ("own_pool", httpcore.PoolTimeout(), False),
+        ]
+    )
+    def test_failed_connection(self, _, cause, is_unreachable):
+        clock = coldreplay.SteppedClock()
+        server = registry.Server(
+            coldreplay.make_entry("s", "a"), cold=warmup.ColdState("s", clock)
+        )
+        error = httpclient.RequestError("failed", may_have_been_sent=False)
+        error.__cause__ = cause
+        servers._note_failure(server, error)
+        self.assertEqual(server.cold.is_unreachable, is_unreachable)
+
     @virtual.on_virtual_time
     async def test_invalid_configured_values_are_ignored(self):
         async with harness.launch(nodes=1) as site:
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -112,6 +112,7 @@
             ("unreadable_value", b"\xff", "none"),
             ("store_silent", b"{}", "silent"),
             ("history_lost", b"{}", "compacted"),
+            ("node_cut_from_the_store", b"{}", "cut"),
         ]
     )
     @virtual.on_virtual_time
@@ -120,6 +121,9 @@
             arrivals, statuses = record_arrivals(site), []
             site.nursery.start_soon(keep_calling, site, statuses)
             await run_step(site, 0)
+            if fault == "cut":
+                # This node learns of it from the others.
+                site.network.cut(site.other(site.holder()).name, "store")
             if fault == "compacted":
                 await change_unseen(site, lambda: site.store.put(KEY, value))
             else:
