Order waiting samples by class, whole groups and length

Samples got slots by slack: a less urgent class was only 0.3 s later for each priority, and slots went to groups that nobody waited for any more while groups that lacked one item waited.

batches/order.py sorts by class priority; in a class, groups that can no longer be whole in time and groups beyond the number that the trainer waits for yield; then come groups with the fewest items left, and of these the longest expected samples. A group is late only if half of its longest expected time exceeds the time left, as a length hint is right at the median only. After half of its route's maximum age a sample no longer yields, so that none is abandoned.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -368,13 +368,14 @@
         self.mover.move_slow_runs(
             self.open_samples(), usable, len(waiting), now
         )
-        for assignment in placement.place_by_slack(
+        for assignment in placement.place_in_order(
             waiting,
+            self.open_samples,
             usable,
             self.prompt_holders,
             now,
             now_ms,
-            self.generator.token_s,
+            self.generator.speed(),
         ):
             assignment.sample.stage = samples.Stage.GENERATING
             assignment.sample.server = assignment.server.id
--- a/src/kingcupscale/batches/generation.py
+++ b/src/kingcupscale/batches/generation.py
@@ -14,6 +14,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import events
+from kingcupscale.batches import order
 from kingcupscale.batches import placement
 from kingcupscale.batches import rejections
 from kingcupscale.batches import sample as samples
@@ -84,6 +85,10 @@
         self.event_tokens = DEFAULT_EVENT_TOKENS
         self.rejections = rejections.Rejections()
 
+    def speed(self) -> order.Speed:
+        """Returns how fast samples have been generated."""
+        return order.Speed(self.token_s, self.event_tokens)
+
     async def run(
         self, sample: samples.Sample, server: registry.Server
     ) -> bool:
--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -1,17 +1,17 @@
 """Placement of waiting samples on engines.
 
-Decides which sample runs next and on which engine when several trainers submit
-batches at once. A step is useful only once its groups are complete, so its
-longest samples set its duration, and their duration depends on the engines
-they get. The sample with the least slack is therefore placed first, on the
-engine that is expected to finish it first.
+Decides on which engine each sample runs, in the order of batches/order.py. The
+duration of a step depends on the engines that its samples get, so each is
+placed on the engine that is expected to finish it first.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 
 import attrs
 
+from kingcupscale.batches import order
 from kingcupscale.batches import sample
 from kingcupscale.fleet import registry
 
@@ -22,9 +22,6 @@
 # Advantage of an engine whose prefix cache holds the group's prompt, expressed
 # as a number of other requests.
 CACHED_PROMPT_BONUS = 0.4
-# Seconds of slack that are added for each unit of the route's priority, of
-# which 0 is the most urgent.
-SLACK_PER_PRIORITY_S = 0.3
 
 
 @attrs.frozen
@@ -35,24 +32,6 @@
     server: registry.Server
 
 
-def slack_s(waiting: sample.Sample, now_ms: int, token_s: float) -> float:
-    """Returns how long a sample can wait and still meet its due time.
-
-    A less urgent route adds to the slack. The expected duration is subtracted
-    only for a sample that has no text yet.
-
-    Args:
-        waiting: The sample.
-        now_ms: Unix time in milliseconds.
-        token_s: Expected seconds per token.
-    """
-    age_s = (now_ms - waiting.record.submitted_ms) / 1000
-    done = len(waiting.events)
-    expected_s = waiting.expected_tokens() * token_s if not done else 0.0
-    priority_s = waiting.route.priority * SLACK_PER_PRIORITY_S
-    return waiting.route.due_s - age_s - expected_s + priority_s
-
-
 def can_run(
     waiting: sample.Sample, server: registry.Server, now: float
 ) -> bool:
@@ -86,15 +65,16 @@
     return cost
 
 
-def place_by_slack(
+def place_in_order(
     waiting: Iterable[sample.Sample],
+    open_samples: Callable[[], list[sample.Sample]],
     servers: list[registry.Server],
     prompt_holders: dict[str, set[str]],
     now: float,
     now_ms: int,
-    token_s: float,
+    speed: order.Speed,
 ) -> Iterator[Assignment]:
-    """Yields assignments in the order of the samples' slack.
+    """Yields assignments, the most urgent sample's first.
 
     The caller must add each assignment to the server's requests in flight
     before it asks for the next one. The samples are sorted only once, because
@@ -102,19 +82,19 @@
 
     Args:
         waiting: Samples that wait for an engine.
+        open_samples: Returns all samples of the batches that run here.
         servers: Engines that accept work.
         prompt_holders: Ids of the engines whose prefix cache holds a group's
             prompt, by group.
         now: Monotonic time.
         now_ms: Unix time in milliseconds.
-        token_s: Expected seconds per token.
+        speed: How fast samples are generated.
     """
     free = [s for s in servers if s.load(now) < s.entry.slots]
-    if not free:
-        return
     ready = [w for w in waiting if w.not_before <= now]
-    ready.sort(key=lambda w: slack_s(w, now_ms, token_s))
-    for candidate in ready:
+    if not free or not ready:
+        return
+    for candidate in order.sort_waiting(ready, open_samples(), speed, now_ms):
         able = [s for s in free if can_run(candidate, s, now)]
         if not able:
             continue
@@ -136,7 +116,7 @@
 ) -> Assignment | None:
     """Returns the first possible assignment.
 
-    It is the baseline that tests compare ``place_by_slack`` with.
+    It is the baseline that tests compare ``place_in_order`` with.
     """
     for candidate in waiting:
         for server in servers:
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -9,6 +9,7 @@
 import parameterized
 
 from kingcupscale.batches import batch
+from kingcupscale.batches import order
 from kingcupscale.batches import placement
 from kingcupscale.batches import record
 from kingcupscale.batches import sample
@@ -85,8 +86,16 @@
     return now
 
 
-def choose_by_slack(waiting, servers, now, token_s):
-    each = placement.place_by_slack(waiting, servers, {}, now, 0, token_s)
+def choose_in_order(waiting, servers, now, token_s):
+    each = placement.place_in_order(
+        waiting,
+        lambda: waiting,
+        servers,
+        {},
+        now,
+        0,
+        order.Speed(token_s, 30.0),
+    )
     return next(each, None)
 
 
@@ -103,10 +112,10 @@
             lengths += [rng.randint(3000, 5000) for _ in range(2)]
             rng.shuffle(lengths)
             latencies = [1.0, 1.0, 1.3]
-            by_slack = replay(choose_by_slack, lengths, latencies)
+            in_order = replay(choose_in_order, lengths, latencies)
             first = replay(choose_first, lengths, latencies)
-            better += by_slack < first
-            worse += by_slack > first * 1.02
+            better += in_order < first
+            worse += in_order > first * 1.02
         self.assertGreaterEqual(better, 30)
         self.assertLessEqual(worse, 2)
 
@@ -129,7 +138,7 @@
     def test_full_engines_get_nothing(self):
         servers = [make_server("e", slots=2, in_flight=2)]
         self.assertIsNone(
-            choose_by_slack([make_sample("s")], servers, 0.0, 0.001)
+            choose_in_order([make_sample("s")], servers, 0.0, 0.001)
         )
 
     def test_single_version_text_restarts_under_another_version(self):
--- /dev/null
+++ b/tests/batches/test_order.py
@@ -0,0 +1,113 @@
+"""Order of waiting samples.
+
+The load pattern: several trainers submit steps of groups to few engines. Slots
+that go to groups which nobody waits for, or to one item each of many groups,
+leave the trainers without whole groups.
+"""
+
+import unittest
+
+import attrs
+import parameterized
+
+from kingcupscale.batches import batch
+from kingcupscale.batches import order
+from kingcupscale.batches import record
+from kingcupscale.batches import sample
+from tests.batches import test_decisions
+
+SPEED = order.Speed(token_s=0.001, event_tokens=30.0)
+
+
+def make_step(name, groups, wanted=0, priority=0, submitted_ms=0):
+    """Returns the samples of a batch.
+
+    Args:
+        name: Id of the batch.
+        groups: Expected tokens of the items by group; 0 for an item whose text
+            is complete.
+        wanted: Number of groups that the trainer waits for.
+        priority: Priority of its route.
+        submitted_ms: Time of its submission.
+    """
+    items = [
+        batch.Item(f"{name}{group}{i}", "/", {}, b"", 0, group, None, tokens)
+        for group, lengths in groups.items()
+        for i, tokens in enumerate(lengths)
+    ]
+    made = batch.Batch(name, "o", "r", "h", 0, "m", 1, wanted, items)
+    kept = record.Record(made, submitted_ms)
+    route = attrs.evolve(
+        test_decisions.ROUTE, priority=priority, max_age_s=40.0
+    )
+    result = [sample.Sample(item, kept, route) for item in items]
+    for each in result:
+        if not each.item.length_hint:
+            each.stage = sample.Stage.SCORING
+    return result
+
+
+def sort(steps, now_ms=0):
+    """Returns the ids of the waiting samples in order."""
+    everything = [each for step in steps for each in step]
+    waiting = [s for s in everything if s.stage is sample.Stage.WAITING]
+    ordered = order.sort_waiting(waiting, everything, SPEED, now_ms)
+    return [each.id for each in ordered]
+
+
+class OrderTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (
+                "class_first",
+                [{"name": "a", "priority": 2}, {"name": "b", "priority": 1}],
+                [{"g": [0, 100]}, {"g": [100, 100]}],
+                ["bg0", "bg1", "ag1"],
+            ),
+            (
+                "least_missing_then_longest",
+                [{"name": "a"}],
+                [{"g": [100, 900, 900], "h": [0, 100, 300]}],
+                ["ah2", "ah1", "ag1", "ag2", "ag0"],
+            ),
+            (
+                "groups_that_nobody_waits_for_yield",
+                [{"name": "a", "wanted": 1}, {"name": "b"}],
+                [{"g": [0, 0], "h": [100]}, {"g": [200, 100]}],
+                ["bg0", "bg1", "ah0"],
+            ),
+            (
+                # 7.5 s after submission 1 s is left; 3 s are expected.
+                "late_group_yields",
+                [{"name": "a"}, {"name": "b", "submitted_ms": 6000}],
+                [{"g": [3000, 0]}, {"g": [100, 3000]}],
+                ["bg1", "bg0", "ag0"],
+            ),
+            (
+                # A hint of 1.5 s may be twice too long.
+                "group_that_may_be_in_time_does_not_yield",
+                [{"name": "a"}, {"name": "b", "submitted_ms": 6000}],
+                [{"g": [1500, 0]}, {"g": [100, 3000]}],
+                ["ag0", "bg1", "bg0"],
+            ),
+        ]
+    )
+    def test_order(self, _, options, groups, expected):
+        steps = [
+            make_step(groups=each, **option)
+            for option, each in zip(options, groups, strict=True)
+        ]
+        self.assertEqual(sort(steps, now_ms=6500), expected)
+
+    def test_late_item_is_never_abandoned(self):
+        late = make_step("a", {"g": [100]})
+        other = make_step("b", {"g": [100, 100]}, submitted_ms=20_000)
+        found = [sort([late, other], now_ms=ms)[0] for ms in (19_900, 20_100)]
+        self.assertEqual(found, ["bg0", "ag0"])
+
+    def test_text_beyond_its_hint_counts_as_long(self):
+        step = make_step("a", {"g": [300, 900]})
+        step[0].events = [
+            sample.serverclient.StreamEvent(n, "t", 1) for n in range(1, 201)
+        ]
+        self.assertEqual(sort([step]), ["ag0", "ag1"])
