--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import enum
+import math
 
 import attrs
 
@@ -25,6 +26,9 @@
 LOAD_DECAY_S = 1.0
 # A reported slowness is valid for this long, because it changes that often.
 SLOWNESS_VALID_S = 0.6
+# Time constant of the decaying count of recent calls. It is about the age at
+# which reports arrive, so it covers the calls that they do not contain yet.
+RECENT_CALLS_S = 0.4
 # Most removed servers whose leaving notice is kept.
 MAX_LEAVING_STARTS = 1000
 
@@ -95,6 +99,9 @@
             response that reported a load.
         load_reported_at: Monotonic time of that response.
         reported_slowness: Slowness by that response; 1.0 is normal.
+        recent_count: Calls that this node has sent there, decaying
+            exponentially.
+        recent_count_at: Monotonic time of the last of them.
         failures: Number of consecutive failures.
         ejected_until: Monotonic time before which it gets no requests.
         versions: Weight version by model, from entries, orders and responses.
@@ -118,6 +125,8 @@
     other_requests: int = 0
     load_reported_at: float = -1e9
     reported_slowness: float = 1.0
+    recent_count: float = 0.0
+    recent_count_at: float = 0.0
     failures: int = 0
     ejected_until: float = 0.0
     versions: dict[str, int] = attrs.field(factory=dict)
@@ -145,10 +154,24 @@
 
     def load(self, now: float) -> float:
         """Returns the estimated number of requests on it from all nodes."""
+        return self.in_flight + self.other_requests * self.report_weight(now)
+
+    def report_weight(self, now: float) -> float:
+        """Returns the weight of the last report: 1 if new, 0 if too old."""
         age_s = now - self.load_reported_at
-        return self.in_flight + self.other_requests * max(
-            0.0, 1 - age_s / LOAD_DECAY_S
-        )
+        return min(1.0, max(0.0, 1 - age_s / LOAD_DECAY_S))
+
+    def record_call(self, now: float) -> None:
+        """Counts a call that this node sends there."""
+        self.recent_count = self.recent_calls(now) + 1
+        self.recent_count_at = now
+
+    def recent_calls(self, now: float) -> float:
+        """Returns the decayed number of calls that this node has sent there."""
+        if not self.recent_count:
+            return 0.0
+        age_s = max(0.0, now - self.recent_count_at)
+        return self.recent_count * math.exp(-age_s / RECENT_CALLS_S)
 
     def slowness(self, now: float) -> float:
         """Returns how long work on it takes; 1.0 is normal.
