Bound the memory and connections that clients take up

Cause: a body gathers in the application until its end or its time-out, about 1.07 bytes of memory for each byte that arrives (60 bodies of 3.9 MiB: 252 MiB; 60 endless ones to the peers' listener, whose limit is 64 MiB: 710 to 1,110 MiB). A body made of very small chunks gathers before that: hypercorn holds a read of 64 KiB twice and queues ten chunks of about 220 bytes each, so 600 connections took 89 MiB, 150 KiB each. Only the end of the request or the body's time-out released any of it. A refusal of a body of which more than ten chunks were queued never closed its connection at all: hypercorn waited for room in its queue. A batch of 4 MiB of empty objects decoded to 150 MiB.

Change: a budget per process over all listeners (memorybudget), drawn before more of a body is read and released at the end of the request. Small requests come first. While requests wait, bodies that arrive too slowly are refused (408, 1009), then the newer half of the large ones that wait (503, 1213). JSON bodies are measured before they are decoded (413, 1010). Connections are bounded below the descriptors, with a share for each listener and address; an idle one, incomplete headers or a stalled body make room for a new one. Reads are 16 KiB until a body is large, the queue holds one event, a body is no longer copied at its end, unread bodies are discarded while a refusal is sent, and responses that are not read time out. Readiness and metrics accept bodies of 64 KiB at most.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -577,15 +577,14 @@
     ),
     Break(
         "a request received during a stop is answered",
-        "web/worker.py",
-        "        if not self.has_bytes:\n"
-        "            self.close_unless_handling()",
-        "        self.closed.set()\n        self.socket.close()",
+        "web/watchedstream.py",
+        "return not self.has_bytes and self.close_unless_handling()",
+        "return self.evict() is None",
         "tests.test_web_connections.StopTest",
     ),
     Break(
         "a request received at the idle time-out is answered",
-        "web/worker.py",
+        "web/watchedstream.py",
         "if data and not self.has_bytes:",
         "if False:",
         "tests.test_web_connections.IdleTest",
--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from kingcupscale.web import clientlimits
+
 
 @attrs.frozen
 class Bounds:
@@ -57,6 +59,7 @@
         reports_usage: Whether to send usage reports.
         orders_servers: Whether to order servers.
         bounds: Time limits.
+        clients: Limits on the memory and the connections of clients.
     """
 
     node: str
@@ -74,3 +77,6 @@
     reports_usage: bool
     orders_servers: bool
     bounds: Bounds
+    clients: clientlimits.ClientLimits = attrs.field(
+        factory=clientlimits.derive
+    )
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -60,6 +60,8 @@
     CALL_REFUSED = (2508, "A call ended without a server's answer.")
     CONNECTION_FAILED = (2509, "A client's connection ended with an error.")
     SERVER_LEAVING = (2510, "A backend server announced that it is leaving.")
+    MEMORY_SCARCE = (2520, "Requests were refused for lack of memory.")
+    CONNECTIONS_CLOSED = (2521, "Clients' connections were closed at a limit.")
     STEP_OPENED = (2601, "A rollout step was opened.")
     STEP_ENDED = (2602, "A rollout step is complete, cancelled or expired.")
     SAMPLE_RESTARTED = (2603, "A sample was dropped and started again.")
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -3,6 +3,9 @@
 from kingcupscale import logs
 from kingcupscale import metrics
 from kingcupscale import runtime as runtimes
+from kingcupscale.web import clientguard
+from kingcupscale.web import connectionlimits
+from kingcupscale.web import memorybudget
 from kingcupscale.web import message
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
@@ -16,13 +19,18 @@
         runtime: The runtime of the node.
         lines: The writer of the node's log lines, which counts them by event;
             None if there is none.
+        guard: The memory budget and the connections of its clients.
     """
 
     def __init__(
-        self, runtime: runtimes.Runtime, lines: logs.LineWriter | None
+        self,
+        runtime: runtimes.Runtime,
+        lines: logs.LineWriter | None,
+        guard: clientguard.ClientGuard,
     ) -> None:
         self.runtime = runtime
         self.lines = lines
+        self.guard = guard
 
     async def __call__(self, request: message.Request) -> message.Response:
         """Returns all metrics for any path."""
@@ -30,6 +38,7 @@
             *self._gauges(),
             *self._store_calls(),
             *self._events(),
+            *self._clients(),
             *self._histograms(),
         ]
         body = "".join(f"{PREFIX}{row}\n" for row in rows).encode()
@@ -71,6 +80,28 @@
         ]
         return [*rows, f"log_lines_dropped_total {self.lines.dropped_total}"]
 
+    def _clients(self) -> list[str]:
+        budget, connections = self.guard.budget, self.guard.connections
+        return [
+            f"request_bytes_held {budget.held}",
+            f"request_bytes_allowed {budget.limits.memory_bytes}",
+            f"requests_waiting_for_memory {len(budget.waiting)}",
+            *(
+                f'requests_refused_total{{reason="{reason.value}"}}'
+                f" {budget.refused[reason]}"
+                for reason in memorybudget.Refusal
+            ),
+            *(
+                f'connections_open{{listener="{name}"}} {count}'
+                for name, count in connections.open.items()
+            ),
+            *(
+                f'connections_closed_total{{reason="{reason.value}"}}'
+                f" {connections.closed[reason]}"
+                for reason in connectionlimits.Reason
+            ),
+        ]
+
     def _histograms(self) -> list[str]:
         return [
             row
--- a/src/kingcupscale/platform/frontend.py
+++ b/src/kingcupscale/platform/frontend.py
@@ -58,6 +58,7 @@
             return await self.service.call(inbound)
         if request.method != "POST":
             raise errors.ServiceError(errors.ResultCode.METHOD_NOT_ALLOWED)
+        request.check_decoding(request.body)
         try:
             new = documents.decode_batch(
                 inbound.request_id,
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -28,6 +28,7 @@
 from kingcupscale.platform import servers
 from kingcupscale.platform import settingsfile
 from kingcupscale.platform import store
+from kingcupscale.web import clientguard
 from kingcupscale.web import httpclient
 from kingcupscale.web import limits
 from kingcupscale.web import message
@@ -39,7 +40,14 @@
 # A node may send a transaction to another one to commit. It has at most 32
 # values of one megabyte, encoded as base64.
 PEER_BODY_BYTES = 64 * 1024 * 1024
+# Readiness probes and requests for metrics have no body.
+PROBE_BODY_BYTES = 64 * 1024
 GC_THRESHOLD = 50_000
+# Names of the listeners, as in metrics and log events.
+CALLERS = "callers"
+READINESS = "readiness"
+PEERS = "peers"
+METRICS = "metrics"
 
 KEYS = dependencies.Keys(
     names.CONFIGURATION_KEY,
@@ -171,40 +179,59 @@
     runtime: runtimes.Runtime, handler: frontend.Frontend, options: Options
 ) -> None:
     """Runs a node and its listeners until the planned stop is complete."""
+    guard = clientguard.ClientGuard(
+        runtime.settings.clients, (CALLERS, READINESS, PEERS, METRICS)
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(guard.run)
+        await _serve_guarded(runtime, handler, options, guard)
+        nursery.cancel_scope.cancel()
+
+
+async def _serve_guarded(
+    runtime: runtimes.Runtime,
+    handler: frontend.Frontend,
+    options: Options,
+    guard: clientguard.ClientGuard,
+) -> None:
+    """Runs a node and its listeners, which share a guard."""
     settings = runtime.settings
-    internal_limits = limits.constant(limits.Limits(body_bytes=PEER_BODY_BYTES))
+    peer_limits = limits.constant(limits.Limits(body_bytes=PEER_BODY_BYTES))
+    probe_limits = limits.constant(limits.Limits(body_bytes=PROBE_BODY_BYTES))
+    serve = functools.partial(server.serve, guard=guard)
     async with trio.open_nursery() as nursery:
         await nursery.start(
             functools.partial(
-                server.serve,
+                serve,
                 handler,
                 settings.callers,
                 runtime.current_limits,
                 runtime.stopped.wait,
                 graceful_timeout_s=settings.bounds.grace_s,
+                listener=CALLERS,
             )
         )
         await nursery.start(
-            server.serve,
+            functools.partial(serve, listener=READINESS),
             functools.partial(_handle_readiness, runtime),
             settings.readiness,
-            internal_limits,
+            probe_limits,
             runtime.stopped.wait,
         )
         await nursery.start(
-            server.serve,
-            runtime.handle_peer_request,
+            functools.partial(serve, listener=PEERS),
+            functools.partial(_handle_peer_request, runtime),
             settings.peers,
-            internal_limits,
+            peer_limits,
             runtime.stopped.wait,
         )
         if options.metrics_port:
             host = settings.readiness.rpartition(":")[0]
             await nursery.start(
-                server.serve,
-                exposition.MetricsHandler(runtime, options.lines),
+                functools.partial(serve, listener=METRICS),
+                exposition.MetricsHandler(runtime, options.lines, guard),
                 f"{host}:{options.metrics_port}",
-                internal_limits,
+                probe_limits,
                 runtime.stopped.wait,
             )
         await runtime.run()
@@ -218,6 +245,14 @@
     return message.Response(200 if is_ready else 503)
 
 
+async def _handle_peer_request(
+    runtime: runtimes.Runtime, request: message.Request
+) -> message.Response:
+    """Returns the response to a request of another node, whose body is JSON."""
+    request.check_decoding(request.body)
+    return await runtime.handle_peer_request(request)
+
+
 async def _handle_signals(
     path: str,
     stop_requested: trio.Event,
--- a/src/kingcupscale/platform/settingsfile.py
+++ b/src/kingcupscale/platform/settingsfile.py
@@ -5,6 +5,7 @@
 
 from kingcupscale import deployment
 from kingcupscale import settings
+from kingcupscale.web import clientlimits
 
 
 def load(path: str) -> deployment.ProcessSettings:
@@ -35,6 +36,7 @@
         reports_usage="metering" in duties,
         orders_servers="autoscaling" in duties,
         bounds=_read_bounds(reader),
+        clients=_read_client_limits(reader),
     )
     if reader.problems:
         raise settings.SettingsError(path, reader.problems)
@@ -61,6 +63,30 @@
     )
 
 
+def _read_client_limits(reader: "_Reader") -> clientlimits.ClientLimits:
+    """Returns the limits on clients; those not set follow from the VM's."""
+    defaults = clientlimits.derive()
+    return clientlimits.derive(
+        memory_mb=reader.number("limits.memoryMb", 0.0),
+        max_fds=int(reader.number("limits.maxFds", 0.0)),
+        budget_mb=reader.number("clients.memoryMb", 0.0),
+        connections=int(reader.number("clients.connections", 0.0)),
+        address_share=reader.number(
+            "clients.addressShare", clientlimits.ADDRESS_SHARE
+        ),
+        body_bytes_per_s=reader.number(
+            "clients.bodyBytesPerS", defaults.body_bytes_per_s
+        ),
+        body_window_s=reader.milliseconds(
+            "clients.bodyWindowMs", defaults.body_window_s
+        ),
+        wait_s=reader.milliseconds("clients.waitMs", defaults.wait_s),
+        send_stall_s=reader.milliseconds(
+            "clients.sendStallMs", defaults.send_stall_s
+        ),
+    )
+
+
 def _split(text: str) -> dict[str, str]:
     lines = (line.partition("=") for line in text.splitlines() if "=" in line)
     return {name.strip(): value.strip() for name, _, value in lines}
--- /dev/null
+++ b/src/kingcupscale/web/bodyreader.py
@@ -0,0 +1,138 @@
+"""Reads the body of a request within the memory budget of the process."""
+
+import io
+from typing import Any
+
+import trio
+
+from kingcupscale import errors
+from kingcupscale.web import jsoncost
+from kingcupscale.web import memorybudget
+
+# Memory is drawn in steps of at least this size.
+MIN_STEP_BYTES = 16 * 1024
+# A buffer that grows is allocated larger by an eighth.
+GROWTH_SHIFT = 3
+# A body that decodes to no more than this multiple is always decoded.
+DECODED_SHARE = 2
+# Seconds after which a refused caller may try again.
+RETRY_AFTER_S = 1.0
+
+
+class Holder:
+    """Draws on the budget for one request, and waits while there is none.
+
+    Args:
+        budget: The budget of the process.
+        address: Address of the client.
+    """
+
+    def __init__(self, budget: memorybudget.Budget, address: str) -> None:
+        self.budget = budget
+        self.claim = budget.open(address)
+        self.scope = trio.CancelScope()
+        self.granted = trio.Event()
+        self.claim.on_refused = self.scope.cancel
+        self.claim.on_granted = self._note_granted
+
+    def _note_granted(self) -> None:
+        self.granted.set()
+
+    async def draw(self, size: int) -> None:
+        """Draws bytes; waits until there is enough."""
+        self.granted = trio.Event()
+        if not self.budget.draw(self.claim, size):
+            await self.granted.wait()
+
+    async def read_body(self, receive: Any, max_bytes: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            ServiceError: If the client disconnects, the body is too large, or
+                there is not enough memory for it.
+        """
+        with self.scope:
+            await self.draw(memorybudget.REQUEST_BYTES)
+            body = await self._read_chunks(receive, max_bytes)
+            self.claim.is_reading = False
+            return body
+        self.raise_refusal()
+        # The scope of a caller was cancelled, which ends this task as well.
+        raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
+
+    async def _read_chunks(self, receive: Any, max_bytes: int) -> bytes:
+        # Unlike a bytearray, it gives its content away without a copy.
+        body = io.BytesIO()
+        size = reserved = 0
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                raise errors.ServiceError(errors.ResultCode.BODY_MALFORMED)
+            chunk = event.get("body", b"")
+            size += len(chunk)
+            if size > max_bytes:
+                raise make_too_large_error(max_bytes)
+            if size > reserved:
+                step = max(
+                    MIN_STEP_BYTES, size - reserved, size >> GROWTH_SHIFT
+                )
+                await self.draw(step)
+                reserved += step
+            body.write(chunk)
+            self.claim.received += len(chunk)
+            if not event.get("more_body", False):
+                self.budget.shrink(self.claim, reserved - size)
+                return body.getvalue()
+
+    def raise_refusal(self) -> None:
+        """Raises the error of a refused request.
+
+        Raises:
+            ServiceError: If it was refused.
+        """
+        if self.claim.refusal is memorybudget.Refusal.TOO_SLOW:
+            raise errors.ServiceError(errors.ResultCode.BODY_TOO_SLOW)
+        if self.claim.refusal is not None:
+            raise make_memory_error()
+
+    def check_decoding(self, body: bytes) -> None:
+        """Checks whether a JSON body may be decoded.
+
+        Nothing is drawn for it, because decoding does not let other tasks run,
+        and the result takes up no more than the body, which is given up.
+
+        Raises:
+            ServiceError: If the values would take up too much memory.
+        """
+        size = jsoncost.estimate_bytes(body)
+        available = self.budget.available_to(self.claim)
+        if size <= max(available, DECODED_SHARE * len(body)):
+            return
+        self.budget.count_refused(memorybudget.Refusal.MANY_VALUES)
+        if size <= self.budget.limits.memory_bytes:
+            raise make_memory_error()
+        raise errors.ServiceError(errors.ResultCode.BODY_VALUES_EXCEEDED)
+
+    def hold_response(self, size: int) -> None:
+        """Replaces the bytes of the request by those of its response."""
+        self.budget.add(self.claim, size)
+        body = self.claim.held - size - memorybudget.REQUEST_BYTES
+        self.budget.shrink(self.claim, max(0, body))
+
+    def release(self) -> None:
+        """Releases everything at the end of the request."""
+        self.budget.release(self.claim)
+
+
+def make_too_large_error(max_bytes: int) -> errors.ServiceError:
+    """Returns the error for a body over the limit."""
+    return errors.ServiceError(
+        errors.ResultCode.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes"
+    )
+
+
+def make_memory_error() -> errors.ServiceError:
+    """Returns the error for a request for which there is no memory."""
+    return errors.ServiceError(
+        errors.ResultCode.MEMORY_SCARCE, retry_after_s=RETRY_AFTER_S
+    )
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -19,6 +19,10 @@
     """Allows every request; the default of ``Request.before_send``."""
 
 
+def allow_decoding(body: bytes) -> None:
+    """Allows every body; the default of ``Request.check_decoding``."""
+
+
 def keep_connection() -> None:
     """Leaves a connection as it is; the default of ``retire_connection``."""
 
@@ -37,6 +41,8 @@
             first byte is sent; raises to prevent that.
         connect_timeout_s: Timeout of opening the connection; None for the
             timeout that the request is sent with.
+        check_decoding: Called with a JSON body before it is decoded; raises a
+            ``ServiceError`` if the values would take up too much memory.
     """
 
     method: str
@@ -46,13 +52,16 @@
     body: bytes = b""
     before_send: Callable[[], None] = allow_send
     connect_timeout_s: float | None = None
+    check_decoding: Callable[[bytes], None] = allow_decoding
 
     def parse(self, kind: type[T]) -> T:
         """Decodes the body as a typed message.
 
         Raises:
-            ServiceError: ``BODY_MALFORMED`` or ``BODY_INVALID``.
+            ServiceError: ``BODY_MALFORMED`` or ``BODY_INVALID``, or as by
+                ``check_decoding``.
         """
+        self.check_decoding(self.body)
         try:
             return codec.decode_strictly(kind, self.body)
         except codec.DecodeError as e:
--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -12,10 +12,18 @@
 
 from kingcupscale import errors
 from kingcupscale import events
+from kingcupscale.web import bodyreader
+from kingcupscale.web import clientguard
 from kingcupscale.web import limits
+from kingcupscale.web import memorybudget
 from kingcupscale.web import message
 from kingcupscale.web import worker
 
+# After a refusal, the rest of the body is read and discarded for this long, and
+# up to this size, before the connection is closed.
+REFUSAL_READ_S = 0.25
+MAX_DISCARDED_BYTES = 256 * 1024
+
 
 class Application:
     """An ASGI application that passes requests to one handler.
@@ -26,31 +34,46 @@
     Args:
         handler: Handles the requests.
         get_limits: Returns the limits in force.
+        budget: The memory for requests.
     """
 
     def __init__(
-        self, handler: message.Handler, get_limits: limits.LimitsProvider
+        self,
+        handler: message.Handler,
+        get_limits: limits.LimitsProvider,
+        budget: memorybudget.Budget,
     ) -> None:
         self.handler = handler
         self.get_limits = get_limits
+        self.budget = budget
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serves one ASGI scope: a request, or the lifespan of the server."""
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            await self._serve_request(scope, receive, send)
+            address = (scope.get("client") or ("",))[0]
+            holder = bodyreader.Holder(self.budget, address)
+            try:
+                await self._serve_request(holder, scope, receive, send)
+            finally:
+                holder.release()
 
-    async def _serve_request(self, scope: Any, receive: Any, send: Any) -> None:
+    async def _serve_request(
+        self, holder: bodyreader.Holder, scope: Any, receive: Any, send: Any
+    ) -> None:
         try:
-            request = await self._read_request(scope, receive)
+            request = await self._read_request(holder, scope, receive)
         except errors.ServiceError as e:
-            await _send_response(message.error_response(e), send)
+            await _send_refusal(message.error_response(e), receive, send)
             return
         response: message.Response | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, nursery, receive)
             handled = await run_handler(self.handler, request)
+            if handled.chunks is None:
+                request.body = b""
+                holder.hold_response(len(handled.body))
             await _send_all_but_last_chunk(handled, send)
             response = handled
             nursery.cancel_scope.cancel()
@@ -59,7 +82,9 @@
         if response is not None:
             await _send_body(send, response.body, more=False)
 
-    async def _read_request(self, scope: Any, receive: Any) -> message.Request:
+    async def _read_request(
+        self, holder: bodyreader.Holder, scope: Any, receive: Any
+    ) -> message.Request:
         request = message.Request(
             scope["method"],
             scope["raw_path"].decode("latin-1").partition("?")[0],
@@ -68,11 +93,13 @@
                 name.decode("latin-1").lower(): value.decode("latin-1")
                 for name, value in scope["headers"]
             },
+            check_decoding=holder.check_decoding,
         )
         self._check_header_size(scope)
-        self._check_declared_length(request.headers)
-        with trio.move_on_after(self.get_limits().body_timeout_s):
-            request.body = await self._read_body(receive)
+        allowed = self.get_limits()
+        _check_declared_length(request.headers, allowed.body_bytes)
+        with trio.move_on_after(allowed.body_timeout_s):
+            request.body = await holder.read_body(receive, allowed.body_bytes)
             return request
         raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
 
@@ -85,28 +112,11 @@
                 f"the headers exceed {self.get_limits().header_bytes} bytes",
             )
 
-    def _check_declared_length(self, headers: dict[str, str]) -> None:
-        length = headers.get("content-length", "0")
-        if length.isdigit() and int(length) > self.get_limits().body_bytes:
-            raise self._make_too_large_error()
-
-    async def _read_body(self, receive: Any) -> bytes:
-        body = bytearray()
-        while True:
-            event = await receive()
-            if event["type"] == "http.disconnect":
-                raise errors.ServiceError(errors.ResultCode.BODY_MALFORMED)
-            body += event.get("body", b"")
-            if len(body) > self.get_limits().body_bytes:
-                raise self._make_too_large_error()
-            if not event.get("more_body", False):
-                return bytes(body)
-
-    def _make_too_large_error(self) -> errors.ServiceError:
-        return errors.ServiceError(
-            errors.ResultCode.BODY_TOO_LARGE,
-            f"the body exceeds {self.get_limits().body_bytes} bytes",
-        )
+
+def _check_declared_length(headers: dict[str, str], max_bytes: int) -> None:
+    length = headers.get("content-length", "0")
+    if length.isdigit() and int(length) > max_bytes:
+        raise bodyreader.make_too_large_error(max_bytes)
 
 
 async def run_handler(
@@ -146,9 +156,34 @@
     nursery.cancel_scope.cancel()
 
 
-async def _send_response(response: message.Response, send: Any) -> None:
-    await _send_all_but_last_chunk(response, send)
-    await _send_body(send, response.body, more=False)
+async def _send_refusal(
+    response: message.Response, receive: Any, send: Any
+) -> None:
+    """Sends a response to a request whose body has not been read.
+
+    The rest of the body is discarded meanwhile. Otherwise hypercorn would wait
+    forever for room in its queue, and never close the connection. A client that
+    is still sending gets some time to read the response, because closing the
+    connection before it has read it may destroy the response.
+    """
+    async with trio.open_nursery() as nursery:
+        discarded = trio.Event()
+        nursery.start_soon(_discard_body, receive, discarded)
+        await _send_all_but_last_chunk(response, send)
+        with trio.move_on_after(REFUSAL_READ_S):
+            await discarded.wait()
+        await _send_body(send, response.body, more=False)
+        nursery.cancel_scope.cancel()
+
+
+async def _discard_body(receive: Any, discarded: trio.Event) -> None:
+    """Discards a body; sets the event at its end or after a large part."""
+    size = 0
+    while True:
+        event = await receive()
+        size += len(event.get("body", b""))
+        if not event.get("more_body", False) or size > MAX_DISCARDED_BYTES:
+            discarded.set()
 
 
 async def _send_all_but_last_chunk(
@@ -189,6 +224,8 @@
     get_limits: limits.LimitsProvider,
     shutdown: Callable[[], Awaitable[None]],
     graceful_timeout_s: float = 60.0,
+    guard: clientguard.ClientGuard | None = None,
+    listener: str = clientguard.DEFAULT_LISTENER,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves a handler until shutdown, then completes the open requests.
@@ -199,8 +236,26 @@
         get_limits: Returns the limits in force.
         shutdown: Returns when the server has to shut down.
         graceful_timeout_s: Timeout of completing the open requests.
+        guard: The memory budget and connection limits that the listeners of
+            the process share; None for a separate one with default limits.
+        listener: Name of the listener; the guard must know it.
         task_status: Is started with the bound ``host:port``.
     """
+    if guard is None:
+        guard = clientguard.make_default()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(guard.run)
+            await serve(
+                handler,
+                bind,
+                get_limits,
+                shutdown,
+                graceful_timeout_s,
+                guard,
+                task_status=task_status,
+            )
+            nursery.cancel_scope.cancel()
+        return
     config = hypercorn.config.Config()
     config.bind = [bind]
     config.errorlog = None
@@ -210,6 +265,10 @@
     config.graceful_timeout = graceful_timeout_s
     config.include_server_header = False
     config.include_date_header = False
-    application = Application(handler, get_limits)
-    server_worker = worker.Worker(application, config, get_limits)
+    # The events of a body that hypercorn queues for the application.
+    config.max_app_queue_size = 1
+    application = Application(handler, get_limits, guard.budget)
+    server_worker = worker.Worker(
+        application, config, get_limits, guard, listener
+    )
     await server_worker.serve(shutdown, task_status)
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -6,10 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import functools
-import socket
-import struct
 from typing import Any
 
 import hypercorn.app_wrappers
@@ -20,7 +17,10 @@
 import trio
 
 from kingcupscale import events
+from kingcupscale.web import clientguard
+from kingcupscale.web import connectionlimits
 from kingcupscale.web import limits
+from kingcupscale.web import watchedstream
 
 # Tasks of a closed connection are cancelled after this time. A task that still
 # runs then waits for something that never happens; for example, a pipelined
@@ -29,8 +29,6 @@
 # On shutdown, a connection without requests so far stays open for this long,
 # because its client may already have sent its first request.
 FIRST_REQUEST_TIMEOUT_S = 0.5
-# SO_LINGER with timeout 0 closes a connection with a TCP reset.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Interval between checks for expired connections.
 EXPIRY_CHECK_INTERVAL_S = 0.5
 # The same interval during shutdown.
@@ -44,6 +42,8 @@
         application: The ASGI application.
         config: Hypercorn's settings; the first address in ``bind`` is used.
         get_limits: Returns the limits in force.
+        guard: The limits that the listeners of the process share.
+        listener: Name of the listener.
 
     Attributes:
         streams: The open connections.
@@ -54,12 +54,16 @@
         application: hypercorn.typing.ASGIFramework,
         config: hypercorn.config.Config,
         get_limits: limits.LimitsProvider,
+        guard: clientguard.ClientGuard,
+        listener: str,
     ) -> None:
         self.application = application
         self.config = config
         self.get_limits = get_limits
+        self.guard = guard
+        self.listener = listener
         self.context = hypercorn.trio.worker_context.WorkerContext(None)
-        self.streams: set[WatchedStream] = set()
+        self.streams: set[watchedstream.WatchedStream] = set()
 
     async def serve(
         self,
@@ -120,46 +124,98 @@
     def _close_expired(self) -> None:
         """Closes connections whose idle or header timeout has passed."""
         now, allowed = trio.current_time(), self.get_limits()
+        closed = self.guard.connections.closed
         for stream in list(self.streams):
             waited_s = now - stream.waiting_since
             if stream.has_bytes and waited_s > allowed.header_timeout_s:
-                stream.close_unless_handling()
-            elif waited_s > allowed.idle_s:
-                stream.close_if_idle()
+                if stream.close_unless_handling():
+                    closed[connectionlimits.Reason.HEADER_TIMEOUT] += 1
+            elif waited_s > allowed.idle_s and stream.close_if_idle():
+                closed[connectionlimits.Reason.IDLE] += 1
+
+    def _make_room(self, address: str) -> bool:
+        """Closes a connection if a new one is one too many.
+
+        Returns:
+            Whether the new one may stay open.
+        """
+        connections = self.guard.connections
+        if not connections.is_full_for(self.listener, address):
+            return True
+        connections.closed[connectionlimits.Reason.TOO_MANY] += 1
+        streams = {
+            stream.candidate(): stream
+            for stream in self.streams
+            if not stream.closed.is_set()
+            and (
+                stream.address == address
+                or not connections.is_address_full(address)
+            )
+        }
+        victim = connectionlimits.choose_victim(
+            list(streams), trio.current_time()
+        )
+        if victim is None:
+            return False
+        streams[victim].evict()
+        return True
 
     async def _serve_connection(self, accepted: trio.SocketStream) -> None:
         """Serves one connection until it is complete or closed."""
-        stream = WatchedStream(accepted)
+        stream = watchedstream.WatchedStream(
+            accepted, self.guard.limits.send_stall_s
+        )
+        if not self._make_room(stream.address):
+            await trio.aclose_forcefully(accepted)
+            return
         self.streams.add(stream)
+        self.guard.connections.add(self.listener, stream.address)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
                     self._run_hypercorn, stream, nursery.cancel_scope
                 )
                 await stream.closed.wait()
-                await trio.sleep(CLOSED_TASKS_TIMEOUT_S)
+                if not stream.is_evicted:
+                    await trio.sleep(CLOSED_TASKS_TIMEOUT_S)
                 nursery.cancel_scope.cancel()
         finally:
             self.streams.discard(stream)
+            self.guard.connections.remove(self.listener, stream.address)
+            if stream.is_not_read:
+                reason = connectionlimits.Reason.NOT_READ
+                self.guard.connections.closed[reason] += 1
             await trio.aclose_forcefully(stream)
 
     async def _handle_request(
-        self, stream: "WatchedStream", scope: Any, receive: Any, send: Any
+        self,
+        stream: watchedstream.WatchedStream,
+        scope: Any,
+        receive: Any,
+        send: Any,
     ) -> None:
         """Handles one request and marks the connection as in use meanwhile."""
-        stream.requests += 1
+        stream.mark_started()
+
+        async def receive_and_note() -> Any:
+            event = await receive()
+            if not event.get("more_body", False):
+                stream.is_reading_body = False
+            return event
+
         try:
-            await self.application(scope, receive, send)
+            await self.application(scope, receive_and_note, send)
         except BaseException:
             if scope.get("http_version") == "1.0":
                 stream.reset_on_close()
             raise
         finally:
-            stream.requests -= 1
             stream.mark_handled()
 
     async def _run_hypercorn(
-        self, stream: "WatchedStream", connection: trio.CancelScope
+        self,
+        stream: watchedstream.WatchedStream,
+        connection: trio.CancelScope,
     ) -> None:
         """Runs hypercorn's server; an error closes only this connection."""
         application = functools.partial(self._handle_request, stream)
@@ -186,96 +242,6 @@
         connection.cancel()
 
 
-class WatchedStream(trio.abc.HalfCloseableStream):
-    """A connection that tracks whether it is idle, closed or broken.
-
-    Args:
-        stream: The connection.
-
-    Attributes:
-        socket: The connection's socket.
-        closed: Set when nothing can be sent any more.
-        requests: Number of requests being handled.
-        has_bytes: Whether bytes of a further request have been read.
-        is_used: Whether any request has been handled.
-        is_reset_on_close: Whether closing it is a reset.
-        waiting_since: Time of the event loop at which it became idle, or at
-            which the first byte of a request arrived.
-    """
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.socket = stream.socket
-        self.closed = trio.Event()
-        self.requests = 0
-        self.has_bytes = False
-        self.is_used = False
-        self.is_reset_on_close = False
-        self.waiting_since = trio.current_time()
-
-    def mark_handled(self) -> None:
-        """Records the end of a request; later bytes belong to the next one."""
-        self.has_bytes = False
-        self.is_used = True
-        self.waiting_since = trio.current_time()
-
-    def reset_on_close(self) -> None:
-        """Has the connection reset when it is closed.
-
-        A response to a client of HTTP/1.0 ends with its connection, so it would
-        look complete if the connection were closed in order.
-        """
-        self.is_reset_on_close = True
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-
-    def close_if_idle(self) -> None:
-        """Closes the connection unless a request is being read or handled."""
-        if not self.has_bytes:
-            self.close_unless_handling()
-
-    def close_unless_handling(self) -> None:
-        """Closes the connection unless a request is being handled."""
-        if not self.requests:
-            self.closed.set()
-            self.socket.close()
-
-    async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        """Returns received data; empty at the end of the stream."""
-        try:
-            data = await self.stream.receive_some(max_bytes)
-        except trio.ClosedResourceError:
-            return b""
-        if data and not self.has_bytes:
-            self.has_bytes = True
-            self.waiting_since = trio.current_time()
-        return data
-
-    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
-        """Sends all of the data."""
-        try:
-            await self.stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            self.closed.set()
-            raise
-
-    async def wait_send_all_might_not_block(self) -> None:
-        """Waits until sending is likely not to block."""
-        await self.stream.wait_send_all_might_not_block()
-
-    async def send_eof(self) -> None:
-        """Closes the sending side, unless the connection is to be reset."""
-        if not self.is_reset_on_close:
-            await self.stream.send_eof()
-
-    async def aclose(self) -> None:
-        """Closes the connection."""
-        self.closed.set()
-        await self.stream.aclose()
-
-
 def _log_error(error: Exception | BaseExceptionGroup) -> None:
     """Logs the innermost error of a connection."""
     while isinstance(error, BaseExceptionGroup):
--- /dev/null
+++ b/tests/test_client_limits.py
@@ -0,0 +1,203 @@
+"""Connections of clients that exceed limits, on real sockets."""
+
+import contextlib
+import functools
+import unittest
+
+import parameterized
+import trio
+
+from kingcupscale.web import clientguard
+from kingcupscale.web import clientlimits
+from kingcupscale.web import connectionlimits
+from kingcupscale.web import limits
+from kingcupscale.web import message
+from kingcupscale.web import server
+
+TEST_TIMEOUT_S = 30.0
+LARGE_RESPONSE = bytes(32 << 20)
+HEAD = b"POST / HTTP/1.1\r\nhost: a\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+EMPTY = HEAD + b"content-length: 0\r\n\r\n"
+CALLERS = "callers"
+PEERS = "peers"
+
+
+async def _handle(request):
+    if request.path == "/large":
+        return message.Response(200, {}, LARGE_RESPONSE)
+    return message.Response(200, {}, b"%d bytes" % len(request.body))
+
+
+def with_server(body_bytes=1 << 20, **changed):
+    """Runs an async test with the address and the guard of a server."""
+
+    def decorate(test):
+        @functools.wraps(test)
+        def run(self, *args):
+            async def main():
+                with trio.fail_after(TEST_TIMEOUT_S):
+                    allowed = clientlimits.derive(
+                        **{"budget_mb": 2, "connections": 16, **changed}
+                    )
+                    async with _serving(allowed, body_bytes) as (name, guard):
+                        await test(self, name, guard, *args)
+
+            trio.run(main)
+
+        return run
+
+    return decorate
+
+
+@contextlib.asynccontextmanager
+async def _serving(allowed, body_bytes):
+    guard = clientguard.ClientGuard(allowed)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(guard.run)
+        address = await nursery.start(
+            functools.partial(server.serve, guard=guard),
+            _handle,
+            "127.0.0.1:0",
+            limits.constant(limits.Limits(body_bytes=body_bytes)),
+            trio.sleep_forever,
+        )
+        yield address, guard
+        nursery.cancel_scope.cancel()
+
+
+async def _connect(address, data=b""):
+    host, _, port = address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    await stream.send_all(data)
+    return stream
+
+
+async def _read_to_end(stream):
+    data = b""
+    with contextlib.suppress(trio.BrokenResourceError):
+        async for part in stream:
+            data += part
+    return data
+
+
+async def _wait_until(condition):
+    while not condition():
+        await trio.sleep(0.05)
+
+
+class RefusedBodyTest(unittest.TestCase):
+    @with_server(body_bytes=50)
+    async def test_connection_is_closed_after_a_refused_body(
+        self, address, guard
+    ):
+        # More chunks than hypercorn queues, so that a task of hypercorn waits
+        # for the application to read on when the refusal is complete.
+        async with await _connect(address, CHUNKED) as stream:
+            await stream.send_all(b"a\r\n0123456789\r\n" * 200)
+            data = await _read_to_end(stream)
+        self.assertTrue(data.startswith(b"HTTP/1.1 413 "), data[:40])
+        connections = guard.connections
+        await _wait_until(lambda: not connections.open["default"])
+        self.assertEqual(guard.budget.held, 0)
+
+    @with_server(budget_mb=1, wait_s=0.3, body_bytes_per_s=0)
+    async def test_refusal_for_memory_says_when_to_retry(self, address, guard):
+        async with await _connect(address, CHUNKED) as holder:
+            await holder.send_all(b"a0000\r\n" + bytes(0xA0000))
+            await _wait_until(lambda: guard.budget.held > 0xA0000)
+            async with await _connect(address, CHUNKED) as stream:
+                await stream.send_all(b"40000\r\n" + bytes(0x40000) + b"\r\n")
+                data = await _read_to_end(stream)
+        self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data[:40])
+        self.assertIn(b"retry-after: 1", data)
+        self.assertIn(b'"run":"not_run"', data)
+
+    @with_server(budget_mb=1)
+    async def test_stalled_body_is_refused_for_a_waiting_one(
+        self, address, guard
+    ):
+        async with await _connect(address, CHUNKED) as stalled:
+            await stalled.send_all(b"a0000\r\n" + bytes(0xA0000))
+            await _wait_until(lambda: guard.budget.held > 0xA0000)
+            await trio.sleep(1.0)
+            async with await _connect(address, CHUNKED) as stream:
+                await stream.send_all(
+                    b"40000\r\n" + bytes(0x40000) + b"\r\n0\r\n\r\n"
+                )
+                answer = await stream.receive_some()
+            data = await _read_to_end(stalled)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer[:40])
+        self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data[:40])
+
+
+class ConnectionTest(unittest.TestCase):
+    @with_server(send_stall_s=0.5)
+    async def test_connection_of_a_client_that_does_not_read_is_closed(
+        self, address, guard
+    ):
+        head = EMPTY.replace(b" / ", b" /large ")
+        async with await _connect(address, head):
+            await _wait_until(
+                lambda: guard.connections.closed[
+                    connectionlimits.Reason.NOT_READ
+                ]
+            )
+        await _wait_until(lambda: not guard.budget.held)
+
+    @with_server()
+    async def test_new_connection_is_served_in_place_of_an_idle_one(
+        self, address, guard
+    ):
+        idle = [await _connect(address) for _ in range(40)]
+        for _ in range(3):
+            async with await _connect(address, EMPTY) as stream:
+                data = await stream.receive_some()
+                self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data[:40])
+        self.assertLessEqual(guard.connections.open["default"], 16)
+        for stream in idle:
+            await stream.aclose()
+
+
+class DecisionTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("idle_first", [(1, 0, 5.0), (2, 1, 1.0), (3, 2, 1.0)], 1),
+            ("longest_idle", [(1, 0, 5.0), (2, 0, 4.0)], 2),
+            ("incomplete_head", [(1, 1, 9.9), (2, 2, 1.0)], 1),
+            ("stalled_body", [(1, 3, 0.0), (2, 2, 8.0)], 2),
+            ("body_in_progress", [(1, 2, 9.5)], None),
+            ("request_in_progress", [(1, 3, 0.0)], None),
+        ]
+    )
+    def test_connection_that_is_missed_least_is_closed(self, _, rows, expected):
+        candidates = [
+            connectionlimits.Candidate(
+                number, "a", connectionlimits.State(state), since
+            )
+            for number, state, since in rows
+        ]
+        victim = connectionlimits.choose_victim(candidates, now=10.0)
+        self.assertEqual(victim and victim.number, expected)
+
+    def test_clients_of_one_listener_leave_room_for_another(self):
+        allowed = clientlimits.derive(connections=64, address_share=1.0)
+        counts = connectionlimits.ConnectionLimits(allowed, (CALLERS, PEERS))
+        for number in range(64):
+            if not counts.is_full_for(CALLERS, str(number)):
+                counts.add(CALLERS, str(number))
+        self.assertEqual(counts.open[CALLERS], 62)
+        self.assertFalse(counts.is_full_for(PEERS, "b"))
+
+    def test_one_address_leaves_room_for_another(self):
+        allowed = clientlimits.derive(connections=100)
+        counts = connectionlimits.ConnectionLimits(allowed, (CALLERS,))
+        while not counts.is_full_for(CALLERS, "a"):
+            counts.add(CALLERS, "a")
+        self.assertEqual(counts.open[CALLERS], 90)
+        self.assertFalse(counts.is_full_for(CALLERS, "b"))
+
+    def test_hundreds_of_connections_are_allowed_by_default(self):
+        for max_fds in (0, 1024):
+            allowed = clientlimits.derive(max_fds=max_fds)
+            self.assertGreaterEqual(allowed.address_connections, 600)
