--- a/src/kingcupscale/peering/calls.py
+++ b/src/kingcupscale/peering/calls.py
@@ -16,6 +16,14 @@
 CONNECT_TIMEOUT_S = 0.25
 
 _converter = codec.make_wire_converter()
+# The converter raises TypeError or AttributeError for a value that is not an
+# object.
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    cattrs.BaseValidationError,
+)
 
 
 class PeerError(Exception):
@@ -85,7 +93,7 @@
     """
     try:
         return _converter.loads(body, kind)
-    except (ValueError, cattrs.BaseValidationError) as e:
+    except _DECODE_ERRORS as e:
         raise PeerError(f"invalid response: {e!r}"[:200], True) from e
 
 
@@ -97,7 +105,7 @@
     """
     try:
         return _converter.loads(body, kind)
-    except (ValueError, cattrs.BaseValidationError) as e:
+    except _DECODE_ERRORS as e:
         raise errors.ServiceError(
             errors.ResultCode.BODY_INVALID, repr(e)[:200]
         ) from None
--- a/src/kingcupscale/platform/frontend.py
+++ b/src/kingcupscale/platform/frontend.py
@@ -16,6 +16,9 @@
 
 # For requests without a deadline header.
 DEFAULT_DEADLINE_S = 10.0
+# While a batch is decoded and stored, it takes up about seven times the size of
+# its body: its values, their encoded forms and the copy from the store's watch.
+BATCH_MEMORY_FACTOR = 6
 
 
 class Frontend:
@@ -59,6 +62,7 @@
         if request.method != "POST":
             raise errors.ServiceError(errors.ResultCode.METHOD_NOT_ALLOWED)
         request.check_decoding(request.body)
+        await request.reserve(BATCH_MEMORY_FACTOR * len(request.body))
         try:
             new = documents.decode_batch(
                 inbound.request_id,
--- a/src/kingcupscale/web/bodyreader.py
+++ b/src/kingcupscale/web/bodyreader.py
@@ -30,9 +30,7 @@
     def __init__(self, budget: memorybudget.Budget, address: str) -> None:
         self.budget = budget
         self.claim = budget.open(address)
-        self.scope = trio.CancelScope()
         self.granted = trio.Event()
-        self.claim.on_refused = self.scope.cancel
         self.claim.on_granted = self._note_granted
 
     def _note_granted(self) -> None:
@@ -51,14 +49,13 @@
             ServiceError: If the client disconnects, the body is too large, or
                 there is not enough memory for it.
         """
-        with self.scope:
+        with trio.CancelScope() as scope:
+            self.claim.on_refused = scope.cancel
             await self.draw(memorybudget.REQUEST_BYTES)
             body = await self._read_chunks(receive, max_bytes)
             self.claim.is_reading = False
             return body
-        self.raise_refusal()
-        # The scope of a caller was cancelled, which ends this task as well.
-        raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
+        raise self._make_refusal()
 
     async def _read_chunks(self, receive: Any, max_bytes: int) -> bytes:
         # Unlike a bytearray, it gives its content away without a copy.
@@ -84,16 +81,27 @@
                 self.budget.shrink(self.claim, reserved - size)
                 return body.getvalue()
 
-    def raise_refusal(self) -> None:
-        """Raises the error of a refused request.
+    def _make_refusal(self) -> errors.ServiceError:
+        """Returns the error for a request that the budget has refused."""
+        if self.claim.refusal is memorybudget.Refusal.TOO_SLOW:
+            return errors.ServiceError(errors.ResultCode.BODY_TOO_SLOW)
+        return make_memory_error()
+
+    async def reserve(self, size: int) -> None:
+        """Waits for memory for handling the request, besides its body.
+
+        A request reserves at most the memory that large requests may use, so
+        that a single one is handled at any size, and small ones beside it.
 
         Raises:
-            ServiceError: If it was refused.
+            ServiceError: If there is not enough in time.
         """
-        if self.claim.refusal is memorybudget.Refusal.TOO_SLOW:
-            raise errors.ServiceError(errors.ResultCode.BODY_TOO_SLOW)
-        if self.claim.refusal is not None:
-            raise make_memory_error()
+        with trio.CancelScope() as scope:
+            self.claim.on_refused = scope.cancel
+            limit = self.budget.large_bytes() - self.claim.held
+            await self.draw(max(0, min(size, limit)))
+            return
+        raise self._make_refusal()
 
     def check_decoding(self, body: bytes) -> None:
         """Checks whether a JSON body may be decoded.
--- a/src/kingcupscale/web/memorybudget.py
+++ b/src/kingcupscale/web/memorybudget.py
@@ -156,6 +156,10 @@
         if not self.held_by_address[claim.address]:
             del self.held_by_address[claim.address]
 
+    def large_bytes(self) -> int:
+        """Returns how much memory large requests may use."""
+        return int((1 - SMALL_SHARE) * self.limits.memory_bytes)
+
     def available_to(self, claim: Claim) -> int:
         """Returns how much memory the other claims leave to this one."""
         return self.limits.memory_bytes - (self.held - claim.held)
@@ -251,12 +255,18 @@
         if self.held == claim.held:
             # A single request is served up to the largest size allowed.
             return True
-        total = self.limits.memory_bytes
-        if not claim.is_small(size):
-            total -= int(SMALL_SHARE * total)
-        if self.held + size > total:
+        is_small = claim.is_small(size)
+        total = self.limits.memory_bytes if is_small else self.large_bytes()
+        if self.held + size > total and not self._is_only_large(claim, size):
             return False
         of_address = self.held_by_address[claim.address]
         if of_address == claim.held:
             return True
         return of_address + size <= self.limits.address_bytes
+
+    def _is_only_large(self, claim: Claim, size: int) -> bool:
+        """Returns whether the others hold only what is kept for small ones."""
+        large = self.large_bytes()
+        others = self.held - claim.held
+        is_in_small_part = others <= self.limits.memory_bytes - large
+        return is_in_small_part and claim.held + size <= large
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -1,6 +1,7 @@
 """HTTP requests and responses, independent of the transport."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import Protocol
@@ -23,6 +24,10 @@
     """Allows every body; the default of ``Request.check_decoding``."""
 
 
+async def reserve_nothing(size: int) -> None:
+    """Reserves nothing; the default of ``Request.reserve``."""
+
+
 def keep_connection() -> None:
     """Leaves a connection as it is; the default of ``retire_connection``."""
 
@@ -43,6 +48,8 @@
             timeout that the request is sent with.
         check_decoding: Called with a JSON body before it is decoded; raises a
             ``ServiceError`` if the values would take up too much memory.
+        reserve: Waits for a number of bytes of memory that the request needs
+            besides its body; raises a ``ServiceError`` if there are none.
     """
 
     method: str
@@ -53,6 +60,7 @@
     before_send: Callable[[], None] = allow_send
     connect_timeout_s: float | None = None
     check_decoding: Callable[[bytes], None] = allow_decoding
+    reserve: Callable[[int], Awaitable[None]] = reserve_nothing
 
     def parse(self, kind: type[T]) -> T:
         """Decodes the body as a typed message.
--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -94,6 +94,7 @@
                 for name, value in scope["headers"]
             },
             check_decoding=holder.check_decoding,
+            reserve=holder.reserve,
         )
         self._check_header_size(scope)
         allowed = self.get_limits()
--- a/tests/hostile/nodeprocess.py
+++ b/tests/hostile/nodeprocess.py
@@ -82,7 +82,7 @@
             self.sample()
             await trio.sleep(POLL_S)
 
-    async def call_until_answered(self):
+    async def call_until_answered(self, body=b"an ordinary body"):
         """Makes an ordinary call until it is answered with 200.
 
         A refusal is allowed, as is a closed connection; a caller tries again.
@@ -90,14 +90,14 @@
         statuses = []
         with trio.move_on_after(CALL_LIMIT_S):
             while True:
-                status = await self._call()
+                status = await self._call(body)
                 statuses.append(status)
                 if status == 200:
                     return
                 await trio.sleep(POLL_S)
         raise AssertionError(f"no call was answered with 200: {statuses}")
 
-    async def _call(self):
+    async def _call(self, body=b"an ordinary body"):
         client = httpclient.PooledHttpClient()
         fields = {
             "host": harness.HOST,
@@ -106,7 +106,7 @@
             names.DEADLINE_MS: "2000",
         }
         request = message.Request(
-            "POST", f"{harness.CALL_PATH}1", "", fields, b"an ordinary body"
+            "POST", f"{harness.CALL_PATH}1", "", fields, body
         )
         try:
             response = await httpclient.fetch(
@@ -130,7 +130,7 @@
 
 
 @contextlib.asynccontextmanager
-async def launch():
+async def launch(settings=SETTINGS, body_bytes=BODY_BYTES):
     """Yields a node that has answered a call, and ends it afterwards."""
     async with trio.open_nursery() as nursery:
         site = _Site(nursery)
@@ -141,7 +141,7 @@
         nursery.start_soon(_register_forever, plain)
         configuration = harness.make_configuration()
         configuration["limits"] = {
-            "maxBodyBytes": BODY_BYTES,
+            "maxBodyBytes": body_bytes,
             "maxHeaderBytes": 16 * 1024,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 12_000,
@@ -149,7 +149,7 @@
         site.store.put(names.CONFIGURATION_KEY, orjson.dumps(configuration))
         with (
             tempfile.TemporaryDirectory() as folder,
-            _start(pathlib.Path(folder), store, cloud) as node,
+            _start(pathlib.Path(folder), store, cloud, settings) as node,
         ):
             await node.call_until_answered()
             node.base_bytes = node.read_memory("VmRSS")
@@ -177,7 +177,7 @@
 
 
 @contextlib.contextmanager
-def _start(folder, store, cloud):
+def _start(folder, store, cloud, settings):
     addresses = [f"127.0.0.1:{_free_port()}" for _ in range(4)]
     fields = {
         "node": "n1",
@@ -188,16 +188,16 @@
         "listen.control": addresses[2],
         "provider.address": store,
         "cloud.address": cloud,
-        **SETTINGS,
+        **settings,
     }
-    settings = folder / "node.settings"
+    file = folder / "node.settings"
     lines = [f"{name}={value}" for name, value in fields.items()]
-    settings.write_text("\n".join([*lines, ""]))
+    file.write_text("\n".join([*lines, ""]))
     port = addresses[3].rpartition(":")[2]
     with (folder / "log").open("wb") as log:
         popen = subprocess.Popen(
             [sys.executable, str(ROOT / "deploy" / "node.py")]
-            + ["--settings", str(settings), "--metrics-port", port],
+            + ["--settings", str(file), "--metrics-port", port],
             stdout=log,
             stderr=log,
         )
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -15,6 +15,8 @@
 from kingcupscale.web import server
 
 TEST_TIMEOUT_S = 30.0
+RESERVED_S = 2.0
+MIB = 1 << 20
 LARGE_RESPONSE = bytes(32 << 20)
 HEAD = b"POST / HTTP/1.1\r\nhost: a\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
@@ -26,6 +28,9 @@
 async def _handle(request):
     if request.path == "/large":
         return message.Response(200, {}, LARGE_RESPONSE)
+    if request.path == "/reserve":
+        await request.reserve(100 << 20)
+        await trio.sleep(RESERVED_S)
     return message.Response(200, {}, b"%d bytes" % len(request.body))
 
 
@@ -131,6 +136,36 @@
         self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data[:40])
 
 
+class ReservationTest(unittest.TestCase):
+    """Requests that need more memory than their bodies take turns."""
+
+    @with_server(wait_s=0.5)
+    async def test_second_one_waits_and_small_requests_do_not(
+        self, address, guard
+    ):
+        head = EMPTY.replace(b" / ", b" /reserve ")
+        async with await _connect(address, head) as first:
+            await _wait_until(lambda: guard.budget.held > MIB)
+            async with await _connect(address, head) as second:
+                async with await _connect(address, EMPTY) as small:
+                    data = await small.receive_some()
+                    self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
+                data = await second.receive_some()
+                self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data)
+            data = await first.receive_some()
+            self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
+        await _wait_until(lambda: not guard.budget.held)
+
+    @with_server(wait_s=0.5)
+    async def test_one_is_served_beside_small_requests(self, address, guard):
+        small = guard.budget.open("10.0.0.1")
+        guard.budget.add(small, MIB // 4)
+        head = EMPTY.replace(b" / ", b" /reserve ")
+        async with await _connect(address, head) as stream:
+            data = await stream.receive_some()
+            self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
+
+
 class ConnectionTest(unittest.TestCase):
     @with_server(send_stall_s=0.5)
     async def test_connection_of_a_client_that_does_not_read_is_closed(
