--- a/src/kingcupscale/deployment.py
+++ b/src/kingcupscale/deployment.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from kingcupscale.web import clientlimits
+
 
 @attrs.frozen
 class Bounds:
@@ -71,6 +73,7 @@
             speed; None if it is not configured.
         memory_mb: Memory of the node's VM in megabytes; 0 if it is not
             configured.
+        clients: Limits on the memory and the connections of clients.
     """
 
     node: str
@@ -91,3 +94,6 @@
     zone_regions: dict[str, str] = attrs.field(factory=dict)
     capacity_cores: float | None = None
     memory_mb: float = 0.0
+    clients: clientlimits.ClientLimits = attrs.field(
+        factory=clientlimits.derive
+    )
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -69,6 +69,8 @@
     CONFIGURED_VALUE_IGNORED = (2515, "A configured value is invalid.")
     SERVER_COLD = (2516, "A server gets a limited number of requests.")
     REGION_UNKNOWN = (2517, "The configuration names an unknown region.")
+    MEMORY_SCARCE = (2520, "Requests were refused for lack of memory.")
+    CONNECTIONS_CLOSED = (2521, "Clients' connections were closed at a limit.")
     STEP_OPENED = (2601, "A rollout step was opened.")
     STEP_ENDED = (2602, "A rollout step is complete, cancelled or expired.")
     SAMPLE_RESTARTED = (2603, "A sample was dropped and started again.")
--- a/src/kingcupscale/web/message.py
+++ b/src/kingcupscale/web/message.py
@@ -1,6 +1,7 @@
 """HTTP requests and responses, independent of the transport."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import Protocol
@@ -19,6 +20,14 @@
     """Allows every request; the default of ``Request.before_send``."""
 
 
+def allow_decoding(body: bytes) -> None:
+    """Allows every body; the default of ``Request.check_decoding``."""
+
+
+async def reserve_nothing(size: int) -> None:
+    """Reserves nothing; the default of ``Request.reserve``."""
+
+
 def keep_connection() -> None:
     """Leaves a connection as it is; the default of ``retire_connection``."""
 
@@ -37,6 +46,10 @@
             first byte is sent; raises to prevent that.
         connect_timeout_s: Timeout of opening the connection; None for the
             timeout that the request is sent with.
+        check_decoding: Called with a JSON body before it is decoded; raises a
+            ``ServiceError`` if the values would take up too much memory.
+        reserve: Waits for a number of bytes of memory that the request needs
+            besides its body; raises a ``ServiceError`` if there are none.
     """
 
     method: str
@@ -46,13 +59,17 @@
     body: bytes = b""
     before_send: Callable[[], None] = allow_send
     connect_timeout_s: float | None = None
+    check_decoding: Callable[[bytes], None] = allow_decoding
+    reserve: Callable[[int], Awaitable[None]] = reserve_nothing
 
     def parse(self, kind: type[T]) -> T:
         """Decodes the body as a typed message.
 
         Raises:
-            ServiceError: ``BODY_MALFORMED`` or ``BODY_INVALID``.
+            ServiceError: ``BODY_MALFORMED`` or ``BODY_INVALID``, or as by
+                ``check_decoding``.
         """
+        self.check_decoding(self.body)
         try:
             return codec.decode_strictly(kind, self.body)
         except codec.DecodeError as e:
