Compute the budgets of cold servers once for each configuration

Cause: each choice among cold servers looked at all routes of the configuration.

Change: the division of a service's budget is cached until the configuration changes, as the allowed zones are.

Tests: no new one; the tests of cold servers, regions and evacuations pass.

--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -57,7 +57,10 @@
 
     Attributes:
         zones: Cached zones that requests may be sent to, by route and
-            organisation, under ``zones_version``.
+            organisation.
+        budgets: Cached requests to a cold server for calls and for samples, by
+            service.
+        cached_for: The configuration that the caches belong to.
     """
 
     def __init__(
@@ -72,7 +75,8 @@
     ) -> None:
         self.residency = residency.Residency(zone_regions or {})
         self.zones: dict[tuple[str, str], frozenset[str] | None] = {}
-        self.zones_version: catalogue.Catalogue | None = None
+        self.budgets: dict[str, tuple[int, int]] = {}
+        self.cached_for: catalogue.Catalogue | None = None
         self.servers = servers
         self.senders = senders
         self.current_catalogue = current_catalogue
@@ -88,10 +92,7 @@
             route: Its route. The present configuration of that name counts.
             organisation: Name of its organisation; empty if it has none.
         """
-        configured = self.current_catalogue()
-        if configured is not self.zones_version:
-            self.zones.clear()
-            self.zones_version = configured
+        configured = self._refresh_caches()
         key = (route.name, organisation)
         if key not in self.zones:
             routes = configured.routes if configured else ()
@@ -258,18 +259,29 @@
             return None
         return service
 
+    def _refresh_caches(self) -> catalogue.Catalogue | None:
+        """Returns the configuration; clears the caches if it has changed."""
+        configured = self.current_catalogue()
+        if configured is not self.cached_for:
+            self.cached_for = configured
+            self.zones.clear()
+            self.budgets.clear()
+        return configured
+
     def _share(self, server: registry.Server, sender: str) -> int:
         """Returns how many requests this node may send to a cold server."""
-        configured = self.current_catalogue()
+        configured = self._refresh_caches()
         service = self._limited(server.entry.service)
         if configured is None or service is None or self.senders is None:
             return 0
-        kinds = {r.kind for r in configured.routes_to(service.name)}
-        calls, samples = coldshares.split(
-            self.limits.limit(service.cold_per_s),
-            bool(kinds - {catalogue.RouteKind.BATCH}),
-            catalogue.RouteKind.BATCH in kinds,
-        )
+        if service.name not in self.budgets:
+            kinds = {r.kind for r in configured.routes_to(service.name)}
+            self.budgets[service.name] = coldshares.split(
+                self.limits.limit(service.cold_per_s),
+                bool(kinds - {catalogue.RouteKind.BATCH}),
+                catalogue.RouteKind.BATCH in kinds,
+            )
+        calls, samples = self.budgets[service.name]
         if sender == CALLS:
             return self.senders.share(server.id, calls)
         return coldshares.share(server.id, service.models, sender, samples)
