--- a/src/kingcupscale/batches/order.py
+++ b/src/kingcupscale/batches/order.py
@@ -2,12 +2,13 @@
 
 A trainer waits for whole groups, and for some of its groups only. Samples of
 the most urgent class come first, in a class those whose group can still be
-whole in time, then those whose group has the fewest items left. Of these, the
-longest come first, because they determine when the step ends.
+whole in time, then those with the least slack. Of samples with about the same
+slack, those come first whose group has the fewest items left, then the longest.
 """
 
 import collections
 from collections.abc import Iterable
+import math
 
 import attrs
 
@@ -15,6 +16,9 @@
 from kingcupscale.batches import record as records
 from kingcupscale.batches import sample as samples
 
+# Samples whose slack differs by less than this have about the same slack. With
+# larger steps, more steps of trainers end late while slots are scarce.
+SLACK_STEP_S = 0.5
 # Share of the expected time that a sample takes at least. A length hint is
 # right at the median only, so a group is late only if its longest sample would
 # be late with this share.
@@ -77,7 +81,7 @@
         for batch_id, record in batches.items()
     }
 
-    def key(sample: samples.Sample) -> tuple[int, bool, int, float]:
+    def key(sample: samples.Sample) -> tuple[int, bool, int, int, float]:
         group = groups[_group_of(sample)]
         age_s = (now_ms - sample.record.submitted_ms) / 1000
         left_s = sample.route.due_s - age_s
@@ -85,11 +89,13 @@
             surplus[sample.record.batch.id]
             or MIN_DURATION_SHARE * group.longest_s > left_s
         ) and age_s < MAX_YIELD_SHARE * sample.route.max_age_s
+        sample_s = expected_s(sample, speed)
         return (
             sample.route.priority,
             yields,
+            math.floor((left_s - sample_s) / SLACK_STEP_S),
             group.left,
-            -expected_s(sample, speed),
+            -sample_s,
         )
 
     return sorted(waiting, key=key)
