Show the limit on loads and the steps that wait in metrics and events

2316 tells when the limit on concurrent loads changes, 2317 which loads are ordered under which limit and for which need, 2618 when a batch's first item has got a slot and how long it waited. The metrics have the limit, the loads in progress and the steps that wait for their first slot, by service.

tests.platform.test_versions reads the metrics while engines load.

--- a/src/kingcupscale/batches/coordinator.py
+++ b/src/kingcupscale/batches/coordinator.py
@@ -48,10 +48,17 @@
 
 @attrs.define
 class Progress:
-    """The record of a batch that runs on this node, and its samples by item."""
+    """A batch that runs on this node.
+
+    Attributes:
+        record: Its record.
+        samples: Its samples by item.
+        is_started: Whether a sample has got a slot since this node runs it.
+    """
 
     record: records.Record
     samples: dict[str, samples.Sample]
+    is_started: bool = False
 
 
 class Coordinator:
@@ -384,8 +391,29 @@
             assignment.sample.scope = trio.CancelScope()
             assignment.server.in_flight += 1
             self._record_prompt(assignment)
+            self._record_start(assignment.sample)
             nursery.start_soon(self._run_task, assignment)
 
+    def count_waiting_steps(self) -> int:
+        """Returns how many batches wait for their first slot."""
+        return sum(not each.is_started for each in self.progress.values())
+
+    def _record_start(self, sample: samples.Sample) -> None:
+        """Logs the start of a batch's first sample on this node."""
+        progress = self.progress[sample.record.batch.id]
+        if progress.is_started:
+            return
+        progress.is_started = True
+        events.log(
+            events.Event.BATCH_STARTED,
+            batch=sample.record.batch.id,
+            step=sample.record.batch.step,
+            model=sample.record.batch.model,
+            server=sample.server,
+            waited_s=round(self.clock.monotonic() - sample.waiting_since, 3),
+            age_s=round(self._age_s(sample.record), 3),
+        )
+
     def _record_prompt(self, assignment: placement.Assignment) -> None:
         """Records that an engine's prefix cache will hold a group's prompt."""
         if len(self.prompt_holders) > MAX_KEPT_ITEMS:
--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -95,6 +95,7 @@
         other_loads: Monotonic times until which engines are assumed to load
             by another leader's order, by engine id.
         demand: What the trainers of the models have done so far.
+        needs: What each model needed at the latest step.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         self.limit = loadlimit.LoadLimit()
         self.other_loads: dict[str, float] = {}
         self.demand = demand.Demand()
+        self.needs: dict[str, weights.Need] = {}
 
     async def step(self, nursery: trio.Nursery) -> None:
         """Orders the loads that are due, each in its own task."""
@@ -143,10 +145,11 @@
         room = max(0, limit - self.count_in_progress(now))
         self.demand.observe(self._service_targets(), self.known_batches(), now)
         # One more than allowed tells whether the limit delays a load.
+        self.needs = self.demand.plan(servers, limit / load_s, now)
         due = weights.choose_loads(
             servers,
             candidates,
-            self.demand.plan(servers, limit / load_s, now),
+            self.needs,
             ALLOWED_LAG,
             {name: pending.load for name, pending in self.loading.items()},
             room + 1,
@@ -166,6 +169,21 @@
         for pending in self.loading.values():
             pending.peak = max(pending.peak, in_progress)
             pending.is_limited |= len(due) > room
+        if due[:room]:
+            self._log_orders(len(due) > room, in_progress)
+
+    def _log_orders(self, is_limited: bool, in_progress: int) -> None:
+        events.log(
+            events.Event.LOADS_ORDERED,
+            service=self.duty_lock.name,
+            limit=self.limit.limit,
+            in_progress=in_progress,
+            delayed=is_limited,
+            engines={
+                model: [need.newest, need.engines, need.usable_engines]
+                for model, need in self.needs.items()
+            },
+        )
 
     def count_in_progress(self, now: float) -> int:
         """Returns how many engines load now, as far as they answer."""
@@ -294,12 +312,22 @@
 
     def _record(self, started_at: float, pending: PendingOrder) -> None:
         """Adapts the limit to the time that a load took."""
+        previous = self.limit.limit
         self.limit.record(
             started_at,
             self.clock.monotonic(),
             pending.peak,
             pending.is_limited,
         )
+        if self.limit.limit != previous:
+            events.log(
+                events.Event.LOAD_LIMIT_CHANGED,
+                service=self.duty_lock.name,
+                limit=self.limit.limit,
+                previous=previous,
+                shortest_s=round(self.limit.shortest_s(), 3),
+                median_s=round(self.limit.typical_s(), 3),
+            )
 
     def _report_state(
         self,
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -47,6 +47,8 @@
     LOAD_ENDED = (2312, "An order to load weights has ended.")
     COPY_FAILED = (2315, "Copying to or from another node failed.")
     REPORT_FAILED = (2313, "An engine's status could not be read.")
+    LOAD_LIMIT_CHANGED = (2316, "The limit on concurrent loads has changed.")
+    LOADS_ORDERED = (2317, "Engines were ordered to load weights.")
     VM_EMPTIED = (2314, "A request to retire a VM was confirmed.")
     USAGE_REPORTED = (2401, "A usage window was reported.")
     USAGE_FAILED = (2402, "A usage report failed; retried unless fenced.")
@@ -77,6 +79,7 @@
     RESULTS_LISTED = (2615, "Results were stored.")
     RESULTS_UNLISTED = (2616, "A write of results failed; it is retried.")
     BATCH_UNREADABLE = (2617, "A batch could not be read; it is retried.")
+    BATCH_STARTED = (2618, "A batch's first item has got a slot.")
 
     def __init__(self, number: int, summary: str) -> None:
         self.number = number
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -28,6 +28,7 @@
         """Returns all metrics for any path."""
         rows = [
             *self._gauges(),
+            *self._weight_loads(),
             *self._store_calls(),
             *self._events(),
             *self._histograms(),
@@ -55,6 +56,18 @@
             f"readers_waiting {runtime.batch_cache.waiting_readers}",
         ]
 
+    def _weight_loads(self) -> list[str]:
+        now = self.runtime.clock.monotonic()
+        return [
+            f'{name}{{service="{service}"}} {value}'
+            for service, duty in sorted(self.runtime.services.items())
+            for name, value in (
+                ("load_limit", duty.loader.limit.limit),
+                ("loads_in_progress", duty.loader.count_in_progress(now)),
+                ("steps_waiting", duty.coordinator.count_waiting_steps()),
+            )
+        ]
+
     def _store_calls(self) -> list[str]:
         calls = self.runtime.dependencies.store.calls
         return [
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -5,6 +5,7 @@
 import trio
 
 from kingcupscale.batches import batch
+from kingcupscale.operating import exposition
 from kingcupscale.peering import replication
 from tests import virtual
 from tests.platform import harness
@@ -63,6 +64,24 @@
                 {o["holder"] for _, o, _ in site.orders}, {site.holder().name}
             )
 
+    @virtual.on_virtual_time
+    async def test_metrics_show_loads_and_steps_that_wait_for_them(self):
+        async with harness.launch() as site:
+            leader = site.holder()
+            handler = exposition.MetricsHandler(leader.runtime, None)
+            site.set_target_version(2)
+            await site.submit(leader, minimum=2)
+            for seconds, loads, steps in ((0.4, 1, 1), (4.0, 0, 0)):
+                await trio.sleep(seconds)
+                rows = (await handler(None)).body.decode().splitlines()
+                for name, value in (
+                    ("load_limit", 2),
+                    ("loads_in_progress", loads),
+                    ("steps_waiting", steps),
+                ):
+                    row = f'{name}{{service="engines"}} {value}'
+                    self.assertIn(exposition.PREFIX + row, rows)
+
     @virtual.on_virtual_time
     async def test_isolated_holder_gives_no_order_after_its_lease(self):
         async with harness.launch(nodes=3) as site:
