--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -58,6 +58,7 @@
         peak: Most loads that were in progress at the same time since.
         is_limited: Whether the limit has since delayed another load.
         unanswered_polls: Number of latest polls that got no response.
+        is_loading: Whether the engine's latest status said that it loads.
     """
 
     load: weights.Load
@@ -66,6 +67,7 @@
     peak: int = 1
     is_limited: bool = False
     unanswered_polls: int = 0
+    is_loading: bool = False
 
     def is_silent(self) -> bool:
         """Returns whether the engine no longer answers."""
@@ -270,8 +272,9 @@
             load.server.sequence = order.expected_sequence + 1
         elif outcome is serverclient.OrderOutcome.BUSY:
             await self._refresh_status(load)
-            until = self.clock.monotonic() + self.limit.shortest_s()
-            self.other_loads[load.server.id] = until
+            if self.loading[load.server.id].is_loading:
+                until = self.clock.monotonic() + self.limit.shortest_s()
+                self.other_loads[load.server.id] = until
         return outcome
 
     def _keeps_running_requests(self) -> bool:
@@ -362,6 +365,7 @@
             return False
         if pending is not None:
             pending.unanswered_polls = 0
+            pending.is_loading = status.is_loading
         load.server.sequence = status.sequence
         for model, version in status.versions.items():
             if model != load.model or version >= load.version:
--- a/tests/batches/test_loadlimit.py
+++ b/tests/batches/test_loadlimit.py
@@ -177,3 +177,21 @@
             nursery.cancel_scope.cancel()
         # A silent engine keeps its order for 8 s.
         self.assertEqual(len(set(client.ordered)), 8)
+
+    @parameterized.parameterized.expand([(True, 1), (False, 0)])
+    @virtual.on_virtual_time
+    async def test_load_of_another_leaders_order_counts(self, loads, expected):
+        client = FakeEngines(set())
+
+        async def reject(server, order):
+            return serverclient.OrderOutcome.BUSY
+
+        async def report(server):
+            return serverclient.EngineStatus({"m": 1}, loads, 0)
+
+        client.order, client.fetch_engine_status = reject, report
+        loader = make_loader(1, client)
+        async with trio.open_nursery() as nursery:
+            await loader.step(nursery)
+        count = loader.count_in_progress(loader.clock.monotonic())
+        self.assertEqual(count, expected)
