--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -58,6 +58,7 @@
         peak: Most loads that were in progress at the same time since.
         is_limited: Whether the limit has since delayed another load.
         unanswered_polls: Number of latest polls that got no response.
+        is_loading: Whether the engine's latest status said that it loads.
     """
 
     load: weights.Load
@@ -66,6 +67,7 @@
     peak: int = 1
     is_limited: bool = False
     unanswered_polls: int = 0
+    is_loading: bool = False
 
     def is_silent(self) -> bool:
         """Returns whether the engine no longer answers."""
@@ -95,6 +97,7 @@
         other_loads: Monotonic times until which engines are assumed to load
             by another leader's order, by engine id.
         demand: What the trainers of the models have done so far.
+        needs: What each model needed at the latest step.
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         self.limit = loadlimit.LoadLimit()
         self.other_loads: dict[str, float] = {}
         self.demand = demand.Demand()
+        self.needs: dict[str, weights.Need] = {}
 
     async def step(self, nursery: trio.Nursery) -> None:
         """Orders the loads that are due, each in its own task."""
@@ -143,10 +147,11 @@
         room = max(0, limit - self.count_in_progress(now))
         self.demand.observe(self._service_targets(), self.known_batches(), now)
         # One more than allowed tells whether the limit delays a load.
+        self.needs = self.demand.plan(servers, limit / load_s, now)
         due = weights.choose_loads(
             servers,
             candidates,
-            self.demand.plan(servers, limit / load_s, now),
+            self.needs,
             ALLOWED_LAG,
             {name: pending.load for name, pending in self.loading.items()},
             room + 1,
@@ -166,6 +171,21 @@
         for pending in self.loading.values():
             pending.peak = max(pending.peak, in_progress)
             pending.is_limited |= len(due) > room
+        if due[:room]:
+            self._log_orders(len(due) > room, in_progress)
+
+    def _log_orders(self, is_limited: bool, in_progress: int) -> None:
+        events.log(
+            events.Event.LOADS_ORDERED,
+            service=self.duty_lock.name,
+            limit=self.limit.limit,
+            in_progress=in_progress,
+            delayed=is_limited,
+            engines={
+                model: [need.newest, need.engines, need.usable_engines]
+                for model, need in self.needs.items()
+            },
+        )
 
     def count_in_progress(self, now: float) -> int:
         """Returns how many engines load now, as far as they answer."""
@@ -252,8 +272,9 @@
             load.server.sequence = order.expected_sequence + 1
         elif outcome is serverclient.OrderOutcome.BUSY:
             await self._refresh_status(load)
-            until = self.clock.monotonic() + self.limit.shortest_s()
-            self.other_loads[load.server.id] = until
+            if self.loading[load.server.id].is_loading:
+                until = self.clock.monotonic() + self.limit.shortest_s()
+                self.other_loads[load.server.id] = until
         return outcome
 
     def _keeps_running_requests(self) -> bool:
@@ -299,12 +320,22 @@
 
     def _record(self, started_at: float, pending: PendingOrder) -> None:
         """Adapts the limit to the time that a load took."""
+        previous = self.limit.limit
         self.limit.record(
             started_at,
             self.clock.monotonic(),
             pending.peak,
             pending.is_limited,
         )
+        if self.limit.limit != previous:
+            events.log(
+                events.Event.LOAD_LIMIT_CHANGED,
+                service=self.duty_lock.name,
+                limit=self.limit.limit,
+                previous=previous,
+                shortest_s=round(self.limit.shortest_s(), 3),
+                median_s=round(self.limit.typical_s(), 3),
+            )
 
     def _report_state(
         self,
@@ -341,6 +372,7 @@
             return False
         if pending is not None:
             pending.unanswered_polls = 0
+            pending.is_loading = status.is_loading
         load.server.sequence = status.sequence
         for model, version in status.versions.items():
             if model != load.model or version >= load.version:
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -49,6 +49,8 @@
     LOAD_ENDED = (2312, "An order to load weights has ended.")
     COPY_FAILED = (2315, "Copying to or from another node failed.")
     REPORT_FAILED = (2313, "An engine's status could not be read.")
+    LOAD_LIMIT_CHANGED = (2316, "The limit on concurrent loads has changed.")
+    LOADS_ORDERED = (2317, "Engines were ordered to load weights.")
     VM_EMPTIED = (2314, "A request to retire a VM was confirmed.")
     USAGE_REPORTED = (2401, "A usage window was reported.")
     USAGE_FAILED = (2402, "A usage report failed; retried unless fenced.")
@@ -92,6 +94,7 @@
     ANNOUNCEMENT_HANDLED = (2622, "An announced batch was started or ignored.")
     ANNOUNCED_DELIVERED = (2623, "The mirror delivered an announced batch.")
     ANNOUNCED_DROPPED = (2624, "The mirror lacks a batch; it was stopped.")
+    BATCH_STARTED = (2618, "A batch's first item has got a slot.")
 
     def __init__(self, number: int, summary: str) -> None:
         self.number = number
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -39,6 +39,7 @@
             *self._gauges(),
             *self._duties(),
             *self._announcements(),
+            *self._weight_loads(),
             *self._store_calls(),
             *self._events(),
             *self._clients(),
@@ -91,6 +92,18 @@
             for outcome in announcing.Outcome
         ]
 
+    def _weight_loads(self) -> list[str]:
+        now = self.runtime.clock.monotonic()
+        return [
+            f'{name}{{service="{service}"}} {value}'
+            for service, duty in sorted(self.runtime.services.items())
+            for name, value in (
+                ("load_limit", duty.loader.limit.limit),
+                ("loads_in_progress", duty.loader.count_in_progress(now)),
+                ("steps_waiting", duty.coordinator.count_waiting_steps()),
+            )
+        ]
+
     def _store_calls(self) -> list[str]:
         calls = self.runtime.dependencies.store.calls
         return [
