Place calls by open connections, subsets and recent calls

A node with a call every few seconds chose any server, so its connections expired before they were used again, and nodes followed old reports together.

The forwarder uses placement.CallPlacement. PooledHttpClient tells how many idle connections to an address can be used. The client for backend servers keeps idle connections as long as a server's Keep-Alive header says, less a margin of 1 s and at most 30 s, and otherwise for SERVER_IDLE_S as before.

tests.platform.test_calls fails for the new test if the forwarder chooses the server with the lowest cost; tests.test_web_pools fails if connections are opened with a fixed idle timeout, or if retired connections are counted.

--- a/bench/loadstrategies.py
+++ b/bench/loadstrategies.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from bench import loadmodel
+from kingcupscale.fleet import registry
 from kingcupscale.gateway import placement
 
 # Servers in a node's share.
@@ -118,8 +119,8 @@
         if mine is None:
             mine = placement.CallPlacement(node.name, node.zone, _none, rng)
             self.placements[node.name] = mine
-        mine.idle_connections = lambda address: node.idle_connections(
-            node.addresses[address], now
+        mine.idle_connections = lambda server: node.idle_connections(
+            node.addresses[server.entry.address], now
         )
         chosen = mine.choose([node.views[index] for index in usable], now)
         assert chosen is not None
@@ -139,7 +140,7 @@
 }
 
 
-def _none(address: str) -> int:
+def _none(server: registry.Server) -> int:
     """Returns that there is no idle connection."""
     return 0
 
--- a/src/kingcupscale/fakes/network.py
+++ b/src/kingcupscale/fakes/network.py
@@ -166,6 +166,10 @@
         self.network = network
         self.caller = caller
 
+    def idle_connections(self, address: str) -> int:
+        """Returns that there are none: each request is on its own."""
+        return 0
+
     @contextlib.asynccontextmanager
     async def open(
         self, address: str, request: message.Request, timeout_s: float
--- a/src/kingcupscale/fleet/serverclient.py
+++ b/src/kingcupscale/fleet/serverclient.py
@@ -171,6 +171,10 @@
 class ServerClient(Protocol):
     """Client for backend servers."""
 
+    def idle_connections(self, server: registry.Server) -> int:
+        """Returns how many idle connections to a server can be used."""
+        ...
+
     def run(
         self, server: registry.Server, call: Call, connect_s: float
     ) -> contextlib.AbstractAsyncContextManager[ServerResponse]:
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards single calls to backend servers, with retries and timeouts."""
 
+from collections.abc import Mapping
 import contextlib
 import random
 from typing import Protocol
@@ -68,8 +69,11 @@
         clock: The clock.
         rng: Picks services by weight, breaks ties and adds jitter.
         zone: Availability zone of this node.
+        node: Name of this node.
+        regions: Region by zone; None if not known.
 
     Attributes:
+        placement: Chooses the servers.
         latency_s: Moving average of the latency, by service.
     """
 
@@ -83,6 +87,8 @@
         clock: clocks.Clock,
         rng: random.Random,
         zone: str,
+        node: str = "",
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.admission = admission
         self.servers = servers
@@ -91,7 +97,9 @@
         self.metrics = call_metrics
         self.clock = clock
         self.rng = rng
-        self.zone = zone
+        self.placement = placement.CallPlacement(
+            node, zone, client.idle_connections, rng, regions
+        )
         self.latency_s: dict[str, float] = {}
 
     async def forward(
@@ -211,7 +219,7 @@
                 s for s in usable if s.load(now) < max(1, s.entry.slots - 1)
             ]
         untried = [s for s in usable if s.id not in state.tried]
-        return placement.choose(untried or usable, self.zone, now, self.rng)
+        return self.placement.choose(untried or usable, now)
 
     async def _try_server(
         self,
@@ -229,6 +237,7 @@
         if state.route.allows_retry() and not state.route.is_streaming:
             timeout_s = min(left_s, self._attempt_timeout_s(state))
         call = self._make_call(inbound, state, left_s)
+        self.placement.record_call(server, now)
         server.in_flight += 1
         response: message.Response | None = None
         try:
--- a/src/kingcupscale/gateway/placement.py
+++ b/src/kingcupscale/gateway/placement.py
@@ -87,7 +87,7 @@
         node: Name of this node.
         zone: Availability zone of this node.
         idle_connections: Returns how many idle connections the node holds to
-            an address.
+            a server.
         rng: Breaks ties.
         regions: Region by zone; a zone may be missing.
 
@@ -99,7 +99,7 @@
         self,
         node: str,
         zone: str,
-        idle_connections: Callable[[str], int],
+        idle_connections: Callable[[registry.Server], int],
         rng: random.Random,
         regions: Mapping[str, str] | None = None,
     ) -> None:
@@ -154,7 +154,7 @@
             slots = max(1, server.entry.slots)
             total = cost(server, self.zone, now, load)
             total += max(0.0, load + 1 - slots) / slots
-            if not self.idle_connections(server.entry.address):
+            if not self.idle_connections(server):
                 total += connection
             if server.id not in subset:
                 total += OUTSIDE_COST
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -151,7 +151,9 @@
         return
     clients = HttpClients(
         httpclient.PooledHttpClient(idle_s=STORE_IDLE_S),
-        httpclient.PooledHttpClient(idle_s=SERVER_IDLE_S),
+        httpclient.PooledHttpClient(
+            idle_s=SERVER_IDLE_S, follows_keep_alive=True
+        ),
         httpclient.PooledHttpClient(idle_s=SERVER_IDLE_S),
         httpclient.PooledHttpClient(idle_s=SERVER_IDLE_S),
     )
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -44,6 +44,10 @@
     def __init__(self, http_client: httpclient.HttpClient) -> None:
         self.http_client = http_client
 
+    def idle_connections(self, server: registry.Server) -> int:
+        """Returns how many idle connections to a server can be used."""
+        return self.http_client.idle_connections(server.entry.address)
+
     @contextlib.asynccontextmanager
     async def run(
         self, server: registry.Server, call: serverclient.Call, connect_s: float
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -194,6 +194,7 @@
             self.clock,
             deps.rng,
             settings.zone,
+            settings.node,
         )
         self.callers = callerservice.CallerService(
             admission,
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -14,6 +14,7 @@
 import trio
 
 from kingcupscale.web import framing
+from kingcupscale.web import keepalive
 from kingcupscale.web import message
 
 
@@ -49,6 +50,10 @@
         """
         ...
 
+    def idle_connections(self, address: str) -> int:
+        """Returns how many idle connections to an address can be used."""
+        ...
+
 
 async def fetch(
     http_client: HttpClient,
@@ -134,6 +139,8 @@
         idle_s: Timeout of idle connections. The pool of an address that got
             no requests for this long is closed.
         backend: Opens connections; None for the default of the event loop.
+        follows_keep_alive: Whether a server's ``Keep-Alive`` header sets the
+            timeout of the idle connections to it.
 
     Attributes:
         pools: The pools of recently used addresses, by address.
@@ -145,8 +152,10 @@
         max_connections: int = 1024,
         idle_s: float = 30.0,
         backend: httpcore.AsyncNetworkBackend | None = None,
+        follows_keep_alive: bool = False,
     ) -> None:
         self.max_connections = max_connections
+        self.follows_keep_alive = follows_keep_alive
         self.idle_s = idle_s
         self.backend = backend
         self.pools: dict[str, AddressPool] = {}
@@ -174,11 +183,18 @@
             async with send(
                 address_pool.pool, address, request, timeout_s
             ) as response:
+                if self.follows_keep_alive:
+                    address_pool.follow_keep_alive(response)
                 yield response
         finally:
             address_pool.active_requests -= 1
             address_pool.used_at = trio.current_time()
 
+    def idle_connections(self, address: str) -> int:
+        """Returns how many idle connections to an address can be used."""
+        address_pool = self.pools.get(address)
+        return address_pool.pool.idle_connections() if address_pool else 0
+
     async def _close_idle_pools(self) -> None:
         """Closes the pools of addresses that have been idle for too long."""
         now = trio.current_time()
@@ -186,7 +202,8 @@
             return
         self.checked_at = now
         for address, address_pool in list(self.pools.items()):
-            is_idle = now - address_pool.used_at > self.idle_s
+            idle_s = address_pool.pool.max_idle_s
+            is_idle = now - address_pool.used_at > idle_s
             if is_idle and not address_pool.active_requests:
                 del self.pools[address]
                 await address_pool.pool.aclose()
@@ -202,16 +219,22 @@
         used_at: Time of the event loop at which the last request ended.
     """
 
-    pool: httpcore.AsyncConnectionPool
+    pool: keepalive.KeepAlivePool
     active_requests: int = 0
     used_at: float = 0.0
 
+    def follow_keep_alive(self, response: message.Response) -> None:
+        """Sets the idle timeout by the ``Keep-Alive`` header, if any."""
+        idle_s = keepalive.parse_idle_s(response.headers.get("keep-alive"))
+        if idle_s is not None:
+            self.pool.set_idle_s(idle_s)
+
 
 def make_pool(
     max_connections: int,
     idle_s: float,
     backend: httpcore.AsyncNetworkBackend | None = None,
-) -> httpcore.AsyncConnectionPool:
+) -> keepalive.KeepAlivePool:
     """Returns a connection pool that detects unresponsive peers.
 
     Args:
@@ -219,12 +242,8 @@
         idle_s: Timeout of idle connections.
         backend: Opens connections; None for the default of the event loop.
     """
-    return httpcore.AsyncConnectionPool(
-        max_connections=max_connections,
-        max_keepalive_connections=max_connections,
-        keepalive_expiry=idle_s,
-        socket_options=_SOCKET_OPTIONS,
-        network_backend=backend,
+    return keepalive.KeepAlivePool(
+        max_connections, idle_s, _SOCKET_OPTIONS, backend
     )
 
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -94,6 +94,22 @@
             self.assertLess(trio.current_time() - started_at, 1.0)
             self.assertEqual(site.runs, [])
 
+    @virtual.on_virtual_time
+    async def test_calls_stay_at_an_open_connection_until_it_is_full(self):
+        """Guards against a new connection for each of a node's few calls."""
+        async with harness.launch(nodes=1) as site:
+            client = site.nodes[0].runtime.dependencies.servers.http_client
+            # The server in the other zone.
+            client.idle_connections = lambda address: int(address == "p1:80")
+            for number in range(5):
+                await self._send(site, harness.CALL_PATH + "1", f"q{number}")
+                await trio.sleep(2)
+            self.assertEqual({run.server for run in site.runs}, {"p1"})
+            site.servers["p1"].is_full = True
+            response = await self._send(site, harness.CALL_PATH + "1", "q9")
+            self.assertEqual(response.status, 200)
+            self.assertEqual(site.runs[-1].server, "p2")
+
     @virtual.on_virtual_time
     async def test_draining_server_gets_nothing_new(self):
         async with harness.launch(nodes=1) as site:
--- a/tests/test_web_pools.py
+++ b/tests/test_web_pools.py
@@ -8,6 +8,7 @@
 
 from kingcupscale import errors
 from kingcupscale.web import httpclient
+from kingcupscale.web import keepalive
 from kingcupscale.web import message
 from kingcupscale.web import server
 from tests import test_web_server as servers
@@ -74,6 +75,89 @@
         self.assertEqual(len(address_pool.pool.connections), 1)
         await http_client.aclose()
 
+    @parameterized.parameterized.expand(
+        [
+            ("none", None, None),
+            ("seconds", "8", 7.0),
+            ("timeout", "timeout=8, max=100", 7.0),
+            ("other_order", "max=100, Timeout = 8", 7.0),
+            ("long", "timeout=86400", 30.0),
+            ("shorter_than_the_margin", "0", 0.0),
+            ("negative", "timeout=-5", None),
+            ("fraction", "2.5", None),
+            ("many_digits", "9" * 5000, None),
+            ("words", "timeout=soon", None),
+        ]
+    )
+    def test_keep_alive_header(self, _, value, expected):
+        self.assertEqual(keepalive.parse_idle_s(value), expected)
+
+    @parameterized.parameterized.expand(
+        [
+            # A server that keeps connections for longer than the client.
+            ("longer", "timeout=9", 0.1, True, 1),
+            ("shorter", "timeout=1", 30.0, True, 0),
+            ("not_followed", "timeout=9", 0.1, False, 0),
+            ("invalid", "timeout=no", 30.0, True, 1),
+        ]
+    )
+    def test_idle_connections_are_kept_as_long_as_announced(
+        self, _, header, idle_s, follows, expected
+    ):
+        """Guards against connections that only one side considers open."""
+
+        async def answer(request):
+            return message.Response(200, {"keep-alive": header}, b"1")
+
+        async def main():
+            client = httpclient.PooledHttpClient(
+                idle_s=idle_s, follows_keep_alive=follows
+            )
+            async with trio.open_nursery() as nursery:
+                stop = trio.Event()
+                address = await nursery.start(
+                    server.serve,
+                    answer,
+                    "127.0.0.1:0",
+                    servers.LIMITS,
+                    stop.wait,
+                )
+                self.assertEqual(client.idle_connections(address), 0)
+                async with trio.open_nursery() as calls:
+                    # The connections of the first calls have the timeout that
+                    # applied before the header was known.
+                    for _ in range(3):
+                        calls.start_soon(self._fetch, client, address)
+                for connection in client.pools[address].pool.connections:
+                    await connection.aclose()
+                await self._fetch(client, address)
+                await trio.sleep(0.3)
+                self.assertEqual(client.idle_connections(address), expected)
+                await client.aclose()
+                stop.set()
+
+        trio.run(main)
+
+    async def _fetch(self, client, address):
+        request = message.Request("GET", "/")
+        await httpclient.fetch(client, address, request, 5)
+
+    @servers.on_sockets
+    async def test_only_open_idle_connections_are_counted(
+        self, address, handler, stop
+    ):
+        client = httpclient.PooledHttpClient()
+        request = message.Request("GET", "/")
+        async with client.open(address, request, 5) as response:
+            self.assertEqual(client.idle_connections(address), 0)
+            await response.read()
+        self.assertEqual(client.idle_connections(address), 1)
+        async with client.open(address, request, 5) as response:
+            await response.read()
+            response.retire_connection()
+        self.assertEqual(client.idle_connections(address), 0)
+        await client.aclose()
+
     @servers.on_sockets
     async def test_blocked_requests_release_their_connections(
         self, address, handler, stop
