--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards single calls to backend servers, with retries and timeouts."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import random
@@ -71,8 +72,11 @@
         rng: Picks services by weight, breaks ties and adds jitter.
         zone: Availability zone of this node.
         eligibility: Excludes servers; by default those of evacuated zones.
+        node: Name of this node.
+        regions: Region by zone; None if not known.
 
     Attributes:
+        placement: Chooses the servers.
         latency_s: Moving average of the latency, by service.
     """
 
@@ -87,6 +91,8 @@
         rng: random.Random,
         zone: str,
         eligibility: eligibilities.Eligibility | None = None,
+        node: str = "",
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.eligibility = eligibility or eligibilities.Eligibility(servers)
         self.admission = admission
@@ -96,7 +102,9 @@
         self.metrics = call_metrics
         self.clock = clock
         self.rng = rng
-        self.zone = zone
+        self.placement = placement.CallPlacement(
+            node, zone, client.idle_connections, rng, regions
+        )
         self.latency_s: dict[str, float] = {}
 
     async def forward(
@@ -219,7 +227,7 @@
             ]
         usable = self.eligibility.filter(usable, state.zones)
         untried = [s for s in usable if s.id not in state.tried]
-        return placement.choose(untried or usable, self.zone, now, self.rng)
+        return self.placement.choose(untried or usable, now)
 
     async def _try_server(
         self,
@@ -238,6 +246,7 @@
             timeout_s = min(left_s, self._attempt_timeout_s(state))
         self.eligibility.reserve(server)
         call = self._make_call(inbound, state, server, left_s)
+        self.placement.record_call(server, now)
         server.in_flight += 1
         response: message.Response | None = None
         try:
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -241,6 +241,8 @@
             deps.rng,
             settings.zone,
             self.eligibility,
+            settings.node,
+            settings.zone_regions,
         )
         self.callers = callerservice.CallerService(
             admission,
