Count a trainer's pause as at most 10 s between versions

After a pause, the average time between versions was so long that the model could plan many more loads for each of the next versions than the limit allows. test_next_version_is_expected_after_the_average_interval fails without the bound.

--- a/src/kingcupscale/batches/demand.py
+++ b/src/kingcupscale/batches/demand.py
@@ -20,6 +20,9 @@
 # Time between two versions and items of a step that are assumed until known.
 DEFAULT_INTERVAL_S = 4.0
 DEFAULT_ITEMS = 64
+# Longest interval that counts, so that a pause of a trainer does not let its
+# model load on more engines for the next versions.
+MAX_INTERVAL_S = 10.0
 # Weight of the latest interval in the moving average.
 AVERAGE_WEIGHT = 0.3
 # Engines of a model whose need exceeds all engines, as a multiple of an even
@@ -51,6 +54,7 @@
             return
         if self.named_at is not None:
             elapsed_s = (now - self.named_at) / (version - self.version)
+            elapsed_s = min(MAX_INTERVAL_S, elapsed_s)
             known_s = self.interval_s or elapsed_s
             self.interval_s = known_s + AVERAGE_WEIGHT * (elapsed_s - known_s)
         self.version = version
--- a/tests/batches/test_weights.py
+++ b/tests/batches/test_weights.py
@@ -141,6 +141,9 @@
         for version, now in ((1, 0.0), (2, 3.0), (3, 7.0)):
             found.observe({"m": version}, [], now)
         server = test_decisions.make_server("e")
+        paused = demand.ModelDemand(1, named_at=0.0, interval_s=4.0)
+        paused.observe(2, 300.0)
+        self.assertLess(paused.interval_s, 6.0)
         left_s = [
             found.plan([server], 1.0, now)["m"].next_version_s
             for now in (8.0, 12.0)
