--- a/src/kingcupscale/daemon.py
+++ b/src/kingcupscale/daemon.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import functools
 import gc
 import pathlib
 import random
@@ -20,6 +21,8 @@
 from kingcupscale import settings as node_settings
 from kingcupscale.peering import grpctransport
 from kingcupscale.peering import transport
+from kingcupscale.web import clientguard
+from kingcupscale.web import clientlimits
 from kingcupscale.web import httpclient
 from kingcupscale.web import limits
 from kingcupscale.web import server
@@ -27,6 +30,9 @@
 # Allocations before a collection of the youngest generation. A request
 # allocates thousands of objects that reference counting frees.
 GC_THRESHOLD = 50_000
+# Names of the listeners, as in log events.
+CALLERS = "callers"
+OPERATORS = "operators"
 
 
 @attrs.frozen
@@ -91,20 +97,36 @@
         self, node: nodes.Node, task_status: trio.TaskStatus[Addresses]
     ) -> None:
         """Serves until the node has stopped and has sent all responses."""
+        allowed = clientlimits.derive(memory_mb=self.settings.clients.memory_mb)
+        guard = clientguard.ClientGuard(allowed, (CALLERS, OPERATORS))
+        async with trio.open_nursery() as guarding:
+            guarding.start_soon(guard.run)
+            await self._serve_guarded(node, guard, task_status)
+            guarding.cancel_scope.cancel()
+
+    async def _serve_guarded(
+        self,
+        node: nodes.Node,
+        guard: clientguard.ClientGuard,
+        task_status: trio.TaskStatus[Addresses],
+    ) -> None:
+        """Serves with listeners that share a guard."""
         listeners = self.settings.listeners
         get_limits = limits.constant(
             limits.Limits(**attrs.asdict(self.settings.limits))
         )
         async with trio.open_nursery() as nursery:
             callers = await nursery.start(
-                server.serve,
+                functools.partial(server.serve, guard=guard, listener=CALLERS),
                 node.caller_api,
                 listeners.callers,
                 get_limits,
                 node.stopped.wait,
             )
             operators = await nursery.start(
-                server.serve,
+                functools.partial(
+                    server.serve, guard=guard, listener=OPERATORS
+                ),
                 node.operators,
                 listeners.operators,
                 get_limits,
--- a/src/kingcupscale/settings.py
+++ b/src/kingcupscale/settings.py
@@ -111,6 +111,17 @@
     body_timeout_s: codec.PositiveSeconds = codec.PositiveSeconds(10.0)
 
 
+@attrs.frozen
+class ClientMemory:
+    """The memory that the limits on clients follow from.
+
+    Attributes:
+        memory_mb: Memory of the VM, in MB.
+    """
+
+    memory_mb: codec.PositiveInt = codec.PositiveInt(512)
+
+
 @attrs.frozen
 class NodeSettings:
     """The settings of a node.
@@ -128,6 +139,7 @@
         usage_shards: Number of shards that usage reports are split into.
         timings: Intervals and time limits.
         limits: Limits on requests from callers.
+        clients: The memory that the limits on clients follow from.
     """
 
     name: codec.Name
@@ -142,6 +154,7 @@
     usage_shards: codec.PositiveInt = codec.PositiveInt(1)
     timings: Timings = attrs.field(factory=Timings)
     limits: RequestLimits = attrs.field(factory=RequestLimits)
+    clients: ClientMemory = attrs.field(factory=ClientMemory)
 
 
 def read_toml(path: str) -> dict[str, Any]:
--- a/src/kingcupscale/web/bodyreader.py
+++ b/src/kingcupscale/web/bodyreader.py
@@ -30,31 +30,31 @@
     def __init__(self, budget: memorybudget.Budget, address: str) -> None:
         self.budget = budget
         self.claim = budget.open(address)
-        self.granted = trio.Event()
-        self.claim.on_granted = self._note_granted
-
-    def _note_granted(self) -> None:
-        self.granted.set()
 
     async def draw(self, size: int) -> None:
         """Draws bytes; waits until there is enough."""
-        self.granted = trio.Event()
         if not self.budget.draw(self.claim, size):
-            await self.granted.wait()
+            granted = trio.Event()
+            self.claim.on_granted = granted.set
+            await granted.wait()
 
-    async def read_body(self, receive: Any, max_bytes: int) -> bytes:
+    async def read_body(
+        self, receive: Any, max_bytes: int, timeout_s: float
+    ) -> bytes:
         """Returns the whole body.
 
         Raises:
-            ServiceError: If the client disconnects, the body is too large, or
-                there is not enough memory for it.
+            ServiceError: If the client disconnects, the body is too large or
+                late, or there is not enough memory for it.
         """
-        with trio.CancelScope() as scope:
+        with trio.move_on_after(timeout_s) as scope:
             self.claim.on_refused = scope.cancel
             await self.draw(memorybudget.REQUEST_BYTES)
             body = await self._read_chunks(receive, max_bytes)
             self.claim.is_reading = False
             return body
+        if self.claim.refusal is None:
+            raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
         raise self._make_refusal()
 
     async def _read_chunks(self, receive: Any, max_bytes: int) -> bytes:
--- a/src/kingcupscale/web/memorybudget.py
+++ b/src/kingcupscale/web/memorybudget.py
@@ -13,7 +13,7 @@
 from kingcupscale.web import clientlimits
 
 # What a request holds besides its body: what has been received but not passed
-# on yet (two copies of one read, and one chunk in a queue), headers and tasks.
+# on yet (two copies of one read, and two chunks in a queue), headers and tasks.
 # A small chunk costs nothing more, because it is copied into the body at once.
 REQUEST_BYTES = 32 * 1024
 # A request that holds no more than this is small.
@@ -231,7 +231,7 @@
         )
 
     def _grant_waiting(self) -> None:
-        for claim in self._in_order():
+        for claim in self._in_order() if self.waiting else ():
             if self._fits(claim, claim.wanted):
                 size = claim.wanted
                 self._stop_waiting(claim)
--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -99,10 +99,10 @@
         self._check_header_size(scope)
         allowed = self.get_limits()
         _check_declared_length(request.headers, allowed.body_bytes)
-        with trio.move_on_after(allowed.body_timeout_s):
-            request.body = await holder.read_body(receive, allowed.body_bytes)
-            return request
-        raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
+        request.body = await holder.read_body(
+            receive, allowed.body_bytes, allowed.body_timeout_s
+        )
+        return request
 
     def _check_header_size(self, scope: Any) -> None:
         size = sum(len(name) + len(value) for name, value in scope["headers"])
@@ -266,8 +266,9 @@
     config.graceful_timeout = graceful_timeout_s
     config.include_server_header = False
     config.include_date_header = False
-    # The events of a body that hypercorn queues for the application.
-    config.max_app_queue_size = 1
+    # The events that hypercorn queues for the application: the last chunk of a
+    # body and its end, so that a small body does not take another task switch.
+    config.max_app_queue_size = 2
     application = Application(handler, get_limits, guard.budget)
     server_worker = worker.Worker(
         application, config, get_limits, guard, listener
--- a/src/kingcupscale/web/watchedstream.py
+++ b/src/kingcupscale/web/watchedstream.py
@@ -1,6 +1,7 @@
 """A client's connection that tracks what it is waiting for."""
 
 import contextlib
+import math
 import socket
 import struct
 
@@ -25,7 +26,6 @@
 
     Args:
         stream: The connection.
-        send_stall_s: Timeout for sending each part of a response.
 
     Attributes:
         socket: The connection's socket.
@@ -36,7 +36,8 @@
         received_at: Time of the event loop at which bytes last arrived.
         is_reading_body: Whether the body of a request is incomplete.
         is_evicted: Whether it was closed to make room for another one.
-        is_not_read: Whether it was closed as its client does not read.
+        sending_since: Time of the event loop at which it began to send a part
+            of a response; infinity if it sends nothing.
         has_bytes: Whether bytes of a further request have been read.
         is_used: Whether any request has been handled.
         is_reset_on_close: Whether closing it is a reset.
@@ -44,15 +45,14 @@
             which the first byte of a request arrived.
     """
 
-    def __init__(self, stream: trio.SocketStream, send_stall_s: float) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
-        self.send_stall_s = send_stall_s
         self.address = _peer_address(stream.socket)
         self.received = 0
         self.received_at = trio.current_time()
         self.is_reading_body = False
         self.is_evicted = False
-        self.is_not_read = False
+        self.sending_since = math.inf
         self.socket = stream.socket
         self.closed = trio.Event()
         self.requests = 0
@@ -141,25 +141,30 @@
         return data
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
-        """Sends all of the data.
-
-        Raises:
-            BrokenResourceError: If the connection is broken, or the client does
-                not read.
-        """
+        """Sends all of the data."""
         view = memoryview(data)
         try:
             for start in range(0, len(view), SEND_BYTES):
-                with trio.move_on_after(self.send_stall_s) as scope:
-                    await self.stream.send_all(view[start : start + SEND_BYTES])
-                if scope.cancelled_caught:
-                    self.is_not_read = True
-                    self.reset_on_close()
-                    self.socket.close()
-                    raise trio.BrokenResourceError
+                self.sending_since = trio.current_time()
+                await self.stream.send_all(view[start : start + SEND_BYTES])
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.closed.set()
             raise
+        finally:
+            self.sending_since = math.inf
+
+    def close_if_not_read(self, timeout_s: float) -> bool:
+        """Closes the connection if sending a part of a response takes too long.
+
+        Returns:
+            Whether it was closed.
+        """
+        if trio.current_time() - self.sending_since < timeout_s:
+            return False
+        self.reset_on_close()
+        self.closed.set()
+        self.socket.close()
+        return True
 
     async def wait_send_all_might_not_block(self) -> None:
         """Waits until sending is likely not to block."""
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -126,6 +126,9 @@
         now, allowed = trio.current_time(), self.get_limits()
         closed = self.guard.connections.closed
         for stream in list(self.streams):
+            if stream.close_if_not_read(self.guard.limits.send_stall_s):
+                closed[connectionlimits.Reason.NOT_READ] += 1
+                continue
             waited_s = now - stream.waiting_since
             if stream.has_bytes and waited_s > allowed.header_timeout_s:
                 if stream.close_unless_handling():
@@ -162,9 +165,7 @@
 
     async def _serve_connection(self, accepted: trio.SocketStream) -> None:
         """Serves one connection until it is complete or closed."""
-        stream = watchedstream.WatchedStream(
-            accepted, self.guard.limits.send_stall_s
-        )
+        stream = watchedstream.WatchedStream(accepted)
         if not self._make_room(stream.address):
             await trio.aclose_forcefully(accepted)
             return
@@ -182,9 +183,6 @@
         finally:
             self.streams.discard(stream)
             self.guard.connections.remove(self.listener, stream.address)
-            if stream.is_not_read:
-                reason = connectionlimits.Reason.NOT_READ
-                self.guard.connections.closed[reason] += 1
             await trio.aclose_forcefully(stream)
 
     async def _handle_request(
--- a/tests/hostile/test_fuzz.py
+++ b/tests/hostile/test_fuzz.py
@@ -156,6 +156,19 @@
         self.site.exchange(listener, data, is_complete)
         self.site.check(listener)
 
+    def test_metrics_show_memory_and_connections_of_clients(self):
+        request = (
+            b"GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        )
+        text = self.site.exchange(process.METRICS, request, True).decode()
+        for row in (
+            "kingcupscale_request_bytes_held ",
+            'kingcupscale_requests_refused_total{reason="no_memory"} 0',
+            'kingcupscale_connections_open{listener="metrics"} 1',
+            'kingcupscale_connections_closed_total{reason="idle"} ',
+        ):
+            self.assertIn(row, text)
+
     @fuzz
     @hypothesis.given(LISTENERS, strategies.lists(TOKENS, max_size=14))
     def test_heads(self, listener, tokens):
--- a/tests/platform/test_files.py
+++ b/tests/platform/test_files.py
@@ -56,6 +56,30 @@
             self._load(**changes)
         self.assertIn(name, "\n".join(caught.exception.problems))
 
+    @parameterized.parameterized.expand(
+        [
+            ("vm", {"limits.memoryMb": "200"}, "memory_bytes", 60_000_000),
+            ("unknown_vm", {}, "memory_bytes", 153_600_000),
+            ("set", {"clients.memoryMb": "16"}, "memory_bytes", 16 << 20),
+            ("descriptors", {"limits.maxFds": "400"}, "connections", 300),
+            ("connections", {"clients.connections": "99"}, "connections", 99),
+            (
+                "address",
+                {"clients.memoryMb": "1", "clients.addressShare": "0.5"},
+                "address_bytes",
+                1 << 19,
+            ),
+            ("wait", {"clients.waitMs": "700"}, "wait_s", 0.7),
+            ("rate", {"clients.bodyBytesPerS": "5"}, "body_bytes_per_s", 5.0),
+            ("window", {"clients.bodyWindowMs": "300"}, "body_window_s", 0.3),
+            ("stall", {"clients.sendStallMs": "900"}, "send_stall_s", 0.9),
+        ]
+    )
+    def test_limits_on_clients_follow_from_settings(
+        self, _, changes, name, expected
+    ):
+        self.assertEqual(getattr(self._load(**changes).clients, name), expected)
+
     def test_missing_file(self):
         with self.assertRaises(settings.SettingsError):
             settingsfile.load("/nowhere/settings.conf")
