Extend the wait of a starting node if the store is slow

Cause: with 0.15 s a call to the store, the entries of strong nodes arrived after the fixed wait, and a weak node kept the service's duty for good (trial in the test harness with weak nodes first).

Change: a node measures how long its own entry takes from its start to its mirror, and waits as long without a new node; at most 1 s after that, and 3 s in all.

Tests: test_tiers, weak_first_slow_store and SettlingTest slow_store fail with the fixed wait and pass now.

--- a/src/kingcupscale/leadership.py
+++ b/src/kingcupscale/leadership.py
@@ -291,14 +291,13 @@
             )
 
     async def _do_nothing(self) -> None:
-        """Does nothing: the coordinator runs the samples in its own task."""
+        """Does nothing: the coordinator runs the samples."""
 
     def _rank(self) -> int:
         """Returns this node's position among the candidates.
 
         The node that runs the samples comes first. In a small fleet the
-        service's leader does too; in a large one, holders of other duties come
-        last.
+        service's leader does too.
         """
         if self.coordinator.is_active(self.model):
             return 0
@@ -334,16 +333,14 @@
         return surplus == self.lock.name
 
     async def _transfer(self) -> None:
-        """Transfers the samples and the duty to a node without a duty.
+        """Transfers the duty to a node without one that ranks before this one.
 
-        The duty stays if this node would still rank before the other one. This
-        is the case if the other one is much weaker.
+        The samples are handed over first.
         """
-        target = self._find_successor()
+        target, ranking = self._find_successor(), self._ranking()
         nodes = self.runtime.candidates
         if target is None or target[0] in nodes.holders().values():
             return
-        ranking = self._ranking()
         if nodes.position(ranking) < ranking.index(target[0]):
             return
         if not await self.replicator.hand_over():
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -173,7 +173,9 @@
             ),
         )
         self.settling = settling.Settling(
-            self.clock, settings.capacity_cores is not None
+            self.clock,
+            locks.NODES_PREFIX + settings.node,
+            settings.capacity_cores is not None,
         )
         self.candidates = candidates.Candidates(self.mirror, settings.node)
         self.mirror.subscribe(locks.NODES_PREFIX, self._on_node_changed)
@@ -408,6 +410,7 @@
 
     async def run(self) -> None:
         """Runs the node until a planned stop is complete."""
+        self.settling.begin()
         async with trio.open_nursery() as nursery:
             for task in (
                 self.mirror.run,
