Keep an unexpected error of one announcement from ending the node

Cause: the tasks that send and handle announcements belong to the node's own nursery, so an unexpected exception in one of them would have ended the node.

Change: such an error is logged as event 2503 with the batch.

Tests: test_number_in_flight_and_in_the_queue_is_limited begins with a call that raises ValueError; it fails if the error is not caught.

--- a/src/kingcupscale/announcing.py
+++ b/src/kingcupscale/announcing.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
+import traceback
 
 import trio
 
@@ -236,7 +237,16 @@
 
     async def work() -> None:
         async for announcement in queue:
-            await handle(announcement)
+            try:
+                await handle(announcement)
+            except Exception as e:
+                # An error that concerns one batch must not end the node.
+                events.log(
+                    events.Event.REQUEST_FAILED,
+                    kind=type(e).__name__,
+                    batch=announcement.batch,
+                    trace=traceback.format_tb(e.__traceback__),
+                )
 
     async with trio.open_nursery() as nursery:
         for _ in range(MAX_IN_FLIGHT):
