Explain where a request or a batch would be sent

GET /explain on the metrics listener answers for a request (host, path, organisation by name) or for a batch and its items: route, allowed zones, candidates with the figures that rank them, the reasons of excluded servers, the expected wait, and the rejection that a caller would get.

Invalid questions end with 1218; 1219 is for what a node cannot explain.

--- a/src/kingcupscale/cli.py
+++ b/src/kingcupscale/cli.py
@@ -8,6 +8,7 @@
 from kingcupscale.commands import config
 from kingcupscale.commands import connection
 from kingcupscale.commands import deploy
+from kingcupscale.commands import explain
 from kingcupscale.commands import keys
 from kingcupscale.commands import operations
 from kingcupscale.commands import processes
@@ -31,6 +32,7 @@
     config.add_parser(commands)
     keys.add_parser(commands)
     operations.add_parsers(commands)
+    explain.add_parser(commands)
     return parser
 
 
--- a/src/kingcupscale/commands/connection.py
+++ b/src/kingcupscale/commands/connection.py
@@ -54,14 +54,26 @@
     path: str,
     response_type: type[T],
     body: Any = None,
+    query: str = "",
+    requires_key: bool = True,
 ) -> T:
     """Sends one request to the node and returns the decoded response.
 
+    Args:
+        arguments: The command's arguments, with the node's address.
+        method: HTTP method.
+        path: Path without the query.
+        response_type: Class of the response.
+        body: Typed message that is sent as JSON; None for none.
+        query: Query string without the question mark.
+        requires_key: Whether the request needs an operator's key. If not, the
+            key is sent only if there is one.
+
     Raises:
         CommandError: If no node or key is given, or the node refuses the
             request or cannot be reached.
     """
-    request = message.Request(method, path, "", _headers())
+    request = message.Request(method, path, query, _headers(requires_key))
     if body is not None:
         request.body = codec.encode(body)
     if not arguments.node:
@@ -83,8 +95,10 @@
     return codec.decode(response_type, response.body)
 
 
-def _headers() -> dict[str, str]:
+def _headers(requires_key: bool) -> dict[str, str]:
     key = os.environ.get(KEY_VARIABLE, "")
+    if not key and not requires_key:
+        return {}
     if not key:
         raise CommandError(
             f"no operator key given; set ${KEY_VARIABLE}", EXIT_USAGE
--- a/src/kingcupscale/errors.py
+++ b/src/kingcupscale/errors.py
@@ -45,6 +45,8 @@
     CONFIGURATION_OLD = (1208, 503, "The node's configuration may be stale.")
     REGION_EXCLUDED = (1209, 503, "No server is in a region that is allowed.")
     MEMORY_SCARCE = (1213, 503, "The node lacks memory for the request.")
+    EXPLAIN_INVALID = (1218, 422, "The question to explain is invalid.")
+    EXPLAIN_UNSUPPORTED = (1219, 422, "This node cannot explain that.")
     BACKEND_FAILED = (1301, 502, "The backend server failed; outcome unknown.")
     BACKEND_REFUSED = (1302, 502, "No backend server accepted the request.")
     ANSWER_REJECTED = (1304, 502, "Answer incomplete or for another request.")
--- a/src/kingcupscale/fleet/coldshares.py
+++ b/src/kingcupscale/fleet/coldshares.py
@@ -118,6 +118,18 @@
             )
         return self.shares[key]
 
+    def peek_share(self, server: str, budget: int) -> int:
+        """Returns as ``share``, but changes nothing."""
+        now = self.clock.monotonic()
+        if now < self._settled_at() or self.node in self.removed_at:
+            return 0
+        counted = [
+            name
+            for name in self.present_since
+            if self.removed_at.get(name, now) + SETTLE_S > now
+        ]
+        return share(server, counted, self.node, budget)
+
     def _settled_at(self) -> float:
         return self.present_since.get(self.node, float("inf")) + SETTLE_S
 
--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -92,18 +92,35 @@
             route: Its route. The present configuration of that name counts.
             organisation: Name of its organisation; empty if it has none.
         """
-        configured = self._refresh_caches()
+        self._refresh_caches()
         key = (route.name, organisation)
         if key not in self.zones:
-            routes = configured.routes if configured else ()
-            present = next((r for r in routes if r.name == route.name), route)
-            owner = configured and configured.organisations.get(organisation)
             self.zones[key] = self.residency.allowed_zones(
-                present.allowed_regions,
-                owner.allowed_regions if owner else frozenset(),
+                *self._allowed_regions(route, organisation)
             )
         return self.zones[key]
 
+    def peek_zones(
+        self, route: catalogue.Route, organisation: str
+    ) -> frozenset[str] | None:
+        """Returns as ``allowed_zones``, but changes and logs nothing."""
+        return self.residency.peek_zones(
+            *self._allowed_regions(route, organisation)
+        )
+
+    def _allowed_regions(
+        self, route: catalogue.Route, organisation: str
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Returns the lists of the present route and of the organisation."""
+        configured = self.current_catalogue()
+        routes = configured.routes if configured else ()
+        present = next((r for r in routes if r.name == route.name), route)
+        owner = configured and configured.organisations.get(organisation)
+        return (
+            present.allowed_regions,
+            owner.allowed_regions if owner else frozenset(),
+        )
+
     def usable_shares(
         self, route: catalogue.Route, organisation: str
     ) -> tuple[catalogue.Share, ...]:
@@ -115,7 +132,14 @@
             ServiceError: ``REGION_EXCLUDED`` if there are servers, but none in
                 an allowed region.
         """
-        zones = self.allowed_zones(route, organisation)
+        return self.shares_within(
+            route, self.allowed_zones(route, organisation)
+        )
+
+    def shares_within(
+        self, route: catalogue.Route, zones: frozenset[str] | None
+    ) -> tuple[catalogue.Share, ...]:
+        """Returns as ``usable_shares`` for given zones; changes nothing."""
         if zones is None:
             return route.shares
         used = [s for s in route.shares if s.weight > 0] or list(route.shares)
@@ -233,8 +257,7 @@
         if service is None or server.cold is None:
             return False
         until = server.cold.cold_until(
-            service.cold_start_s,
-            self.servers.evacuations.ended_at.get(server.entry.zone),
+            service.cold_start_s, self._reopened_at(server)
         )
         is_cold = self.clock.monotonic() < until
         if is_cold != server.cold.was_cold:
@@ -242,6 +265,43 @@
             events.log(events.Event.SERVER_COLD, server=server.id, cold=is_cold)
         return is_cold
 
+    def peek_cold_until(self, server: registry.Server) -> float | None:
+        """Returns until when a server is cold; changes and logs nothing.
+
+        Returns:
+            Monotonic time; None if it is not cold.
+        """
+        service = self._limited(server.entry.service)
+        if service is None or server.cold is None:
+            return None
+        until = server.cold.peek_cold_until(
+            service.cold_start_s, self._reopened_at(server)
+        )
+        return until if self.clock.monotonic() < until else None
+
+    def peek_room(
+        self, server: registry.Server, sender: str
+    ) -> tuple[int, int]:
+        """Returns a sender's counted requests to a cold server, and its share.
+
+        Changes nothing. The server gets a request if the first is smaller.
+        """
+        window = server.cold and server.cold.windows.get(sender)
+        planned = window.count_planned(self.clock.monotonic()) if window else 0
+        configured = self.current_catalogue()
+        service = self._limited(server.entry.service)
+        if configured is None or service is None or self.senders is None:
+            return planned, 0
+        calls, samples = self._split_budget(configured, service)
+        if sender == CALLS:
+            return planned, self.senders.peek_share(server.id, calls)
+        return planned, coldshares.share(
+            server.id, service.models, sender, samples
+        )
+
+    def _reopened_at(self, server: registry.Server) -> float | None:
+        return self.servers.evacuations.ended_at.get(server.entry.zone)
+
     def _has_room(self, server: registry.Server, sender: str) -> bool:
         if server.cold is None or not self.is_cold(server):
             return True
@@ -275,13 +335,19 @@
         if configured is None or service is None or self.senders is None:
             return 0
         if service.name not in self.budgets:
-            kinds = {r.kind for r in configured.routes_to(service.name)}
-            self.budgets[service.name] = coldshares.split(
-                self.limits.limit(service.cold_per_s),
-                bool(kinds - {catalogue.RouteKind.BATCH}),
-                catalogue.RouteKind.BATCH in kinds,
-            )
+            self.budgets[service.name] = self._split_budget(configured, service)
         calls, samples = self.budgets[service.name]
         if sender == CALLS:
             return self.senders.share(server.id, calls)
         return coldshares.share(server.id, service.models, sender, samples)
+
+    def _split_budget(
+        self, configured: catalogue.Catalogue, service: catalogue.Service
+    ) -> tuple[int, int]:
+        """Returns the requests to a cold server for calls and for samples."""
+        kinds = {r.kind for r in configured.routes_to(service.name)}
+        return coldshares.split(
+            self.limits.limit(service.cold_per_s),
+            bool(kinds - {catalogue.RouteKind.BATCH}),
+            catalogue.RouteKind.BATCH in kinds,
+        )
--- a/src/kingcupscale/fleet/residency.py
+++ b/src/kingcupscale/fleet/residency.py
@@ -35,11 +35,17 @@
         Returns:
             The zones; None if no list restricts them.
         """
+        for regions in allowed_regions:
+            self._report_unknown(regions)
+        return self.peek_zones(*allowed_regions)
+
+    def peek_zones(
+        self, *allowed_regions: frozenset[str]
+    ) -> frozenset[str] | None:
+        """Returns as ``allowed_zones``, but logs nothing."""
         restrictions = [regions for regions in allowed_regions if regions]
         if not restrictions:
             return None
-        for regions in restrictions:
-            self._report_unknown(regions)
         allowed = frozenset.intersection(*restrictions)
         return frozenset(
             zone
--- a/src/kingcupscale/fleet/warmup.py
+++ b/src/kingcupscale/fleet/warmup.py
@@ -49,6 +49,11 @@
             self.sent_at.popleft()
         return len(self.sent_at)
 
+    def count_planned(self, now: float) -> int:
+        """Returns how many requests count against a share; changes nothing."""
+        sent = sum(at > now - WINDOW_S for at in self.sent_at)
+        return sent + sum(at > now - RESERVATION_S for at in self.reserved_at)
+
     def has_room(self, share: int, now: float) -> bool:
         """Returns whether one more request may be planned."""
         while self.reserved_at and self.reserved_at[0] <= now - RESERVATION_S:
@@ -167,11 +172,7 @@
             self.reconnected_at = self.clock.monotonic()
 
     def cold_until(self, start_s: float, reopened_at: float | None) -> float:
-        """Returns the monotonic time until which the server is cold.
-
-        A report never counts for longer than ``start_s`` (``MAX_REPORTED_S``
-        if that is 0) from the first report of its cold period, so that a wrong
-        report does not exclude a server forever.
+        """Returns as ``peek_cold_until``, and logs a report that is too long.
 
         Args:
             start_s: Seconds for which a server of the service is cold.
@@ -182,6 +183,23 @@
         longest_report_s = max(r.seconds for r in self.reports.values())
         if longest_report_s > longest_s + REPORT_TOLERANCE_S:
             self._log_invalid(longest_report_s)
+        return self.peek_cold_until(start_s, reopened_at)
+
+    def peek_cold_until(
+        self, start_s: float, reopened_at: float | None
+    ) -> float:
+        """Returns the monotonic time until which the server is cold.
+
+        Changes nothing. A report never counts for longer than ``start_s``
+        (``MAX_REPORTED_S`` if that is 0) from the first report of its cold
+        period, so that a wrong report does not exclude a server forever.
+
+        Args:
+            start_s: Seconds for which a server of the service is cold.
+            reopened_at: Monotonic time at which the evacuation of its zone
+                ended; None if there was none.
+        """
+        longest_s = start_s or MAX_REPORTED_S
         until = max(r.until(longest_s) for r in self.reports.values())
         if start_s > 0:
             for began_at in (self.started_at, self.reconnected_at, reopened_at):
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -1,9 +1,10 @@
-"""Serves a node's metrics in the Prometheus text format."""
+"""Serves a node's metrics in the Prometheus text format, and explanations."""
 
 from kingcupscale import announcing
 from kingcupscale import logs
 from kingcupscale import metrics
 from kingcupscale import runtime as runtimes
+from kingcupscale.operating import explainhandler
 from kingcupscale.web import clientguard
 from kingcupscale.web import connectionlimits
 from kingcupscale.web import memorybudget
@@ -32,9 +33,12 @@
         self.runtime = runtime
         self.lines = lines
         self.guard = guard
+        self.explain = explainhandler.ExplainHandler(runtime)
 
     async def __call__(self, request: message.Request) -> message.Response:
-        """Returns all metrics for any path."""
+        """Returns an explanation, or all metrics for any other path."""
+        if request.path == explainhandler.PATH:
+            return await self.explain(request)
         rows = [
             *self._gauges(),
             *self._duties(),
--- a/src/kingcupscale/storage/view.py
+++ b/src/kingcupscale/storage/view.py
@@ -75,14 +75,18 @@
         An old view also counts as current while no node reaches the store, as
         nothing can change then.
         """
-        is_current = (
-            self.mirror.age_s() <= self.max_age_s
-            or self._is_store_unreachable_for_all()
-        )
+        is_current = self.peek_current()
         if is_current != self.was_current:
             self._log_transition(is_current)
         return is_current
 
+    def peek_current(self) -> bool:
+        """Returns as ``is_current``, but logs nothing."""
+        return (
+            self.mirror.age_s() <= self.max_age_s
+            or self._is_store_unreachable_for_all()
+        )
+
     def _is_store_unreachable_for_all(self) -> bool:
         """Returns whether the other nodes do not reach the store either.
 
