--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -22,6 +22,7 @@
 from kingcupscale.peering import relay
 from kingcupscale.platform import names
 from kingcupscale.storage import store as stores
+from kingcupscale.web import clientguard
 from kingcupscale.web import message
 from tests import virtual
 from tests.batches import fleets
@@ -78,7 +79,10 @@
             self.assertLess(started_at - submitted_at, MAX_START_S)
             self.assertEqual(counts(other), {"sent": 1})
             self.assertEqual(counts(runner), {"received": 1, "started": 1})
-            exposed = await exposition.MetricsHandler(runner.runtime, None)(
+            handler = exposition.MetricsHandler(
+                runner.runtime, None, clientguard.make_default()
+            )
+            exposed = await handler(
                 message.Request("GET", "/metrics", "", {}, b"")
             )
             for row in (
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -68,7 +68,9 @@
     async def test_metrics_show_loads_and_steps_that_wait_for_them(self):
         async with harness.launch() as site:
             leader = site.holder()
-            handler = exposition.MetricsHandler(leader.runtime, None)
+            handler = exposition.MetricsHandler(
+                leader.runtime, None, clientguard.make_default()
+            )
             site.set_target_version(2)
             await site.submit(leader, minimum=2)
             for seconds, loads, steps in ((0.4, 1, 1), (4.0, 0, 0)):
