--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -7,6 +7,7 @@
 from kingcupscale.batches import batch
 from kingcupscale.operating import exposition
 from kingcupscale.peering import replication
+from kingcupscale.web import clientguard
 from tests import virtual
 from tests.platform import harness
 
