--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -8,6 +8,7 @@
 from kingcupscale.operating import exposition
 from kingcupscale.peering import replication
 from kingcupscale.web import clientguard
+from kingcupscale.web import message
 from tests import virtual
 from tests.platform import harness
 
@@ -76,7 +77,8 @@
             await site.submit(leader, minimum=2)
             for seconds, loads, steps in ((0.4, 1, 1), (4.0, 0, 0)):
                 await trio.sleep(seconds)
-                rows = (await handler(None)).body.decode().splitlines()
+                response = await handler(message.Request("GET", "/metrics"))
+                rows = response.body.decode().splitlines()
                 for name, value in (
                     ("load_limit", 2),
                     ("loads_in_progress", loads),
