Queue calls that wait for a server by class and organisation

Calls that found no free server polled every 20 ms, each on its own: an urgent call waited behind others, an organisation with many calls got most slots, and each poll sent a call to servers that had just rejected one.

gateway/waitqueue.py decides the order: class priority, then the organisation with the least recent work, then arrival. gateway/serverwait.py wakes the next call when a call of the node ends or a server registers, checks every 50 ms for servers that become free by time alone, and removes a call when its caller leaves. After a rejection for lack of room a server gets no more calls than it ran, one more after each 50 ms, for at most 1 s. Scoring calls leave one slot of each server free as before. Event 2530 and the metric calls_waiting are new.

tests.test_call_waiting replays more calls than room. It fails if the priority, the fairness, the waking, the removal of cancelled calls, the return of their slots or the handover of the check is taken out, and passes now.

--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -60,6 +60,7 @@
     CALL_REFUSED = (2508, "A call ended without a server's answer.")
     CONNECTION_FAILED = (2509, "A client's connection ended with an error.")
     SERVER_LEAVING = (2510, "A backend server announced that it is leaving.")
+    CALL_WAITED = (2530, "A call has waited for a free server.")
     STEP_OPENED = (2601, "A rollout step was opened.")
     STEP_ENDED = (2602, "A rollout step is complete, cancelled or expired.")
     SAMPLE_RESTARTED = (2603, "A sample was dropped and started again.")
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -29,6 +29,11 @@
 # Time constant of the decaying count of recent calls. It is about the age at
 # which reports arrive, so it covers the calls that they do not contain yet.
 RECENT_CALLS_S = 0.4
+# After a server rejected a call for lack of room, one more call is tried after
+# each of these intervals.
+PROBE_S = 0.05
+# A rejection limits the calls to a server for at most this long.
+LIMIT_VALID_S = 1.0
 # Most removed servers whose leaving notice is kept.
 MAX_LEAVING_STARTS = 1000
 
@@ -102,6 +107,9 @@
         recent_count: Calls that this node has sent there, decaying
             exponentially.
         recent_count_at: Monotonic time of the last of them.
+        call_limit: Calls of this node that ran there when it rejected one for
+            lack of room.
+        limited_at: Monotonic time of that rejection.
         failures: Number of consecutive failures.
         ejected_until: Monotonic time before which it gets no requests.
         versions: Weight version by model, from entries, orders and responses.
@@ -127,6 +135,8 @@
     reported_slowness: float = 1.0
     recent_count: float = 0.0
     recent_count_at: float = 0.0
+    call_limit: int = 0
+    limited_at: float = -1e9
     failures: int = 0
     ejected_until: float = 0.0
     versions: dict[str, int] = attrs.field(factory=dict)
@@ -182,6 +192,18 @@
             return 1.0
         return self.reported_slowness
 
+    def record_full(self, now: float) -> None:
+        """Records that it rejected a call, which is still in flight."""
+        self.call_limit = max(0, self.in_flight - 1)
+        self.limited_at = now
+
+    def accepts_calls(self, now: float) -> bool:
+        """Returns whether another call may have room, after a rejection."""
+        age_s = now - self.limited_at
+        if age_s >= LIMIT_VALID_S:
+            return True
+        return self.in_flight < self.call_limit + int(age_s / PROBE_S)
+
     def update_load(self, report: LoadReport, now: float) -> None:
         """Records the load that a response reported."""
         total = report.running + report.waiting
@@ -246,6 +268,7 @@
         is_store_unreachable: Returns whether the store is out of reach.
 
     Attributes:
+        on_registered: Called with the service of each entry.
         servers: The servers by id.
         leaving_starts: Start times of removed servers that were leaving, by
             id.
@@ -260,11 +283,17 @@
         self.clock = clock
         self.recovered_at = recovered_at
         self.is_store_unreachable = is_store_unreachable
+        self.on_registered: list[Callable[[str], None]] = []
         self.servers: dict[str, Server] = {}
         self.leaving_starts: dict[str, int] = {}
 
     def register(self, entry: ServerEntry) -> None:
         """Adds a server, or updates it, by its entry in the store."""
+        self._apply(entry)
+        for notify in self.on_registered:
+            notify(entry.service)
+
+    def _apply(self, entry: ServerEntry) -> None:
         known = self.servers.get(entry.id)
         if known is None or known.entry.start_ms != entry.start_ms:
             if known is not None:
--- a/src/kingcupscale/gateway/callstate.py
+++ b/src/kingcupscale/gateway/callstate.py
@@ -17,7 +17,7 @@
         wait_until: Monotonic time until which it waits for a free slot.
         tried: Servers that executed it or may have.
         unavailable: Servers that rejected it or were unreachable since
-            the last poll.
+            it last waited for a server.
         attempts: Number of attempts that a server executed or may have.
         failure_reason: Why the last failed attempt failed; empty if none has
             failed, or if the server cannot have executed that attempt.
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -20,6 +20,7 @@
 from kingcupscale.gateway import inboundrequest
 from kingcupscale.gateway import placement
 from kingcupscale.gateway import responsestream
+from kingcupscale.gateway import serverwait
 from kingcupscale.web import message
 
 # Backend servers are in the same region and accept connections within
@@ -32,8 +33,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 1.5
 # Lower bound of the expected latency in the timeout of an attempt.
 MIN_EXPECTED_LATENCY_S = 0.15
-# Poll interval for a free server while all servers are at capacity.
-QUEUE_POLL_S = 0.02
 # Longest wait for a free server, as a multiple of the target latency.
 QUEUE_WAIT_FACTOR = 1.0
 # Response bodies up to this size are buffered until they are complete, so that
@@ -74,6 +73,7 @@
 
     Attributes:
         placement: Chooses the servers.
+        waits: The calls that wait for a server.
         latency_s: Moving average of the latency, by service.
     """
 
@@ -101,6 +101,10 @@
             node, zone, client.idle_connections, rng, regions
         )
         self.latency_s: dict[str, float] = {}
+        self.waits = serverwait.ServerWaits(
+            self._choose_server, clock, self.latency_s
+        )
+        servers.on_registered.append(self.waits.dispatch)
 
     async def forward(
         self, inbound: inboundrequest.InboundRequest
@@ -184,23 +188,19 @@
     ) -> registry.Server | None:
         """Returns a server with a free slot, or None if none gets one in time.
 
+        The server counts the call as in flight.
+
         Background calls wait until their deadline, others only for
         ``QUEUE_WAIT_FACTOR`` times the target latency.
         """
         until = state.wait_until
         if inbound.is_background:
             until = state.deadline
-        while True:
-            now = self.clock.monotonic()
-            if now >= state.deadline:
-                return None
-            server = self._choose_server(inbound, state, now)
-            if server is not None:
-                return server
-            if now >= until:
-                return None
-            state.unavailable.clear()
-            await self.clock.sleep(QUEUE_POLL_S)
+        if self.clock.monotonic() >= state.deadline:
+            return None
+        return await self.waits.acquire(
+            inbound, state, min(until, state.deadline)
+        )
 
     def _choose_server(
         self,
@@ -211,7 +211,9 @@
         usable = [
             server
             for server in self.servers.list_servers(state.service)
-            if server.is_usable(now) and server.id not in state.unavailable
+            if server.is_usable(now)
+            and server.accepts_calls(now)
+            and server.id not in state.unavailable
         ]
         if inbound.is_background:
             # Background calls leave one slot of each server to other calls.
@@ -238,7 +240,6 @@
             timeout_s = min(left_s, self._attempt_timeout_s(state))
         call = self._make_call(inbound, state, left_s)
         self.placement.record_call(server, now)
-        server.in_flight += 1
         response: message.Response | None = None
         try:
             with trio.move_on_after(timeout_s) as scope:
@@ -268,7 +269,8 @@
                 may_have_run=e.may_have_run,
             )
         finally:
-            server.in_flight -= 1
+            elapsed_s = self.clock.monotonic() - now
+            self.waits.release(state, server, elapsed_s)
         return response
 
     def _attempt_timeout_s(self, state: callstate.CallState) -> float:
@@ -354,6 +356,8 @@
         state.unavailable.add(server.id)
         if server_response.wrong_server:
             server.record_failure(now)
+        else:
+            server.record_full(now)
         return True
 
     def _require_signature(
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -52,6 +52,7 @@
             f"servers_known {len(runtime.server_registry.servers)}",
             f"servers_usable {len(usable_servers)}",
             f"batches_known {len(runtime.batch_cache.records)}",
+            f"calls_waiting {runtime.forwarder.waits.waiting()}",
             f"readers_waiting {runtime.batch_cache.waiting_readers}",
         ]
 
