Refuse calls whose expected wait exceeds the time left

A call that could not get a server in time occupied its caller until the time for which it may wait was over.

A call is refused with code 1215 on arrival if the calls ahead of it take longer than it may wait. Retry-After is the expected wait with jitter; the jitter also applies to waits beyond the limit, for which all callers got the same time. Event 2531 and the metrics calls_waiting and calls_refused_total tell who waits and who is refused.

The test of the retry delays in tests.batches.test_decisions also asks for different delays beyond the limit; it failed before.

--- a/src/kingcupscale/errors.py
+++ b/src/kingcupscale/errors.py
@@ -41,6 +41,7 @@
     NOT_READY = (1206, 503, "The node has no current configuration.")
     ISOLATED = (1207, 503, "The node is isolated and rejects requests.")
     CONFIGURATION_OLD = (1208, 503, "The node's configuration may be stale.")
+    WAIT_TOO_LONG = (1215, 503, "The expected wait exceeds the time left.")
     BACKEND_FAILED = (1301, 502, "The backend server failed; outcome unknown.")
     BACKEND_REFUSED = (1302, 502, "No backend server accepted the request.")
     ANSWER_REJECTED = (1304, 502, "Answer incomplete or for another request.")
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -61,6 +61,7 @@
     CONNECTION_FAILED = (2509, "A client's connection ended with an error.")
     SERVER_LEAVING = (2510, "A backend server announced that it is leaving.")
     CALL_WAITED = (2530, "A call has waited for a free server.")
+    CALL_NOT_QUEUED = (2531, "A call was refused for its expected wait.")
     STEP_OPENED = (2601, "A rollout step was opened.")
     STEP_ENDED = (2602, "A rollout step is complete, cancelled or expired.")
     SAMPLE_RESTARTED = (2603, "A sample was dropped and started again.")
--- a/src/kingcupscale/gateway/backoff.py
+++ b/src/kingcupscale/gateway/backoff.py
@@ -23,9 +23,12 @@
         expected_wait_s: Seconds until a slot is expected to be free.
         time_left_s: Seconds until the caller's deadline. Callers honour a
             Retry-After of up to a third of this time, so the result is at
-            most a quarter of it, but at least ``MIN_RETRY_AFTER_S``.
+            most a quarter of it, or ``MIN_RETRY_AFTER_S`` if that is more.
         rng: Source of the jitter.
     """
     wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_wait_s))
-    wait_s *= 1 + MAX_JITTER * rng.random()
-    return round(min(wait_s, max(MIN_RETRY_AFTER_S, time_left_s / 4)), 3)
+    # The limit applies before the jitter. Otherwise, all callers whose expected
+    # wait exceeds it would return at the same moment.
+    limit_s = max(MIN_RETRY_AFTER_S, time_left_s / 4)
+    wait_s = min(wait_s, limit_s / (1 + MAX_JITTER))
+    return round(wait_s * (1 + MAX_JITTER * rng.random()), 3)
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards single calls to backend servers, with retries and timeouts."""
 
+import collections
 from collections.abc import Mapping
 import contextlib
 import random
@@ -74,6 +75,7 @@
     Attributes:
         placement: Chooses the servers.
         waits: The calls that wait for a server.
+        refused: Number of refused calls, by organisation and result code.
         latency_s: Moving average of the latency, by service.
     """
 
@@ -104,6 +106,9 @@
         self.waits = serverwait.ServerWaits(
             self._choose_server, clock, self.latency_s
         )
+        self.refused: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         servers.on_registered.append(self.waits.dispatch)
 
     async def forward(
@@ -190,6 +195,9 @@
 
         The server counts the call as in flight.
 
+        Raises:
+            ServiceError: If the expected wait is longer than that.
+
         Background calls wait until their deadline, others only for
         ``QUEUE_WAIT_FACTOR`` times the target latency.
         """
@@ -198,9 +206,12 @@
             until = state.deadline
         if self.clock.monotonic() >= state.deadline:
             return None
-        return await self.waits.acquire(
-            inbound, state, min(until, state.deadline)
-        )
+        try:
+            return await self.waits.acquire(
+                inbound, state, min(until, state.deadline)
+            )
+        except serverwait.WaitTooLongError as e:
+            raise self._make_wait_error(inbound, state, e) from e
 
     def _choose_server(
         self,
@@ -424,6 +435,42 @@
             server_response.status, server_response.headers, chunks=chunks
         )
 
+    def _make_wait_error(
+        self,
+        inbound: inboundrequest.InboundRequest,
+        state: callstate.CallState,
+        cause: serverwait.WaitTooLongError,
+    ) -> errors.ServiceError:
+        code = errors.ResultCode.WAIT_TOO_LONG
+        left_s = state.deadline - self.clock.monotonic()
+        error = errors.ServiceError(
+            code,
+            str(cause),
+            retry_after_s=backoff.retry_after_s(
+                cause.expected_s, left_s, self.rng
+            ),
+        )
+        self._count_refusal(state, code)
+        events.log(
+            events.Event.CALL_NOT_QUEUED,
+            request=inbound.request_id,
+            route=state.route.name,
+            service=state.service,
+            organisation=state.organisation.name if state.organisation else "",
+            code=code.number,
+            expected_s=round(cause.expected_s, 3),
+            waiting=cause.waiting,
+            left_s=round(left_s, 3),
+            retry_after_s=error.retry_after_s,
+        )
+        return error
+
+    def _count_refusal(
+        self, state: callstate.CallState, code: errors.ResultCode
+    ) -> None:
+        label = state.organisation.name if state.organisation else "open"
+        self.refused[label, code.number] += 1
+
     def _make_error(
         self,
         inbound: inboundrequest.InboundRequest,
@@ -454,6 +501,7 @@
                 state.failure_reason,
                 retry_after_s=backoff.retry_after_s(wait_s, left_s, self.rng),
             )
+        self._count_refusal(state, code)
         events.log(
             events.Event.CALL_REFUSED,
             request=inbound.request_id,
--- a/src/kingcupscale/gateway/serverwait.py
+++ b/src/kingcupscale/gateway/serverwait.py
@@ -5,6 +5,7 @@
 other nodes do. One of the waiting calls checks for that from time to time.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Mapping
 
@@ -16,6 +17,7 @@
 from kingcupscale.fleet import registry
 from kingcupscale.gateway import callstate
 from kingcupscale.gateway import inboundrequest
+from kingcupscale.gateway import refusal
 from kingcupscale.gateway import waitqueue
 
 # Interval of the checks for servers that became free by time alone.
@@ -29,6 +31,20 @@
 ]
 
 
+class WaitTooLongError(Exception):
+    """A call is expected not to get a server in time.
+
+    Args:
+        expected_s: Expected wait.
+        waiting: Number of calls that wait.
+    """
+
+    def __init__(self, expected_s: float, waiting: int) -> None:
+        super().__init__(f"expected wait {expected_s:.2f} s")
+        self.expected_s = expected_s
+        self.waiting = waiting
+
+
 @attrs.define(eq=False)
 class WaitingCall(waitqueue.Waiter):
     """A waiting call with its task.
@@ -49,11 +65,21 @@
 
     Attributes:
         checker: The call that checks for free servers.
+        rate: Rate at which its calls get slots. Background calls do not
+            count, because they need servers with two free slots.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.checker: WaitingCall | None = None
+        self.rate = refusal.SlotRate()
+
+    def update_rate(self, now: float) -> None:
+        """Records whether calls wait that count for the rate."""
+        is_waiting = any(
+            not waiter.inbound.is_background for waiter in self.waiters
+        )
+        self.rate.update(is_waiting, now)
 
 
 class ServerWaits:
@@ -82,9 +108,13 @@
         self.queues: dict[str, ServiceQueue] = {}
         self.latency_s = latency_s
 
-    def waiting(self) -> int:
-        """Returns the number of waiting calls."""
-        return sum(len(queue.waiters) for queue in self.queues.values())
+    def waiting(self) -> collections.Counter[tuple[str, int]]:
+        """Returns the number of waiting calls by organisation and priority."""
+        return collections.Counter(
+            (call.organisation, call.priority)
+            for queue in self.queues.values()
+            for call in queue.waiters
+        )
 
     async def acquire(
         self,
@@ -98,6 +128,9 @@
             inbound: The call.
             state: Its state.
             until: Monotonic time.
+
+        Raises:
+            WaitTooLongError: If none is expected to get free until then.
         """
         queue = self.queues.setdefault(state.service, ServiceQueue())
         call = _make_waiting_call(inbound, state)
@@ -109,6 +142,8 @@
                 # From here on, ``Server.accepts_calls`` tells which servers
                 # that rejected the call may be tried again.
                 state.unavailable.clear()
+                self._require_short_wait(queue, call, until - started_at)
+                queue.update_rate(started_at)
                 await self._wait(queue, call, until)
                 self._log_wait(queue, call, started_at)
         except BaseException:
@@ -116,6 +151,8 @@
             raise
         finally:
             queue.discard(call)
+            now = self.clock.monotonic()
+            queue.update_rate(now)
             self._pass_check_on(queue, call)
         return call.granted
 
@@ -154,8 +191,31 @@
         )
         for call in granted:
             call.granted.in_flight += 1
+            if not call.inbound.is_background:
+                queue.rate.record_slot(now)
             call.woken.set()
 
+    def _require_short_wait(
+        self, queue: ServiceQueue, call: WaitingCall, left_s: float
+    ) -> None:
+        """Checks that a call can get a server in time.
+
+        Background calls always wait, and so do calls that a server may have
+        executed already: they must not be told that they have not run.
+        """
+        if call.inbound.is_background or call.state.attempts:
+            return
+        now = self.clock.monotonic()
+        ordered = queue.ordered(now)
+        ahead = [
+            other
+            for other in ordered[: ordered.index(call)]
+            if not other.inbound.is_background
+        ]
+        wait_s = refusal.expected_wait_s(len(ahead), queue.rate, now)
+        if wait_s is not None and wait_s > left_s:
+            raise WaitTooLongError(wait_s, len(ordered) - 1)
+
     async def _wait(
         self, queue: ServiceQueue, call: WaitingCall, until: float
     ) -> None:
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -28,6 +28,7 @@
         """Returns all metrics for any path."""
         rows = [
             *self._gauges(),
+            *self._calls(),
             *self._store_calls(),
             *self._events(),
             *self._histograms(),
@@ -52,10 +53,26 @@
             f"servers_known {len(runtime.server_registry.servers)}",
             f"servers_usable {len(usable_servers)}",
             f"batches_known {len(runtime.batch_cache.records)}",
-            f"calls_waiting {runtime.forwarder.waits.waiting()}",
             f"readers_waiting {runtime.batch_cache.waiting_readers}",
         ]
 
+    def _calls(self) -> list[str]:
+        """Returns who waits for a server, and who was refused and why."""
+        forwarder = self.runtime.forwarder
+        waiting = [
+            f'calls_waiting{{organisation="{name}",priority="{priority}"}}'
+            f" {count}"
+            for (name, priority), count in sorted(
+                forwarder.waits.waiting().items()
+            )
+        ]
+        refused = [
+            f'calls_refused_total{{organisation="{name}",code="{code}"}}'
+            f" {count}"
+            for (name, code), count in sorted(forwarder.refused.items())
+        ]
+        return [*waiting, *refused]
+
     def _store_calls(self) -> list[str]:
         calls = self.runtime.dependencies.store.calls
         return [
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -324,7 +324,7 @@
 
 class BackoffTest(unittest.TestCase):
     @parameterized.parameterized.expand(
-        [(0.0, 2.0), (0.1, 2.0), (30.0, 2.0), (0.5, 0.1)]
+        [(0.0, 2.0), (0.1, 2.0), (30.0, 2.0), (30.0, 60.0), (0.5, 0.1)]
     )
     def test_retry_delays_differ_and_stay_within_the_time_left(
         self, wait_s, left_s
@@ -332,5 +332,5 @@
         rng = random.Random(1)
         delays = {backoff.retry_after_s(wait_s, left_s, rng) for _ in range(20)}
         self.assertTrue(all(0 < s <= max(0.05, left_s / 3) for s in delays))
-        if wait_s < left_s / 4:
-            self.assertGreater(len(delays), 5)
+        # Callers that were refused together must not return together.
+        self.assertGreater(len(delays), 5)
--- a/tests/test_call_waiting.py
+++ b/tests/test_call_waiting.py
@@ -257,9 +257,9 @@
                     for _ in range(50):
                         leaving.start_soon(fleet.send, "gone", make_call())
                     await trio.sleep(0.02)
-                    self.assertEqual(fleet.waits.waiting(), 50)
+                    self.assertEqual(fleet.waits.waiting()["one", 5], 50)
                     scope.cancel()
-            self.assertEqual(fleet.waits.waiting(), 0)
+            self.assertEqual(fleet.waits.waiting().total(), 0)
             nursery.start_soon(fleet.send, "next", make_call())
         self.assertAlmostEqual(fleet.waited["next"][0], 0.07, places=6)
         self.assertNotIn("gone", fleet.waited)
@@ -304,4 +304,4 @@
         await fleet.send("late", make_call(), until=0.5)
         self.assertEqual(fleet.waited["late"], [None])
         self.assertAlmostEqual(trio.current_time(), 0.5, delta=0.06)
-        self.assertEqual(fleet.waits.waiting(), 0)
+        self.assertEqual(fleet.waits.waiting().total(), 0)
