--- a/bench/loadmodel.py
+++ b/bench/loadmodel.py
@@ -5,26 +5,21 @@
 a queue, some of them also work for others, and some are slow for a while.
 """
 
-import bisect
 import collections
 import heapq
 import math
 import random
 import statistics
 from typing import Any
-from typing import Protocol
 
 import attrs
 
+from bench import loadfleet
 from kingcupscale.fleet import registry
 
 # Age of a report when it arrives with a response.
 MIN_REPORT_AGE_S = 0.05
 MAX_REPORT_AGE_S = 0.6
-# Slowness of a slow server, and how long it stays slow or normal.
-SLOWNESS = 2.5
-SLOWNESS_PERIOD_S = 0.6
-SLOW_SHARE = 0.15
 # Call rate of a node: that of callers' calls, and of a node that scores.
 MIN_CALLS_PER_S = 0.3
 MAX_CALLS_PER_S = 20.0
@@ -38,7 +33,6 @@
 # Shortest and longest work of a call relative to the mean.
 MIN_WORK = 0.5
 MAX_WORK = 1.5
-IDLE_CONNECTION_S = 8.0
 SAMPLE_S = 0.05
 # Time at the start that is not measured.
 WARM_UP_S = 5.0
@@ -105,142 +99,19 @@
     history: list[list[float]] = attrs.field(repr=False)
 
 
-@attrs.define(eq=False)
-class Call:
-    """A call: its node, its server, its arrival and its work in seconds."""
-
-    node: "Node"
-    server: int
-    arrived_at: float
-    work_s: float
-
-
-@attrs.define(eq=False)
-class Node:
-    """A node with its view of the servers.
-
-    Attributes:
-        name: Its name.
-        zone: Its availability zone.
-        calls_per_s: Its call rate.
-        starts_at: Time of its start.
-        views: The servers as it sees them.
-        idle: Times at which its connections became idle, by server.
-        addresses: Index of each server, by its address.
-        rng: Its calls, the same under all strategies.
-        latency_s: Its average latency.
-        reports: Time and content of the newest report, by server.
-    """
-
-    name: str
-    zone: str
-    calls_per_s: float
-    starts_at: float
-    views: list[registry.Server]
-    idle: list[list[float]]
-    addresses: dict[str, int]
-    rng: random.Random
-    latency_s: float = 0.0
-    reports: dict[int, tuple[float, registry.LoadReport]] = attrs.field(
-        factory=dict
-    )
-
-    def idle_connections(self, index: int, now: float) -> int:
-        """Returns how many idle connections to a server have not expired."""
-        idle = self.idle[index]
-        while idle and now - idle[0] > IDLE_CONNECTION_S:
-            idle.pop(0)
-        return len(idle)
-
-
-class Strategy(Protocol):
-    """Chooses the server of each call.
-
-    Attributes:
-        shares_reports: Whether nodes send reports with their messages.
-    """
-
-    shares_reports: bool
-
-    def choose(
-        self, node: Node, usable: list[int], now: float, rng: random.Random
-    ) -> int:
-        """Returns the index of one of the usable servers."""
-        ...
-
-
-class Server:
-    """A server with slots and a queue.
-
-    Attributes:
-        running: Number of calls that run.
-        foreign: Slots in use by others.
-        queue: Calls that wait for a slot.
-        starts_at: Time of its start.
-    """
-
-    def __init__(
-        self, slots: int, starts_at: float, seconds: float, rng: random.Random
-    ) -> None:
-        self.slots = slots
-        self.starts_at = starts_at
-        self.running = 0
-        self.foreign = 0
-        self.queue: collections.deque[Call] = collections.deque()
-        self.rng = random.Random(rng.random())
-        self.phase_s = rng.uniform(0, SLOWNESS_PERIOD_S)
-        periods = int(3 * seconds / SLOWNESS_PERIOD_S) + 2
-        self.slow = [rng.random() < SLOW_SHARE for _ in range(periods)]
-        self.changed_at = [0.0]
-        self.states = [(0, 0)]
-
-    def slowness(self, now: float) -> float:
-        """Returns how long work takes now; 1.0 is normal."""
-        period = int((now + self.phase_s) / SLOWNESS_PERIOD_S)
-        return SLOWNESS if self.slow[period % len(self.slow)] else 1.0
-
-    def finish_at(self, now: float, work_s: float) -> float:
-        """Returns when work that begins now ends."""
-        while True:
-            period = int((now + self.phase_s) / SLOWNESS_PERIOD_S)
-            ends_at = (period + 1) * SLOWNESS_PERIOD_S - self.phase_s
-            slowness = self.slowness(now)
-            if now + work_s * slowness <= ends_at:
-                return now + work_s * slowness
-            work_s -= (ends_at - now) / slowness
-            now = ends_at + 1e-9
-
-    def load(self) -> float:
-        """Returns the requests per slot."""
-        return (self.running + self.foreign + len(self.queue)) / self.slots
-
-    def note(self, now: float) -> None:
-        """Keeps the state for reports."""
-        self.changed_at.append(now)
-        self.states.append((self.running + self.foreign, len(self.queue)))
-        if len(self.states) > 10_000:
-            del self.changed_at[:5000], self.states[:5000]
-
-    def report(self, at: float) -> registry.LoadReport:
-        """Returns the load report of a time in the past."""
-        index = max(0, bisect.bisect_right(self.changed_at, at) - 1)
-        running, waiting = self.states[index]
-        return registry.LoadReport(
-            running, waiting, self.slots, self.slowness(max(0.0, at))
-        )
-
-
 class Replay:
     """One replay of a load under a strategy."""
 
-    def __init__(self, load: Load, strategy: Strategy, seed: int) -> None:
+    def __init__(
+        self, load: Load, strategy: loadfleet.Strategy, seed: int
+    ) -> None:
         self.what = load
         self.strategy = strategy
         self.rng = random.Random(seed)
         self.choices = random.Random(seed + 1)
         half = load.seconds / 2
         self.servers = [
-            Server(
+            loadfleet.Server(
                 load.slots,
                 half if index < load.late_servers else 0.0,
                 load.seconds,
@@ -264,7 +135,7 @@
         self.free_samples = 0
         self.longest_queue = 0
 
-    def _make_node(self, index: int) -> Node:
+    def _make_node(self, index: int) -> loadfleet.Node:
         load, rng = self.what, self.rng
         is_scoring = index % round(1 / SCORING_SHARE) == 0
         low, high = math.log(MIN_CALLS_PER_S), math.log(MAX_CALLS_PER_S)
@@ -290,7 +161,7 @@
         ]
         # Zones have unequal numbers of nodes.
         zone = rng.choices(ZONES, (3, 2, 1))[0]
-        return Node(
+        return loadfleet.Node(
             f"n{index}",
             zone,
             rate,
@@ -306,7 +177,7 @@
         load = self.what
         foreign = load.servers * SHARED_SHARE * MAX_FOREIGN_SLOTS / 2
         slots = load.servers * load.slots - foreign
-        slowness = 1 + SLOW_SHARE * (SLOWNESS - 1)
+        slowness = 1 + loadfleet.SLOW_SHARE * (loadfleet.SLOWNESS - 1)
         rate = sum(node.calls_per_s for node in self.nodes)
         return load.utilisation * slots / (rate * slowness)
 
@@ -331,10 +202,10 @@
         self.number += 1
         heapq.heappush(self.events, (when, self.number, action, args))
 
-    def _gap(self, node: Node) -> float:
+    def _gap(self, node: loadfleet.Node) -> float:
         return node.rng.expovariate(node.calls_per_s)
 
-    def _arrive(self, now: float, node: Node) -> None:
+    def _arrive(self, now: float, node: loadfleet.Node) -> None:
         self._at(now + self._gap(node), self._arrive, node)
         usable = [
             index
@@ -350,10 +221,10 @@
         self.placed += now >= WARM_UP_S
         node.views[index].in_flight += 1
         server = self.servers[index]
-        server.queue.append(Call(node, index, now, work_s))
+        server.queue.append(loadfleet.Call(node, index, now, work_s))
         self._start_waiting(now, server)
 
-    def _start_waiting(self, now: float, server: Server) -> None:
+    def _start_waiting(self, now: float, server: loadfleet.Server) -> None:
         while server.queue and server.running + server.foreign < server.slots:
             call = server.queue.popleft()
             server.running += 1
@@ -361,7 +232,7 @@
             self._at(ends_at, self._finish, call)
         server.note(now)
 
-    def _finish(self, now: float, call: Call) -> None:
+    def _finish(self, now: float, call: loadfleet.Call) -> None:
         server, node = self.servers[call.server], call.node
         server.running -= 1
         self._start_waiting(now, server)
@@ -393,7 +264,7 @@
             return registry.LoadReport(running, 0, slots, slowness)
         return None
 
-    def _exchange(self, now: float, node: Node) -> None:
+    def _exchange(self, now: float, node: loadfleet.Node) -> None:
         """Sends a node's reports and receives those of the others."""
         self._at(now + MESSAGE_PERIOD_S, self._exchange, node)
         for index, (at, report) in node.reports.items():
@@ -407,7 +278,7 @@
             if at > node.views[index].load_reported_at:
                 node.views[index].update_load(report, at)
 
-    def _change_foreign(self, now: float, server: Server) -> None:
+    def _change_foreign(self, now: float, server: loadfleet.Server) -> None:
         """Changes how many slots of a server others use."""
         server.foreign = server.rng.randint(0, MAX_FOREIGN_SLOTS)
         self._start_waiting(now, server)
--- a/bench/loadstrategies.py
+++ b/bench/loadstrategies.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-from bench import loadmodel
+from bench import loadfleet
 from kingcupscale.fleet import registry
 from kingcupscale.gateway import placement
 
@@ -25,7 +25,7 @@
 
     def choose(
         self,
-        node: loadmodel.Node,
+        node: loadfleet.Node,
         usable: list[int],
         now: float,
         rng: random.Random,
@@ -42,7 +42,7 @@
 
     def choose(
         self,
-        node: loadmodel.Node,
+        node: loadfleet.Node,
         usable: list[int],
         now: float,
         rng: random.Random,
@@ -59,7 +59,7 @@
 
     def choose(
         self,
-        node: loadmodel.Node,
+        node: loadfleet.Node,
         usable: list[int],
         now: float,
         rng: random.Random,
@@ -82,7 +82,7 @@
 
     def choose(
         self,
-        node: loadmodel.Node,
+        node: loadfleet.Node,
         usable: list[int],
         now: float,
         rng: random.Random,
@@ -109,7 +109,7 @@
 
     def choose(
         self,
-        node: loadmodel.Node,
+        node: loadfleet.Node,
         usable: list[int],
         now: float,
         rng: random.Random,
@@ -128,7 +128,7 @@
         return node.addresses[chosen.entry.address]
 
 
-STRATEGIES: dict[str, Callable[[], loadmodel.Strategy]] = {
+STRATEGIES: dict[str, Callable[[], loadfleet.Strategy]] = {
     "lowest cost": Present,
     "lowest cost, informed": lambda: Present(shares_reports=True),
     "two random": TwoRandom,
@@ -151,7 +151,7 @@
 
 
 def _lowest(
-    node: loadmodel.Node,
+    node: loadfleet.Node,
     indices: list[int],
     now: float,
     rng: random.Random,
