--- a/bench/coldreplay.py
+++ b/bench/coldreplay.py
@@ -155,7 +155,8 @@
         ]
         for server in usable:
             is_cold = server.id in self.replay.cold_from
-            server.update_load(0 if is_cold else BUSY_LOAD, now)
+            load = 0 if is_cold else BUSY_LOAD
+            server.update_load(registry.LoadReport(load, 0, SLOTS), now)
         usable = self.eligibility.filter(usable)
         return placement.choose(usable, "a", now, self.replay.rng)
 
--- a/src/kingcupscale/errors.py
+++ b/src/kingcupscale/errors.py
@@ -45,6 +45,7 @@
     CONFIGURATION_OLD = (1208, 503, "The node's configuration may be stale.")
     REGION_EXCLUDED = (1209, 503, "No server is in a region that is allowed.")
     MEMORY_SCARCE = (1213, 503, "The node lacks memory for the request.")
+    WAIT_TOO_LONG = (1215, 503, "The expected wait exceeds the time left.")
     EXPLAIN_INVALID = (1218, 422, "The question to explain is invalid.")
     EXPLAIN_UNSUPPORTED = (1219, 422, "This node cannot explain that.")
     BACKEND_FAILED = (1301, 502, "The backend server failed; outcome unknown.")
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -73,6 +73,8 @@
     REGION_UNKNOWN = (2517, "The configuration names an unknown region.")
     MEMORY_SCARCE = (2520, "Requests were refused for lack of memory.")
     CONNECTIONS_CLOSED = (2521, "Clients' connections were closed at a limit.")
+    CALL_WAITED = (2530, "A call has waited for a free server.")
+    CALL_NOT_QUEUED = (2531, "A call was refused for its expected wait.")
     STEP_OPENED = (2601, "A rollout step was opened.")
     STEP_ENDED = (2602, "A rollout step is complete, cancelled or expired.")
     SAMPLE_RESTARTED = (2603, "A sample was dropped and started again.")
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards single calls to backend servers, with retries and timeouts."""
 
+import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
@@ -22,6 +23,7 @@
 from kingcupscale.gateway import inboundrequest
 from kingcupscale.gateway import placement
 from kingcupscale.gateway import responsestream
+from kingcupscale.gateway import serverwait
 from kingcupscale.web import message
 
 # Backend servers are in the same region and accept connections within
@@ -34,8 +36,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 1.5
 # Lower bound of the expected latency in the timeout of an attempt.
 MIN_EXPECTED_LATENCY_S = 0.15
-# Poll interval for a free server while all servers are at capacity.
-QUEUE_POLL_S = 0.02
 # Longest wait for a free server, as a multiple of the target latency.
 QUEUE_WAIT_FACTOR = 1.0
 # Response bodies up to this size are buffered until they are complete, so that
@@ -77,6 +77,8 @@
 
     Attributes:
         placement: Chooses the servers.
+        waits: The calls that wait for a server.
+        refused: Number of refused calls, by organisation and result code.
         latency_s: Moving average of the latency, by service.
     """
 
@@ -106,6 +108,13 @@
             node, zone, client.idle_connections, rng, regions
         )
         self.latency_s: dict[str, float] = {}
+        self.waits = serverwait.ServerWaits(
+            self._choose_server, clock, self.latency_s
+        )
+        self.refused: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        servers.on_registered.append(self.waits.dispatch)
 
     async def forward(
         self, inbound: inboundrequest.InboundRequest
@@ -191,23 +200,25 @@
     ) -> registry.Server | None:
         """Returns a server with a free slot, or None if none gets one in time.
 
+        The server counts the call as in flight.
+
+        Raises:
+            ServiceError: If the expected wait is longer than that.
+
         Background calls wait until their deadline, others only for
         ``QUEUE_WAIT_FACTOR`` times the target latency.
         """
         until = state.wait_until
         if inbound.is_background:
             until = state.deadline
-        while True:
-            now = self.clock.monotonic()
-            if now >= state.deadline:
-                return None
-            server = self._choose_server(inbound, state, now)
-            if server is not None:
-                return server
-            if now >= until:
-                return None
-            state.unavailable.clear()
-            await self.clock.sleep(QUEUE_POLL_S)
+        if self.clock.monotonic() >= state.deadline:
+            return None
+        try:
+            return await self.waits.acquire(
+                inbound, state, min(until, state.deadline)
+            )
+        except serverwait.WaitTooLongError as e:
+            raise self._make_wait_error(inbound, state, e) from e
 
     def _choose_server(
         self,
@@ -218,7 +229,9 @@
         usable = [
             server
             for server in self.servers.list_servers(state.service)
-            if server.is_usable(now) and server.id not in state.unavailable
+            if server.is_usable(now)
+            and server.accepts_calls(now)
+            and server.id not in state.unavailable
         ]
         if inbound.is_background:
             # Background calls leave one slot of each server to other calls.
@@ -247,7 +260,6 @@
         self.eligibility.reserve(server)
         call = self._make_call(inbound, state, server, left_s)
         self.placement.record_call(server, now)
-        server.in_flight += 1
         response: message.Response | None = None
         try:
             with trio.move_on_after(timeout_s) as scope:
@@ -279,7 +291,8 @@
                 may_have_run=e.may_have_run,
             )
         finally:
-            server.in_flight -= 1
+            elapsed_s = self.clock.monotonic() - now
+            self.waits.release(state, server, elapsed_s)
         return response
 
     def _attempt_timeout_s(self, state: callstate.CallState) -> float:
@@ -369,6 +382,8 @@
         if server_response.wrong_server:
             self.eligibility.refund(server)
             server.record_failure(now)
+        else:
+            server.record_full(now)
         return True
 
     def _require_signature(
@@ -435,6 +450,42 @@
             server_response.status, server_response.headers, chunks=chunks
         )
 
+    def _make_wait_error(
+        self,
+        inbound: inboundrequest.InboundRequest,
+        state: callstate.CallState,
+        cause: serverwait.WaitTooLongError,
+    ) -> errors.ServiceError:
+        code = errors.ResultCode.WAIT_TOO_LONG
+        left_s = state.deadline - self.clock.monotonic()
+        error = errors.ServiceError(
+            code,
+            str(cause),
+            retry_after_s=backoff.retry_after_s(
+                cause.expected_s, left_s, self.rng
+            ),
+        )
+        self._count_refusal(state, code)
+        events.log(
+            events.Event.CALL_NOT_QUEUED,
+            request=inbound.request_id,
+            route=state.route.name,
+            service=state.service,
+            organisation=state.organisation.name if state.organisation else "",
+            code=code.number,
+            expected_s=round(cause.expected_s, 3),
+            waiting=cause.waiting,
+            left_s=round(left_s, 3),
+            retry_after_s=error.retry_after_s,
+        )
+        return error
+
+    def _count_refusal(
+        self, state: callstate.CallState, code: errors.ResultCode
+    ) -> None:
+        label = state.organisation.name if state.organisation else "open"
+        self.refused[label, code.number] += 1
+
     def _make_error(
         self,
         inbound: inboundrequest.InboundRequest,
@@ -465,6 +516,7 @@
                 state.failure_reason,
                 retry_after_s=backoff.retry_after_s(wait_s, left_s, self.rng),
             )
+        self._count_refusal(state, code)
         events.log(
             events.Event.CALL_REFUSED,
             request=inbound.request_id,
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -44,6 +44,7 @@
             *self._duties(),
             *self._announcements(),
             *self._weight_loads(),
+            *self._calls(),
             *self._store_calls(),
             *self._events(),
             *self._clients(),
@@ -108,6 +109,23 @@
             )
         ]
 
+    def _calls(self) -> list[str]:
+        """Returns who waits for a server, and who was refused and why."""
+        forwarder = self.runtime.forwarder
+        waiting = [
+            f'calls_waiting{{organisation="{name}",priority="{priority}"}}'
+            f" {count}"
+            for (name, priority), count in sorted(
+                forwarder.waits.waiting().items()
+            )
+        ]
+        refused = [
+            f'calls_refused_total{{organisation="{name}",code="{code}"}}'
+            f" {count}"
+            for (name, code), count in sorted(forwarder.refused.items())
+        ]
+        return [*waiting, *refused]
+
     def _store_calls(self) -> list[str]:
         calls = self.runtime.dependencies.store.calls
         return [
