--- a/src/kingcupscale/commands/explain.py
+++ b/src/kingcupscale/commands/explain.py
@@ -9,7 +9,7 @@
 
 from kingcupscale import codec
 from kingcupscale.commands import connection
-from kingcupscale.operating import explainhandler
+from kingcupscale.operating import explainquery
 from kingcupscale.operating import explanations
 
 COLUMNS = (
@@ -45,7 +45,10 @@
     )
     parser.add_argument("--priority", default="", help="0 is the most urgent")
     parser.add_argument(
-        "--service", default="", help="only this service of the route"
+        "--service",
+        default="",
+        help="only this service of the route, or a plain service of a"
+        " node of kingcupscale node",
     )
     parser.add_argument("--batch", default="", help="id of a batch")
     parser.add_argument("--item", default="", help="id of an item of the batch")
@@ -59,7 +62,7 @@
     """Prints an explanation."""
     _require_question(arguments)
     fields = {
-        name: getattr(arguments, name) for name in explainhandler.PARAMETERS
+        name: getattr(arguments, name) for name in explainquery.PARAMETERS
     }
     kind = (
         explanations.BatchExplanation
@@ -69,9 +72,9 @@
     found = connection.call(
         arguments,
         "GET",
-        explainhandler.PATH,
+        explainquery.PATH,
         kind,
-        query=explainhandler.encode_query(fields),
+        query=explainquery.encode_query(fields),
         requires_key=False,
     )
     if arguments.json:
@@ -83,11 +86,9 @@
 
 
 def _require_question(arguments: argparse.Namespace) -> None:
-    if arguments.batch or arguments.service:
-        return
-    if not (arguments.host and arguments.path):
+    if not (arguments.batch or arguments.service or arguments.path):
         raise connection.CommandError(
-            "nothing to explain; use --host and --path, or --batch",
+            "nothing to explain; use --host and --path, --service, or --batch",
             connection.EXIT_USAGE,
         )
 
@@ -158,7 +159,7 @@
 
 def _format_item(item: explanations.Item) -> str:
     place = "" if item.position is None else f", {item.position} before it"
-    server = f" on {item.server}" if item.server else ""
+    server = f", latest run on {item.server}" if item.server else ""
     return (
         f"item: {item.id} of group {item.group}, {item.stage}{server},"
         f" {item.events} events{place}, fails in {item.fails_in_s:.1f} s"
@@ -201,13 +202,17 @@
         str(server.other_requests),
         "none" if age is None else f"{age:.2f} s",
         str(server.slots),
-        f"{server.slowness:.2f}",
+        _decimals(server.slowness),
         str(server.failures),
-        f"{server.relative_latency:.2f}",
+        _decimals(server.relative_latency),
         "yes" if server.is_cold else "no",
     )
 
 
+def _decimals(value: float | None) -> str:
+    return "" if value is None else f"{value:.2f}"
+
+
 def _format_exclusion(exclusion: explanations.Exclusion) -> str:
     text = exclusion.reason.replace("_", " ")
     if exclusion.detail:
--- a/src/kingcupscale/configuration/admission.py
+++ b/src/kingcupscale/configuration/admission.py
@@ -114,13 +114,17 @@
 
     def is_admitting(self) -> bool:
         """Returns whether the node admits requests, and logs a change."""
-        is_in_majority = self._has_fresh_contact() and self.has_majority()
-        is_admitting = self.ready and (self.is_confirmed() or is_in_majority)
+        is_admitting = self.peek_admitting()
         if is_admitting != self.last_admitting:
             self.last_admitting = is_admitting
             self._log_change(is_admitting)
         return is_admitting
 
+    def peek_admitting(self) -> bool:
+        """Returns as ``is_admitting``, but logs nothing."""
+        is_in_majority = self._has_fresh_contact() and self.has_majority()
+        return self.ready and (self.is_confirmed() or is_in_majority)
+
     def _log_change(self, is_admitting: bool) -> None:
         events.log(
             events.Event.ADMISSION_CHANGED,
@@ -136,11 +140,14 @@
             ServiceError: ``NOT_READY`` until the node has caught up,
                 ``ISOLATED`` if its configuration may be outdated.
         """
-        if self.is_admitting():
-            return
+        if not self.is_admitting():
+            raise self.make_rejection()
+
+    def make_rejection(self) -> errors.ServiceError:
+        """Returns the error of a node that admits no requests."""
         code = (
             errors.ResultCode.ISOLATED
             if self.ready
             else errors.ResultCode.NOT_READY
         )
-        raise errors.ServiceError(code, retry_after_s=RETRY_AFTER_S)
+        return errors.ServiceError(code, retry_after_s=RETRY_AFTER_S)
--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -281,21 +281,26 @@
 
     def peek_room(
         self, server: registry.Server, sender: str
-    ) -> tuple[int, int]:
-        """Returns a sender's counted requests to a cold server, and its share.
+    ) -> tuple[list[float], int]:
+        """Returns what counts against a sender's share of a cold server.
+
+        Changes nothing.
 
-        Changes nothing. The server gets a request if the first is smaller.
+        Returns:
+            The monotonic times at which its requests stop to count, ascending,
+            and its share. It may send one more if the share is greater than
+            their number.
         """
         window = server.cold and server.cold.windows.get(sender)
-        planned = window.count_planned(self.clock.monotonic()) if window else 0
+        ends = window.ends(self.clock.monotonic()) if window else []
         configured = self.current_catalogue()
         service = self._limited(server.entry.service)
         if configured is None or service is None or self.senders is None:
-            return planned, 0
+            return ends, 0
         calls, samples = self._split_budget(configured, service)
         if sender == CALLS:
-            return planned, self.senders.peek_share(server.id, calls)
-        return planned, coldshares.share(
+            return ends, self.senders.peek_share(server.id, calls)
+        return ends, coldshares.share(
             server.id, service.models, sender, samples
         )
 
--- a/src/kingcupscale/fleet/exclusions.py
+++ b/src/kingcupscale/fleet/exclusions.py
@@ -27,6 +27,7 @@
     PAUSED = "paused"
     VERSION = "wrong_version"
     FULL = "full"
+    PREEMPTIBLE = "preemptible"
 
 
 @attrs.frozen
@@ -92,11 +93,13 @@
     until = eligibility.peek_cold_until(server)
     if until is None:
         return []
-    planned, share = eligibility.peek_room(server, sender)
-    if planned < share:
+    ends, share = eligibility.peek_room(server, sender)
+    if len(ends) < share:
         return []
+    if share:
+        until = min(until, ends[len(ends) - share])
     return [
-        Exclusion(Reason.COLD, f"{planned} of {share} requests", until - now)
+        Exclusion(Reason.COLD, f"{len(ends)} of {share} requests", until - now)
     ]
 
 
--- a/src/kingcupscale/fleet/warmup.py
+++ b/src/kingcupscale/fleet/warmup.py
@@ -49,10 +49,14 @@
             self.sent_at.popleft()
         return len(self.sent_at)
 
-    def count_planned(self, now: float) -> int:
-        """Returns how many requests count against a share; changes nothing."""
-        sent = sum(at > now - WINDOW_S for at in self.sent_at)
-        return sent + sum(at > now - RESERVATION_S for at in self.reserved_at)
+    def ends(self, now: float) -> list[float]:
+        """Returns when each request stops to count, ascending.
+
+        Changes nothing.
+        """
+        sent = [at + WINDOW_S for at in self.sent_at]
+        reserved = [at + RESERVATION_S for at in self.reserved_at]
+        return sorted(end for end in [*sent, *reserved] if end > now)
 
     def has_room(self, share: int, now: float) -> bool:
         """Returns whether one more request may be planned."""
--- a/src/kingcupscale/node.py
+++ b/src/kingcupscale/node.py
@@ -47,6 +47,7 @@
 from kingcupscale.serving import claims
 from kingcupscale.serving import completion
 from kingcupscale.serving import generation
+from kingcupscale.serving import plainexplainer
 from kingcupscale.serving import plainservices
 from kingcupscale.serving import services
 from kingcupscale.serving import sessions
@@ -242,6 +243,9 @@
             reporter,
             self.read_status,
             self.drain_requested.set,
+            plainexplainer.PlainExplainer(
+                self.settings, self.pools, self.admission, self.caller_api
+            ).explain,
         )
 
     async def run(self) -> None:
--- a/src/kingcupscale/operating/api.py
+++ b/src/kingcupscale/operating/api.py
@@ -12,6 +12,8 @@
 from kingcupscale.configuration import document
 from kingcupscale.configuration import editor as editors
 from kingcupscale.configuration import keys
+from kingcupscale.operating import explainquery
+from kingcupscale.operating import explanations
 from kingcupscale.operating import handover
 from kingcupscale.operating import messages
 from kingcupscale.web import httprouter
@@ -29,6 +31,7 @@
         reporter: Creates handover reports.
         read_status: Returns the node's status.
         drain: Starts the node's planned stop.
+        explain: Explains the request that the parameters of a query describe.
     """
 
     def __init__(
@@ -38,6 +41,7 @@
         reporter: handover.HandoverReporter,
         read_status: Callable[[], messages.StatusResponse],
         drain: Callable[[], None],
+        explain: Callable[[dict[str, str]], explanations.CallExplanation],
     ) -> None:
         self.operators = operators
         self.editor = editor
@@ -45,6 +49,7 @@
         self.reporter = reporter
         self.read_status = read_status
         self.drain = drain
+        self.explain = explain
         self.routes = httprouter.HttpRouter()
         self._add_route("GET", "/status", self._serve_status)
         self._add_route("GET", "/handover", self._serve_handover)
@@ -54,6 +59,7 @@
         self._add_route("POST", "/keys/grant", self._grant)
         self._add_route("POST", "/keys/withdraw", self._withdraw)
         self._add_route("POST", "/drain", self._drain)
+        self._add_route("GET", explainquery.PATH, self._serve_explanation)
 
     def _add_route(self, method: str, path: str, handler: Handler) -> None:
         async def serve(request: message.Request) -> message.Response:
@@ -80,6 +86,12 @@
     ) -> message.Response:
         return message.json_response(self.read_status())
 
+    async def _serve_explanation(
+        self, request: message.Request, operator: str
+    ) -> message.Response:
+        fields = explainquery.decode_query(request.query)
+        return message.json_response(self.explain(fields))
+
     async def _serve_handover(
         self, _: message.Request, operator: str
     ) -> message.Response:
--- a/src/kingcupscale/operating/explain.py
+++ b/src/kingcupscale/operating/explain.py
@@ -110,7 +110,7 @@
         priority=question.priority,
         zones=None,
         services=[],
-        rejection=make_rejection(error, is_certain=True),
+        rejection=explanations.make_rejection(error, is_certain=True),
         notes=[],
     )
 
@@ -156,7 +156,9 @@
             runtime.eligibility.shares_within(route, zones)
         except errors.ServiceError as e:
             error = e
-    return make_rejection(error, is_certain=True) if error else None
+    return (
+        explanations.make_rejection(error, is_certain=True) if error else None
+    )
 
 
 def _refusal(
@@ -165,24 +167,6 @@
     return runtime.readiness.staleness_error() or errors.ServiceError(code)
 
 
-def make_rejection(
-    error: errors.ServiceError,
-    is_certain: bool,
-    retry_after_s: tuple[float, float] | None = None,
-) -> explanations.Rejection:
-    """Returns the message for an error."""
-    if retry_after_s is None and error.retry_after_s is not None:
-        retry_after_s = (error.retry_after_s, error.retry_after_s)
-    return explanations.Rejection(
-        error.code.number,
-        error.code.name.lower(),
-        error.code.status,
-        error.detail,
-        retry_after_s,
-        is_certain,
-    )
-
-
 def make_view(runtime: runtimes.Runtime) -> explanations.View:
     """Returns how recent the node's view is."""
     configured = runtime.current_catalogue()
@@ -285,7 +269,7 @@
         backoff.retry_after_s(latency_s, left_s, _FixedJitter(share))
         for share in (0.0, 1.0)
     ]
-    return make_rejection(error, False, (bounds[0], bounds[1]))
+    return explanations.make_rejection(error, False, (bounds[0], bounds[1]))
 
 
 class _FixedJitter(random.Random):
--- a/src/kingcupscale/operating/explanations.py
+++ b/src/kingcupscale/operating/explanations.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from kingcupscale import errors
+
 
 @attrs.frozen
 class Exclusion:
@@ -36,9 +38,11 @@
         other_requests: Other nodes' requests, by its last report.
         report_age_s: Age of that report in seconds; None without one.
         slots: Requests that it runs concurrently.
-        slowness: How long work takes by a valid report; 1 is normal.
+        slowness: How long work takes by a valid report; 1 is normal; None on a
+            node that does not measure it.
         failures: Consecutive failures.
-        relative_latency: Mean latency relative to its service.
+        relative_latency: Mean latency relative to its service; None on a node
+            that does not measure it.
         is_cold: Whether requests to it are limited because it is cold.
         version: Weight version of the batch's model; None for calls.
         excluded: Why it is excluded; empty if it is not.
@@ -52,9 +56,9 @@
     other_requests: int
     report_age_s: float | None
     slots: int
-    slowness: float
+    slowness: float | None
     failures: int
-    relative_latency: float
+    relative_latency: float | None
     is_cold: bool
     version: int | None
     excluded: list[Exclusion]
@@ -83,6 +87,24 @@
     is_certain: bool
 
 
+def make_rejection(
+    error: errors.ServiceError,
+    is_certain: bool,
+    retry_after_s: tuple[float, float] | None = None,
+) -> Rejection:
+    """Returns the message for an error."""
+    if retry_after_s is None and error.retry_after_s is not None:
+        retry_after_s = (error.retry_after_s, error.retry_after_s)
+    return Rejection(
+        error.code.number,
+        error.code.name.lower(),
+        error.code.status,
+        error.detail,
+        retry_after_s,
+        is_certain,
+    )
+
+
 @attrs.frozen
 class Service:
     """A service that a request may go to.
--- a/src/kingcupscale/operating/exposition.py
+++ b/src/kingcupscale/operating/exposition.py
@@ -5,6 +5,7 @@
 from kingcupscale import metrics
 from kingcupscale import runtime as runtimes
 from kingcupscale.operating import explainhandler
+from kingcupscale.operating import explainquery
 from kingcupscale.web import clientguard
 from kingcupscale.web import connectionlimits
 from kingcupscale.web import memorybudget
@@ -37,7 +38,7 @@
 
     async def __call__(self, request: message.Request) -> message.Response:
         """Returns an explanation, or all metrics for any other path."""
-        if request.path == explainhandler.PATH:
+        if request.path == explainquery.PATH:
             return await self.explain(request)
         rows = [
             *self._gauges(),
--- a/src/kingcupscale/serving/routing.py
+++ b/src/kingcupscale/serving/routing.py
@@ -150,7 +150,7 @@
         free = [
             s
             for s in self.usable(requirements)
-            if self._has_free_slot(s, requirements, now)
+            if self.has_free_slot(s, requirements, now)
         ]
         if not free:
             return None
@@ -160,9 +160,10 @@
             return self._choose_by_affinity(free, requirements.affinity, now)
         return self._choose_less_loaded(free, now)
 
-    def _has_free_slot(
+    def has_free_slot(
         self, state: ServerState, requirements: ServerRequirements, now: float
     ) -> bool:
+        """Returns whether a server is not ejected and has a slot to give."""
         if now < state.ejected_until:
             return False
         slots = state.slots()
--- a/src/kingcupscale/serving/scheduler.py
+++ b/src/kingcupscale/serving/scheduler.py
@@ -96,7 +96,7 @@
             raise
         if slot_request.server is None:
             self.queue.remove(entry)
-            raise self._rejection(errors.ResultCode.DEADLINE_UNMET)
+            raise self.make_rejection(errors.ResultCode.DEADLINE_UNMET)
         return slot_request.server
 
     def _abandon(self, entry: queue.Entry[SlotRequest]) -> None:
@@ -110,11 +110,11 @@
     def _check_admission(self, slot_request: SlotRequest) -> None:
         service_class = slot_request.service_class
         if not self.router.usable(slot_request.requirements):
-            raise self._rejection(errors.ResultCode.NO_SERVER)
+            raise self.make_rejection(errors.ResultCode.NO_SERVER)
         if self.queue.count(service_class.priority) >= service_class.queue:
-            raise self._rejection(errors.ResultCode.QUEUE_FULL)
+            raise self.make_rejection(errors.ResultCode.QUEUE_FULL)
         if self.expected_wait_s(service_class) > service_class.deadline_s:
-            raise self._rejection(errors.ResultCode.DEADLINE_UNMET)
+            raise self.make_rejection(errors.ResultCode.DEADLINE_UNMET)
 
     def expected_wait_s(self, service_class: document.ServiceClass) -> float:
         """Returns the expected wait of a new request of a class, in seconds."""
@@ -127,7 +127,8 @@
         slots = sum(state.slots() for state in servers)
         return ahead * self.mean_service_time_s / max(1, slots)
 
-    def _rejection(self, code: errors.ResultCode) -> errors.ServiceError:
+    def make_rejection(self, code: errors.ResultCode) -> errors.ServiceError:
+        """Returns the error that rejects a request now."""
         wait_s = len(self.queue) * self.mean_service_time_s
         wait_s /= max(1, len(self.router.servers))
         return errors.ServiceError(
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -14,6 +14,7 @@
 from kingcupscale.fleet import exclusions
 from kingcupscale.fleet import registry
 from kingcupscale.operating import explainhandler
+from kingcupscale.operating import explainquery
 from kingcupscale.platform import names
 from kingcupscale.web import message
 from tests import virtual
@@ -33,7 +34,7 @@
 async def ask(node, fields):
     """Returns the status and the body of an explanation."""
     handler = explainhandler.ExplainHandler(node.runtime)
-    query = explainhandler.encode_query(fields)
+    query = explainquery.encode_query(fields)
     response = await handler(message.Request("GET", "/explain", query))
     return response.status, orjson.loads(response.body)
 
@@ -243,6 +244,26 @@
             _, body = await ask(node, QUERY)
             self.assertEqual(body["services"][0]["expected_wait_s"], 1.0)
 
+    @virtual.on_virtual_time
+    async def test_cold_server_tells_when_it_has_room(self):
+        """Guards against a wait until the end of the whole cold period."""
+        async with harness.launch(nodes=1) as site:
+            node = site.nodes[0]
+            await trio.sleep(3)
+            for name in ("p1", "p2"):
+                server = node.runtime.server_registry.servers[name]
+                fill_cold(site, node.runtime, server)
+            _, body = await ask(node, QUERY)
+            wait_s = body["services"][0]["expected_wait_s"]
+            await trio.sleep(wait_s - 0.01)
+            _, body = await ask(node, QUERY)
+            self.assertGreater(body["services"][0]["expected_wait_s"], 0)
+            await trio.sleep(0.02)
+            _, body = await ask(node, QUERY)
+            self.assertEqual(body["services"][0]["expected_wait_s"], 0)
+            usable = node.runtime.server_registry.list_servers("plain")
+            self.assertTrue(node.runtime.eligibility.filter(usable))
+
     @parameterized.parameterized.expand(
         [
             ("no route", {"path": "/x/"}, errors.ResultCode.ROUTE_UNKNOWN),
