Let the oldest large request proceed while new ones keep arriving

Cause: when a request had waited for 1 s, the newer half of the large ones was refused, whatever that freed. With new ones arriving all the time these were the newer half, and the second oldest kept what the oldest needed: four clients that send batches again and again left none of them handled for 6 s, seen in a trial with the check of JSON values taken out.

Change: refuses further ones, newest first, until the oldest fits.

--- a/src/kingcupscale/web/memorybudget.py
+++ b/src/kingcupscale/web/memorybudget.py
@@ -209,8 +209,23 @@
                 self._refuse(claim, Refusal.NO_MEMORY)
         large = [c for c in waiting if not c.is_small(c.wanted)]
         if any(claim in late for claim in large):
-            for claim in large[len(large) // 2 :]:
-                self._refuse(claim, Refusal.NO_MEMORY)
+            self._refuse_newer(large, large[0] in late)
+
+    def _refuse_newer(self, large: list[Claim], is_oldest_late: bool) -> None:
+        """Refuses the newer half of large claims, so that the oldest proceeds.
+
+        More are refused if that does not free enough for it. Otherwise, if new
+        ones keep arriving, the oldest would wait beside the second oldest.
+        """
+        oldest, *others = large
+        missing = self.held + oldest.wanted - self.large_bytes()
+        kept = (len(large) - 1) // 2
+        while others and (len(others) > kept or missing > 0):
+            claim = others.pop()
+            missing -= claim.held
+            self._refuse(claim, Refusal.NO_MEMORY)
+        if is_oldest_late and (missing > 0 or len(large) == 1):
+            self._refuse(oldest, Refusal.NO_MEMORY)
 
     def _refuse(self, claim: Claim, reason: Refusal) -> None:
         if claim.refusal is not None:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -28,6 +28,8 @@
 async def _handle(request):
     if request.path == "/large":
         return message.Response(200, {}, LARGE_RESPONSE)
+    if request.path == "/json":
+        request.check_decoding(request.body)
     if request.path == "/reserve":
         await request.reserve(100 << 20)
         await trio.sleep(RESERVED_S)
@@ -96,8 +98,8 @@
     async def test_connection_is_closed_after_a_refused_body(
         self, address, guard
     ):
-        # More chunks than hypercorn queues, so that a task of hypercorn waits
-        # for the application to read on when the refusal is complete.
+        # More chunks than hypercorn queues. Without a reader, its tasks wait
+        # for room in the queue when the refusal is complete.
         async with await _connect(address, CHUNKED) as stream:
             await stream.send_all(b"a\r\n0123456789\r\n" * 200)
             data = await _read_to_end(stream)
@@ -136,6 +138,24 @@
         self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data[:40])
 
 
+class DecodingTest(unittest.TestCase):
+    """A small body must not decode to more than the memory for requests."""
+
+    @parameterized.parameterized.expand(
+        [("objects", b"{},", 413), ("text", b"QUJ", 200)]
+    )
+    @with_server()
+    async def test_values_are_measured_before_decoding(
+        self, address, guard, _, part, status
+    ):
+        body = b"[" + 100_000 * part + b"{}]"
+        head = HEAD.replace(b" / ", b" /json ")
+        length = b"content-length: %d\r\n\r\n" % len(body)
+        async with await _connect(address, head + length + body) as stream:
+            data = await stream.receive_some()
+        self.assertTrue(data.startswith(b"HTTP/1.1 %d " % status), data[:40])
+
+
 class ReservationTest(unittest.TestCase):
     """Requests that need more memory than their bodies take turns."""
 
