--- a/bench/coldreplay.py
+++ b/bench/coldreplay.py
@@ -156,7 +156,9 @@
         for server in usable:
             is_cold = server.id in self.replay.cold_from
             load = 0 if is_cold else BUSY_LOAD
-            server.update_load(registry.LoadReport(load, 0, SLOTS), now)
+            server.update_load(
+                registry.LoadReport(load, 0, server.entry.slots), now
+            )
         usable = self.eligibility.filter(usable)
         return placement.choose(usable, "a", now, self.replay.rng)
 
--- a/src/kingcupscale/operating/explain.py
+++ b/src/kingcupscale/operating/explain.py
@@ -18,7 +18,7 @@
 from kingcupscale.fleet import registry
 from kingcupscale.gateway import backoff
 from kingcupscale.gateway import forwarder
-from kingcupscale.gateway import placement
+from kingcupscale.gateway import refusal
 from kingcupscale.operating import explanations
 
 # Time limit of a call without a deadline, as for callers that send none.
@@ -51,9 +51,7 @@
     calls: forwarder.Forwarder, servers: Sequence[registry.Server], now: float
 ) -> Mapping[str, float]:
     """Returns the cost by which the forwarder ranks each server, by id."""
-    return {
-        server.id: placement.cost(server, calls.zone, now) for server in servers
-    }
+    return calls.placement.costs(servers, now)
 
 
 def explain_call(
@@ -242,7 +240,8 @@
     return explanations.Service(
         name=name,
         probability=round(probability, DECIMALS),
-        expected_wait_s=expected_wait_s(excluded.values()),
+        expected_wait_s=_queue_wait_s(runtime.forwarder, name, now)
+        or expected_wait_s(excluded.values()),
         longest_wait_s=None if is_batch else longest_s,
         servers=list_servers(runtime, excluded, costs),
         rejection=None
@@ -283,6 +282,17 @@
         return self.share
 
 
+def _queue_wait_s(
+    calls: forwarder.Forwarder, service: str, now: float
+) -> float | None:
+    """Returns the expected wait behind the calls that wait; None if unknown."""
+    queue = calls.waits.queues.get(service)
+    if queue is None or not queue.waiters:
+        return None
+    wait_s = refusal.expected_wait_s(len(queue.waiters), queue.rate, now)
+    return None if wait_s is None else round(wait_s, DECIMALS)
+
+
 def expected_wait_s(
     excluded: Iterable[Sequence[exclusions.Exclusion]],
 ) -> float | None:
