Double the limit on loads until loads are slow

Cause: the limit began with the share of the engines that the leader knew first.

Change: as long as no loads were slow, a limit below the share of the present engines doubles after each round that it delayed loads.

--- a/src/kingcupscale/batches/loadlimit.py
+++ b/src/kingcupscale/batches/loadlimit.py
@@ -60,6 +60,8 @@
             while the limit did not allow another one that was due.
         changed_at: Monotonic time of that change.
         slow_limit: Limit at which loads were slow last; 0 if none.
+        first_limit: Limit that the present number of engines would have begun
+            with.
         rounds_to_slow: Rounds of loads before it is tried again.
     """
 
@@ -69,19 +71,23 @@
     at_limit: int = 0
     changed_at: float = -1e9
     slow_limit: int = 0
+    first_limit: int = 0
     rounds_to_slow: int = ROUNDS_TO_SLOW
 
     def current(self, engines: int) -> int:
         """Returns the limit.
 
         The number of engines sets only the first limit. What slows loads down
-        is shared by the engines and does not grow with them.
+        is shared by the engines and does not grow with them. An autoscaler may
+        start with few engines, so the limit doubles up to the first limit of
+        the present engines as long as no loads were slow.
 
         Args:
             engines: Number of engines that accept work.
         """
+        self.first_limit = max(MIN_LIMIT, int(engines * INITIAL_SHARE))
         if not self.limit and engines:
-            self.limit = max(MIN_LIMIT, int(engines * INITIAL_SHARE))
+            self.limit = self.first_limit
         return max(MIN_LIMIT, self.limit)
 
     def shortest_s(self) -> float:
@@ -116,7 +122,8 @@
         self.compared.append(now - ordered_at)
         self.at_limit += is_limited
         is_slow = self._is_slow()
-        if not is_slow and len(self.compared) < COMPARED:
+        needed = self.limit if self._is_starting() else COMPARED
+        if not is_slow and len(self.compared) < min(COMPARED, needed):
             return
         if is_slow and self.limit <= MIN_LIMIT:
             # So few loads do not slow each other down: loads take longer now.
@@ -129,9 +136,18 @@
             self.slow_limit = self.limit
             self._change(max(MIN_LIMIT, int(self.limit * DECREASE)), now)
         elif self.at_limit >= self.limit * self._rounds():
-            self._change(self.limit + 1, now)
+            self._change(self._next_limit(), now)
         self.compared.clear()
 
+    def _is_starting(self) -> bool:
+        """Returns whether the limit may still double."""
+        return not self.slow_limit and self.limit < self.first_limit
+
+    def _next_limit(self) -> int:
+        if not self._is_starting():
+            return self.limit + 1
+        return min(2 * self.limit, self.first_limit)
+
     def _is_slow(self) -> bool:
         """Returns whether loads take longer than while few others run."""
         shortest_s = self.shortest_s()
