Spread versions over zones, and bound what one trainer or tier delays

Versions were loaded on engines of one zone, so samples restricted to another zone never ran; a trainer that names versions faster than they load took the others' loads; candidates behind a lost first tier waited 0.3 s for each of its nodes; rejections went on after the news of a load's end; groups with a failed item counted as whole.

Tests: test_versions_are_spread_over_the_zones, test_trainer_that_names_versions _fast_leaves_loads_to_others, test_group_with_a_failed_item_is_not_one_that_the _trainer_gets.

--- a/src/kingcupscale/batches/demand.py
+++ b/src/kingcupscale/batches/demand.py
@@ -23,6 +23,10 @@
 # Longest interval that counts, so that a pause of a trainer does not let its
 # model load on more engines for the next versions.
 MAX_INTERVAL_S = 10.0
+# Shortest interval that counts, about the time of a load: a version that is
+# published faster is superseded before it is loaded, and must not take the
+# other models' share of the loads.
+MIN_INTERVAL_S = 1.2
 # Weight of the latest interval in the moving average.
 AVERAGE_WEIGHT = 0.3
 # Engines of a model whose need exceeds all engines, as a multiple of an even
@@ -129,7 +133,8 @@
             is_beyond_all = engines > len(servers)
             wanted[model] = -(-share // 2) if is_beyond_all else engines
         wanted_per_s = sum(
-            wanted[model] / (demand.interval_s or DEFAULT_INTERVAL_S)
+            wanted[model]
+            / max(MIN_INTERVAL_S, demand.interval_s or DEFAULT_INTERVAL_S)
             for model, demand in self.models.items()
         )
         possible = PLANNED_SHARE * loads_per_s / max(wanted_per_s, 1e-9)
--- a/src/kingcupscale/batches/loader.py
+++ b/src/kingcupscale/batches/loader.py
@@ -311,6 +311,7 @@
                 now = self.clock.monotonic()
                 self.load_s += AVERAGE_WEIGHT * (now - started_at - self.load_s)
                 self._record(started_at, pending)
+                self._report_state(load, load.version)
                 return
         is_polled = not (load.server.is_removed or load.server.is_evacuated())
         if is_polled and not pending.unanswered_polls:
--- a/src/kingcupscale/batches/order.py
+++ b/src/kingcupscale/batches/order.py
@@ -8,10 +8,12 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 import math
 
 import attrs
 
+from kingcupscale.batches import batch
 from kingcupscale.batches import moving
 from kingcupscale.batches import record as records
 from kingcupscale.batches import sample as samples
@@ -61,7 +63,7 @@
 
 def sort_waiting(
     waiting: list[samples.Sample],
-    open_samples: Iterable[samples.Sample],
+    open_samples: Sequence[samples.Sample],
     speed: Speed,
     now_ms: int,
 ) -> list[samples.Sample]:
@@ -74,10 +76,11 @@
         now_ms: Unix time in milliseconds.
     """
     groups = _unfinished_groups(open_samples, speed)
-    unfinished = collections.Counter(batch_id for batch_id, _ in groups)
+    unusable = {*groups, *_failed_groups(open_samples)}
+    lacking = collections.Counter(batch_id for batch_id, _ in unusable)
     batches = {sample.record.batch.id: sample.record for sample in waiting}
     surplus = {
-        batch_id: _has_enough_groups(record, unfinished[batch_id])
+        batch_id: _has_enough_groups(record, lacking[batch_id])
         for batch_id, record in batches.items()
     }
 
@@ -118,8 +121,25 @@
     return groups
 
 
-def _has_enough_groups(record: records.Record, unfinished: int) -> bool:
-    """Returns whether the trainer waits for no further group of a batch."""
+def _failed_groups(
+    open_samples: Iterable[samples.Sample],
+) -> set[tuple[str, str]]:
+    """Returns the groups that have an item without a text for good."""
+    return {
+        _group_of(sample)
+        for sample in open_samples
+        if sample.result is not None
+        and sample.result.state is batch.ResultState.FAILED
+    }
+
+
+def _has_enough_groups(record: records.Record, lacking: int) -> bool:
+    """Returns whether the trainer waits for no further group of a batch.
+
+    Args:
+        record: The batch.
+        lacking: Number of its groups that are not whole.
+    """
     wanted = record.batch.wanted_groups
     total = len({item.group for item in record.batch.items})
-    return 0 < wanted <= total - unfinished
+    return 0 < wanted <= total - lacking
--- a/src/kingcupscale/batches/weights.py
+++ b/src/kingcupscale/batches/weights.py
@@ -7,6 +7,7 @@
 previous version serve the present step.
 """
 
+import collections
 from collections.abc import Iterable
 import math
 
@@ -53,6 +54,7 @@
         usable: Number of engines with a usable version, by model.
         models: Number of models of which an engine has a usable version, by
             the engine's id.
+        by_zone: Number of engines with a usable version, by model and zone.
     """
 
     needs: dict[str, Need]
@@ -60,25 +62,31 @@
     current: dict[str, int]
     usable: dict[str, int]
     models: dict[str, int]
+    by_zone: collections.Counter[tuple[str, str]] = attrs.field(
+        factory=collections.Counter
+    )
 
     def is_usable(self, model: str, version: int) -> bool:
         """Returns whether samples of the present step accept a version."""
         return version >= self.needs[model].newest - self.allowed_lag
 
-    def add(self, server_id: str, model: str, version: int) -> None:
+    def add(self, server: registry.Server, model: str, version: int) -> None:
         """Adds an engine's version of a model."""
         self.current[model] += version >= self.needs[model].newest
         if self.is_usable(model, version):
-            self.usable[model] += 1
-            self.models[server_id] += 1
+            self._add_usable(server, model)
+
+    def _add_usable(self, server: registry.Server, model: str) -> None:
+        self.usable[model] += 1
+        self.models[server.id] += 1
+        self.by_zone[model, server.entry.zone] += 1
 
     def add_load(self, load: Load) -> None:
         """Replaces an engine's version by the one that it loads."""
         held = load.server.versions[load.model]
         self.current[load.model] += 1
         if not self.is_usable(load.model, held):
-            self.usable[load.model] += 1
-            self.models[load.server.id] += 1
+            self._add_usable(load.server, load.model)
 
     def may_load(self, model: str, held: int) -> bool:
         """Returns whether an engine with a version may load the newest one."""
@@ -171,7 +179,7 @@
             version = server.versions.get(model, 0)
             if load is not None and load.model == model:
                 version = max(version, load.version)
-            holdings.add(server.id, model, version)
+            holdings.add(server, model, version)
     return holdings
 
 
@@ -180,13 +188,16 @@
 ) -> registry.Server | None:
     """Returns the engine that should load a model's newest version.
 
-    Engines whose version can't be used come first, then those that serve the
-    fewest models, so that models share few engines.
+    Engines whose version can't be used come first, then those in the zone that
+    has the fewest usable engines of the model: a zone may be lost, and samples
+    may be restricted to some zones. Then come those that serve the fewest
+    models, so that models share few engines.
     """
     return min(
         (s for s in idle if holdings.may_load(model, s.versions.get(model, 0))),
         key=lambda s: (
             holdings.is_usable(model, s.versions[model]),
+            holdings.by_zone[model, s.entry.zone],
             holdings.models[s.id],
             -s.versions[model],
             s.in_flight,
--- a/src/kingcupscale/storage/locks.py
+++ b/src/kingcupscale/storage/locks.py
@@ -29,6 +29,9 @@
 # A candidate waits this long per candidate ranked before it, before it acquires
 # a free duty.
 DELAY_PER_RANK_S = 0.3
+# The candidates that rank first may all be gone, for example with their zone,
+# while their entries remain for some leases.
+MAX_DELAY_S = 2.1
 
 
 class DutyLostError(Exception):
@@ -454,7 +457,9 @@
     began_at = duty_lock.clock.monotonic()
     while duty_lock.key not in duty_lock.mirror.entries:
         left_s = (
-            began_at + DELAY_PER_RANK_S * rank() - duty_lock.clock.monotonic()
+            began_at
+            + min(MAX_DELAY_S, DELAY_PER_RANK_S * rank())
+            - duty_lock.clock.monotonic()
         )
         if left_s <= 0:
             return
--- a/tests/batches/test_order.py
+++ b/tests/batches/test_order.py
@@ -107,6 +107,14 @@
         ]
         self.assertEqual(sort(steps, now_ms=6500), expected)
 
+    def test_group_with_a_failed_item_is_not_one_that_the_trainer_gets(self):
+        step = make_step("a", {"f": [0, 0], "g": [0, 0], "h": [100]}, wanted=2)
+        other = make_step("b", {"g": [200, 0]})
+        self.assertEqual(sort([step, other]), ["bg0", "ah0"])
+        step[0].fail()
+        step[-1].item = attrs.evolve(step[-1].item, length_hint=300)
+        self.assertEqual(sort([step, other]), ["ah0", "bg0"])
+
     def test_late_item_is_never_abandoned(self):
         late = make_step("a", {"g": [100]})
         other = make_step("b", {"g": [100, 100]}, submitted_ms=20_000)
--- a/tests/batches/test_weights.py
+++ b/tests/batches/test_weights.py
@@ -98,6 +98,15 @@
         needs = {"a": NEED, "b": attrs.evolve(NEED, engines=1)}
         self.assertEqual(choose(servers, needs, room=1), [("e1", "a")])
 
+    def test_versions_are_spread_over_the_zones(self):
+        # Samples may be restricted to a zone, and a zone may be lost.
+        servers = [
+            test_decisions.make_server(f"e{i}", zone, versions={"m": 3})
+            for i, zone in enumerate("aaabbb")
+        ]
+        found = {server for server, _ in choose(servers, {"m": NEED})}
+        self.assertEqual(found, {"e0", "e3", "e1", "e4"})
+
     def test_loads_in_progress_count_and_occupy_their_engine(self):
         servers = make_servers([3, 3, 3])
         loading = [weights.Load(servers[0], "m", 5)]
@@ -113,6 +122,17 @@
 
 
 class DemandTest(unittest.TestCase):
+    def test_trainer_that_names_versions_fast_leaves_loads_to_others(self):
+        found = demand.Demand()
+        for second in range(0, 40, 4):
+            targets = {"m": 1 + second // 4, "n": 1 + 5 * second}
+            found.observe(targets, [], float(second))
+        servers = [
+            test_decisions.make_server(f"e{i}", slots=6) for i in range(36)
+        ]
+        needs = found.plan(servers, 7 / 1.2, 36.0)
+        self.assertGreaterEqual(needs["m"].engines, 3)
+
     @parameterized.parameterized.expand(
         [
             # 64 items need 11 engines with 6 slots.
