Treat a server as cold from a failed connection on

Cause: a server became cold only with its first response after a failed connection. When its ejection ended, requests that were sent together all passed the check before any response: 50 of 50 with a limit of 9.5.

Change: a failed connection begins a cold period of coldStartS too. Only its time is kept, not a flag: a node without a share sends nothing to the server, so that no response would clear a flag. A later first response begins another period, as before.

A failure of a node's own network still makes all servers cold for that node: it cannot be told apart from the failure of a zone that contains most servers of a service, for which the limit must hold.

--- a/src/kingcupscale/fleet/warmup.py
+++ b/src/kingcupscale/fleet/warmup.py
@@ -129,6 +129,8 @@
         reports: The latest report of each source. An entry may be older than
             the latest response, so they are kept apart.
         is_unreachable: Whether the latest connection to it failed.
+        failed_at: Monotonic time of the latest failed connection; None if
+            there was none.
         reconnected_at: Monotonic time of the first response after a failed
             connection; None if there was none.
         windows: The requests sent to it, by kind of sender.
@@ -144,6 +146,7 @@
         self.started_at = started_at
         self.reports = {source: ColdReport() for source in Source}
         self.is_unreachable = False
+        self.failed_at: float | None = None
         self.reconnected_at: float | None = None
         self.windows: dict[str, SendWindow] = {}
         self.was_cold = False
@@ -166,8 +169,14 @@
         self.reports[source].update(seconds, self.clock.monotonic())
 
     def note_unreachable(self) -> None:
-        """Records that a connection to the server failed."""
+        """Records that a connection to the server failed.
+
+        From then on it is cold, because no response precedes the requests that
+        are sent together when its ejection ends. Only a time is kept: a node
+        without a share sends nothing, so that no response would end it.
+        """
         self.is_unreachable = True
+        self.failed_at = self.clock.monotonic()
 
     def note_response(self) -> None:
         """Records that the server has responded."""
@@ -206,7 +215,12 @@
         longest_s = start_s or MAX_REPORTED_S
         until = max(r.until(longest_s) for r in self.reports.values())
         if start_s > 0:
-            for began_at in (self.started_at, self.reconnected_at, reopened_at):
+            for began_at in (
+                self.started_at,
+                self.failed_at,
+                self.reconnected_at,
+                reopened_at,
+            ):
                 if began_at is not None:
                     until = max(until, began_at + start_s)
         return until
