Begin a cold period anew after a lapsed report, and keep windows exact

Cause: a cold period began only with a report that exceeds the previous one. Two reports of 10 s, 300 s apart, counted as one period, which had ended. A refund removed the newest request of a window instead of the one that another server had answered, so that a newer one was missing from the rest of its window. Reservations on a warm server were never removed: one was left for each connection that failed.

Change: a report after the previous one has ended unrenewed begins a new period. A refund removes the oldest request, which never counts too few of those in the window as long as the refunded one is still in it. Expired reservations are also removed when one is added.

Tests: four cases in tests.test_cold_servers failed before (cold for 0 s instead of 10 s from either source; room while the newer request counts; 100 reservations instead of 1) and pass now.

--- a/src/kingcupscale/fleet/warmup.py
+++ b/src/kingcupscale/fleet/warmup.py
@@ -58,14 +58,23 @@
         reserved = [at + RESERVATION_S for at in self.reserved_at]
         return sorted(end for end in [*sent, *reserved] if end > now)
 
-    def has_room(self, share: int, now: float) -> bool:
-        """Returns whether one more request may be planned."""
+    def count_reserved(self, now: float) -> int:
+        """Returns the number of choices that have not been sent yet."""
         while self.reserved_at and self.reserved_at[0] <= now - RESERVATION_S:
             self.reserved_at.popleft()
-        return self.count_sent(now) + len(self.reserved_at) < share
+        return len(self.reserved_at)
+
+    def has_room(self, share: int, now: float) -> bool:
+        """Returns whether one more request may be planned."""
+        return self.count_sent(now) + self.count_reserved(now) < share
 
     def reserve(self, now: float) -> None:
-        """Records that a request is about to be sent."""
+        """Records that a request is about to be sent.
+
+        Expired reservations are removed here too: ``has_room`` is called only
+        while the server is cold.
+        """
+        self.count_reserved(now)
         self.reserved_at.append(now)
 
     def send(self, now: float) -> None:
@@ -75,9 +84,13 @@
         self.sent_at.append(now)
 
     def refund(self) -> None:
-        """Removes the newest request, which another server has answered."""
+        """Removes a request, which another server has answered.
+
+        It is not known which one, so the oldest is removed: the others count
+        at least until the ones that the server got leave the window.
+        """
         if self.sent_at:
-            self.sent_at.pop()
+            self.sent_at.popleft()
 
 
 @attrs.define
@@ -96,8 +109,13 @@
     period_began_at: float = -math.inf
 
     def update(self, seconds: float, now: float) -> None:
-        """Records a valid report."""
-        if seconds > self.seconds + REPORT_TOLERANCE_S:
+        """Records a valid report.
+
+        It begins a new cold period if it exceeds the previous one, or if the
+        previous one ended without being renewed.
+        """
+        has_ended = now > self.reported_at + self.seconds
+        if has_ended or seconds > self.seconds + REPORT_TOLERANCE_S:
             self.period_began_at = now
         self.seconds = seconds
         self.reported_at = now
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -165,6 +165,21 @@
         window.refund()
         self.assertTrue(window.has_room(1, 0.1))
 
+    def test_refund_of_an_older_request_keeps_the_newer_one(self):
+        # The newer one would else be missing from the rest of its window.
+        window = warmup.SendWindow()
+        window.send(0.0)
+        window.send(1.0)
+        window.refund()
+        self.assertFalse(window.has_room(1, 1.0 + warmup.WINDOW_S - 0.1))
+
+    def test_reservations_of_a_warm_server_do_not_accumulate(self):
+        # Room is asked for only while the server is cold.
+        window = warmup.SendWindow()
+        for number in range(100):
+            window.reserve(float(number))
+        self.assertEqual(len(window.reserved_at), 1)
+
 
 class ShareTest(unittest.TestCase):
     @parameterized.parameterized.expand(
@@ -320,6 +335,17 @@
         self.servers.register(coldreplay.make_entry("new", "a", started_at))
         self.assertAlmostEqual(self._cold_for_s("new"), seconds, delta=0.11)
 
+    @parameterized.parameterized.expand(
+        [(source.value, source) for source in warmup.Source]
+    )
+    def test_report_after_an_unrenewed_one_begins_a_new_period(self, _, source):
+        # An idle node sees no report between two cold periods.
+        cold = self.servers.servers["old"].cold
+        cold.report(source, COLD_S)
+        self.clock.seconds += 300
+        cold.report(source, COLD_S)
+        self.assertAlmostEqual(self._cold_for_s("old"), COLD_S, delta=0.11)
+
     @parameterized.parameterized.expand(
         [
             ("nan", float("nan"), 0.0),
