Keep what is known of a cold server when its entry is replaced

Cause: a restart under the same id got a new server with empty windows, while requests that had been placed on the old one still passed, so that one address got up to both shares. An entry that lapsed and reappeared with the same start time got a new cold state: its start, its failed connection and the requests sent to it were forgotten.

Change: the check before the first byte blocks requests to a removed server; another server is chosen for them. A restarted server takes over the windows of the previous one. The cold states of the last 1000 removed servers are kept and used again if the start time is the same.

--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -235,6 +235,9 @@
     ) -> None:
         if before_send is not None:
             before_send()
+        if server.is_removed:
+            # Another server may have its id and address.
+            raise serverclient.IneligibleError("the server was removed")
         if server.is_evacuated():
             raise serverclient.IneligibleError("the server's zone is evacuated")
         if not residency.allows(zones, server.entry.zone):
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -36,7 +36,7 @@
 PROBE_S = 0.05
 # A rejection limits the calls to a server for at most this long.
 LIMIT_VALID_S = 1.0
-# Most removed servers whose start time or leaving notice is kept.
+# Most removed servers whose cold state or leaving notice is kept.
 MAX_LEAVING_STARTS = 1000
 
 
@@ -292,7 +292,7 @@
             id.
         services_seen_ms: Unix times in milliseconds at which the first server
             of each service was seen.
-        past_starts: Start times of removed servers, by id.
+        past_colds: Start times and cold states of removed servers, by id.
     """
 
     def __init__(
@@ -310,7 +310,7 @@
         self.servers: dict[str, Server] = {}
         self.leaving_starts: dict[str, int] = {}
         self.services_seen_ms: dict[str, float] = {}
-        self.past_starts: dict[str, int] = {}
+        self.past_colds: dict[str, tuple[int, warmup.ColdState | None]] = {}
 
     def register(self, entry: ServerEntry) -> None:
         """Adds a server, or updates it, by its entry in the store."""
@@ -321,7 +321,7 @@
     def _apply(self, entry: ServerEntry) -> None:
         known = self.servers.get(entry.id)
         if known is None or known.entry.start_ms != entry.start_ms:
-            cold = self._make_cold_state(entry, known is not None)
+            cold = self._make_cold_state(entry, known)
             if known is not None:
                 known.is_removed = True
             self.servers[entry.id] = Server(
@@ -354,17 +354,30 @@
             known.versions[model] = max(known.versions.get(model, 0), version)
 
     def _make_cold_state(
-        self, entry: ServerEntry, is_restart: bool
+        self, entry: ServerEntry, known: Server | None
     ) -> warmup.ColdState:
         """Returns the state of a server that was not known or has restarted.
 
         Servers that are found by the first read of the store, or whose entry
         reappears, have not started just now, whatever this node's clock says.
+        An entry that reappears gets its previous state. A restarted server
+        gets the windows of the previous one: the requests of the last second
+        arrived at the same address.
+
+        Args:
+            entry: Its entry.
+            known: The server under this id that it replaces; None if there is
+                none.
         """
+        is_restart = known is not None
+        past_start, past = self.past_colds.pop(entry.id, (None, None))
+        is_known_start = past_start == entry.start_ms
+        if is_known_start and not is_restart and past is not None:
+            past.report(warmup.Source.ENTRY, entry.warmup_s)
+            return past
         wall_s = self.clock.now().timestamp()
         seen_ms = self.services_seen_ms.setdefault(entry.service, 1000 * wall_s)
         started_at = None
-        is_known_start = self.past_starts.get(entry.id) == entry.start_ms
         is_first_read = not self.evacuations.is_read()
         is_start = is_restart or entry.start_ms > seen_ms
         if is_start and not is_first_read and not is_known_start:
@@ -372,6 +385,9 @@
                 entry.start_ms, wall_s, self.clock.monotonic(), is_restart
             )
         state = warmup.ColdState(entry.id, self.clock, started_at)
+        previous = known.cold if known is not None else past
+        if previous is not None:
+            state.windows = previous.windows
         state.report(warmup.Source.ENTRY, entry.warmup_s)
         return state
 
@@ -401,9 +417,9 @@
         server.is_removed = True
         if server.is_leaving:
             self._keep_leaving_start(server)
-        self.past_starts[server.id] = server.entry.start_ms
-        while len(self.past_starts) > MAX_LEAVING_STARTS:
-            del self.past_starts[next(iter(self.past_starts))]
+        self.past_colds[server.id] = (server.entry.start_ms, server.cold)
+        while len(self.past_colds) > MAX_LEAVING_STARTS:
+            del self.past_colds[next(iter(self.past_colds))]
         self.servers.pop(server.id, None)
         events.log(events.Event.SERVER_GONE, server=server.id)
 
