Keep samples off a cold engine without resetting its backoff

Cause: the hold of 50 ms for a cold engine without room was written to no_samples_until. Rejections takes another time there for news of the load and begins again with the shortest pause, so that a cold engine that was loading weights got samples to reject every 0.1 s.

Change: the hold has a field of its own, Server.samples_held_until, which placement.can_run reads. no_samples_until holds only loads and rejections.

Tests: test_hold_of_a_cold_engine_does_not_reset_its_backoff fails with the hold in no_samples_until (pause ends after 0.16 s instead of 0.4 s), and test_engine_that_is_cold_can_run without the check in can_run. ModelTest of tests.test_cold_servers reads the hold from the new field.

--- a/src/kingcupscale/batches/placement.py
+++ b/src/kingcupscale/batches/placement.py
@@ -38,13 +38,15 @@
 ) -> bool:
     """Tells whether an engine may run a sample by its zone and its weights.
 
-    An engine that is loading weights for the sample's model, or has just
-    rejected a sample of that model, can't run it.
+    An engine that is loading weights for the sample's model, has just rejected
+    a sample of that model, or is cold and has no room for one, can't run it.
     """
     batch = waiting.record.batch
     version = server.versions.get(batch.model, 0)
     if not residency.allows(waiting.zones, server.entry.zone):
         return False
+    if server.samples_held_until.get(batch.model, 0.0) > now:
+        return False
     accepts_samples = server.no_samples_until.get(batch.model, 0.0) <= now
     return accepts_samples and version >= batch.minimum_version
 
--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -185,10 +185,9 @@
 
     def _hold_if_full(self, server: registry.Server, model: str) -> None:
         if not self._has_room(server, model):
-            server.no_samples_until[model] = max(
-                server.no_samples_until.get(model, 0.0),
-                self.clock.monotonic() + HOLD_S,
-            )
+            # Not in ``no_samples_until``, where a change by others than
+            # ``rejections`` means news of a load.
+            server.samples_held_until[model] = self.clock.monotonic() + HOLD_S
 
     def reserve(self, server: registry.Server, sender: str = CALLS) -> None:
         """Records that a request was placed on a server and is sent soon."""
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -122,6 +122,8 @@
             service; 1 is average.
         no_samples_until: Monotonic time, by model, before which it accepts no
             samples of the model because it is loading weights for it.
+        samples_held_until: Monotonic time, by model, before which it gets no
+            samples of the model because it is cold.
         loading_until: Monotonic time until which requests may have to wait,
             because it is loading weights.
         is_leaving: Whether a response said that it is about to shut down. A
@@ -148,6 +150,7 @@
     sequence: int | None = None
     relative_latency: float = 1.0
     no_samples_until: dict[str, float] = attrs.field(factory=dict)
+    samples_held_until: dict[str, float] = attrs.field(factory=dict)
     loading_until: float = 0.0
     is_leaving: bool = False
     is_removed: bool = False
--- a/tests/batches/test_decisions.py
+++ b/tests/batches/test_decisions.py
@@ -135,6 +135,15 @@
         waiting = make_sample("s", minimum=minimum)
         self.assertEqual(placement.can_run(waiting, server, 5.0), expected)
 
+    @parameterized.parameterized.expand(
+        [("held", {"m": 5.05}, False), ("other_model", {"x": 9.0}, True)]
+    )
+    def test_engine_that_is_cold_can_run(self, _, held_until, expected):
+        server = make_server("e", versions={"m": 1})
+        server.samples_held_until.update(held_until)
+        waiting = make_sample("s", minimum=1)
+        self.assertEqual(placement.can_run(waiting, server, 5.0), expected)
+
     def test_full_engines_get_nothing(self):
         servers = [make_server("e", slots=2, in_flight=2)]
         self.assertIsNone(
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -13,6 +13,7 @@
 import parameterized
 
 from bench import coldreplay
+from kingcupscale.batches import rejections
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import coldshares
 from kingcupscale.fleet import eligibility
@@ -125,7 +126,8 @@
             ):
                 node.eligibility.hold_samples(coldreplay.SERVICE, [model])
                 server = node.servers.servers["new"]
-                if server.no_samples_until.get(model, 0) > replay.clock.seconds:
+                held_until = server.samples_held_until.get(model, 0)
+                if held_until > replay.clock.seconds:
                     continue
                 node.eligibility.reserve(server, model)
                 node.eligibility.guard(server, sender=model)()
@@ -429,6 +431,20 @@
             len(self.servers.past_colds), registry.MAX_LEAVING_STARTS
         )
 
+    def test_hold_of_a_cold_engine_does_not_reset_its_backoff(self):
+        server = self.servers.servers["old"]
+        server.cold.note_unreachable()
+        pauses = rejections.Rejections()
+        for _ in range(3):
+            now = self.clock.seconds
+            pauses.record(server, "m", now, now)
+            self.clock.seconds = server.no_samples_until["m"] + 0.01
+            self.eligibility.hold_samples(coldreplay.SERVICE, ["m"])
+            self.assertGreater(
+                server.samples_held_until["m"], self.clock.seconds
+            )
+        self.assertAlmostEqual(server.no_samples_until["m"] - now, 0.4)
+
     def test_service_without_a_limit_has_no_cold_servers(self):
         self.configured = coldreplay.make_catalogue(per_s=0.0)
         self._reconnect(self.servers.servers["old"])
