Reserve servers and compute zones when a call's server is chosen

Cause: waiting calls get servers in one pass, but each reserved its place on a cold server only in its own task afterwards. The allowed zones of a call were fixed when it was admitted, so a configuration that narrows allowedRegions did not hold for calls that waited or were retried.

Change: Forwarder._choose_server reserves the chosen server and computes the zones from the present configuration, and so does the check before the first byte.

Tests: test_waiting_calls_that_get_a_cold_server_together (calls were blocked at the first byte), test_change_applies_to_a_call_that_waits (200 from an excluded zone), test_change_applies_at_the_first_byte and test_change_while_a_connection_is_opened (fails with zones fixed when the server is chosen) failed before and pass now.

--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -26,6 +26,8 @@
 # share is computed again.
 HOLD_S = 0.05
 
+Zones = frozenset[str] | None | Callable[[], frozenset[str] | None]
+
 
 @attrs.frozen
 class ColdLimits:
@@ -207,7 +209,7 @@
         server: registry.Server,
         before_send: Callable[[], None] | None = None,
         sender: str = CALLS,
-        zones: frozenset[str] | None = None,
+        zones: Zones = None,
     ) -> Callable[[], None]:
         """Returns the check right before the first byte of a request.
 
@@ -215,7 +217,8 @@
             server: The server that the request goes to.
             before_send: Another check that comes first; None for none.
             sender: The sample's model; ``CALLS`` for a call.
-            zones: The allowed zones; None for all.
+            zones: The allowed zones, or a function that returns them at the
+                time of the check; None for all.
 
         Returns:
             A function that raises ``IneligibleError`` if the server may not
@@ -230,7 +233,7 @@
         server: registry.Server,
         before_send: Callable[[], None] | None,
         sender: str,
-        zones: frozenset[str] | None,
+        zones: Zones,
     ) -> None:
         if before_send is not None:
             before_send()
@@ -239,7 +242,8 @@
             raise serverclient.IneligibleError("the server was removed")
         if server.is_evacuated():
             raise serverclient.IneligibleError("the server's zone is evacuated")
-        if not residency.allows(zones, server.entry.zone):
+        allowed = zones() if callable(zones) else zones
+        if not residency.allows(allowed, server.entry.zone):
             raise serverclient.IneligibleError("the region is not allowed")
         if server.cold is None or self._limited(server.entry.service) is None:
             return
--- a/src/kingcupscale/gateway/callstate.py
+++ b/src/kingcupscale/gateway/callstate.py
@@ -21,7 +21,6 @@
         attempts: Number of attempts that a server executed or may have.
         failure_reason: Why the last failed attempt failed; empty if none has
             failed, or if the server cannot have executed that attempt.
-        zones: Zones of the servers that it may be sent to; None for all.
     """
 
     route: catalogue.Route
@@ -33,4 +32,3 @@
     unavailable: set[str] = attrs.field(factory=set)
     attempts: int = 0
     failure_reason: str = ""
-    zones: frozenset[str] | None = None
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
+import functools
 import random
 from typing import Protocol
 
@@ -134,7 +135,6 @@
             self._pick_service(self.eligibility.usable_shares(route, owner)),
             inbound.received_at + _time_limit_s(inbound, route),
             inbound.received_at + QUEUE_WAIT_FACTOR * route.target_latency_s,
-            zones=self.eligibility.allowed_zones(route, owner),
         )
         last_response: message.Response | None = None
         while True:
@@ -238,9 +238,28 @@
             usable = [
                 s for s in usable if s.load(now) < max(1, s.entry.slots - 1)
             ]
-        usable = self.eligibility.filter(usable, state.zones)
+        usable = self.eligibility.filter(
+            usable, self._allowed_zones(inbound, state)
+        )
         untried = [s for s in usable if s.id not in state.tried]
-        return self.placement.choose(untried or usable, now)
+        server = self.placement.choose(untried or usable, now)
+        if server is not None:
+            # Several waiting calls get servers before the first is sent.
+            self.eligibility.reserve(server)
+        return server
+
+    def _allowed_zones(
+        self,
+        inbound: inboundrequest.InboundRequest,
+        state: callstate.CallState,
+    ) -> frozenset[str] | None:
+        """Returns the zones that the present configuration allows a call."""
+        owner = (
+            state.organisation.name
+            if state.organisation
+            else inbound.on_behalf_of
+        )
+        return self.eligibility.allowed_zones(state.route, owner)
 
     async def _try_server(
         self,
@@ -257,7 +276,6 @@
         timeout_s = left_s
         if state.route.allows_retry() and not state.route.is_streaming:
             timeout_s = min(left_s, self._attempt_timeout_s(state))
-        self.eligibility.reserve(server)
         call = self._make_call(inbound, state, server, left_s)
         self.placement.record_call(server, now)
         response: message.Response | None = None
@@ -325,7 +343,9 @@
             organisation=organisation.name if organisation else None,
             resume_after=inbound.resume_after,
             before_send=self.eligibility.guard(
-                server, inbound.before_send, zones=state.zones
+                server,
+                inbound.before_send,
+                zones=functools.partial(self._allowed_zones, inbound, state),
             ),
         )
 
--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -105,6 +105,47 @@
             self.assertGreater(coldreplay.worst_second(warm), LIMIT)
             self.assertEqual(set(statuses), {200})
 
+    @virtual.on_virtual_time
+    async def test_waiting_calls_that_get_a_cold_server_together(self):
+        """Guards against calls that are blocked at their first byte.
+
+        All waiting calls get servers in one pass, before the first is sent.
+        """
+        async with harness.launch(nodes=1) as site:
+            configuration = make_configuration()
+            for route in configuration["routes"]:
+                route |= {"targetLatencyMs": 20_000, "timeoutMs": 20_000}
+            site.write_configuration(configuration)
+            await trio.sleep(5)
+            site.servers["p1"].slots = 40
+            runtime = site.nodes[0].runtime
+            p1, p2 = (runtime.server_registry.servers[p] for p in ("p1", "p2"))
+            p2.is_leaving = True
+            p1.ejected_until = trio.current_time() + 2
+            statuses = []
+
+            async def send(number):
+                response = await site.call(
+                    site.nodes[0],
+                    "POST",
+                    harness.CALL_PATH + "1",
+                    b"?",
+                    **{
+                        names.REQUEST_ID: str(number),
+                        names.DEADLINE_MS: "20000",
+                    },
+                )
+                statuses.append(response.status)
+
+            for number in range(20):
+                site.nursery.start_soon(send, number)
+            await trio.sleep(1)
+            p1.cold.report(warmup.Source.RESPONSE, COLD_S)
+            with test_evacuation.recorded_blocks() as blocked:
+                await trio.sleep(COLD_S + 5)
+            self.assertEqual(blocked, [])
+            self.assertEqual(statuses, [200] * 20)
+
     @virtual.on_virtual_time
     async def test_samples_keep_the_limit_of_a_cold_engine(self):
         async with harness.launch(nodes=2) as site:
--- a/tests/platform/test_regions.py
+++ b/tests/platform/test_regions.py
@@ -6,6 +6,7 @@
 
 import itertools
 import unittest
+from unittest import mock
 
 import orjson
 import parameterized
@@ -14,6 +15,7 @@
 from kingcupscale import errors
 from kingcupscale.fleet import residency
 from kingcupscale.fleet import serverclient
+from kingcupscale.gateway import forwarder
 from kingcupscale.platform import names
 from tests import virtual
 from tests.platform import harness
@@ -51,13 +53,15 @@
     await trio.sleep(3)
 
 
-async def call(site, node, request_id, path=harness.CALL_PATH):
+async def call(
+    site, node, request_id, path=harness.CALL_PATH, deadline_ms="2000"
+):
     return await site.call(
         node,
         "POST",
         path + "1",
         b"?",
-        **{names.REQUEST_ID: request_id, names.DEADLINE_MS: "2000"},
+        **{names.REQUEST_ID: request_id, names.DEADLINE_MS: deadline_ms},
     )
 
 
@@ -142,6 +146,82 @@
             sent = {z for z, p, _ in arrivals if p.startswith("/train")}
             self.assertEqual(sent, {"a"})
 
+    @virtual.on_virtual_time
+    async def test_change_applies_to_a_call_that_waits(self):
+        """Guards against zones that are fixed when a call is admitted."""
+        async with harness.launch(nodes=1) as site:
+            configuration = make_configuration(None, None)
+            for route in configuration["routes"]:
+                route |= {"targetLatencyMs": 20_000, "timeoutMs": 20_000}
+            await configure(site, configuration)
+            for server in site.servers.values():
+                server.is_full = True
+            arrivals = test_evacuation.record_arrivals(site)
+            statuses = []
+
+            async def send():
+                response = await site.call(
+                    site.nodes[0],
+                    "POST",
+                    harness.CALL_PATH + "1",
+                    b"?",
+                    **{names.REQUEST_ID: "q", names.DEADLINE_MS: "20000"},
+                )
+                statuses.append(response.status)
+
+            site.nursery.start_soon(send)
+            await trio.sleep(0.5)
+            configuration = make_configuration(["eu"], None, version=3)
+            await configure(site, configuration)
+            arrivals.clear()
+            site.servers["p2"].is_full = False
+            await trio.sleep(1)
+            self.assertEqual(statuses, [])
+            site.servers["p1"].is_full = False
+            await trio.sleep(2)
+            self.assertEqual(statuses, [200])
+            self.assertEqual({zone for zone, _, _ in arrivals}, {"a"})
+
+    @virtual.on_virtual_time
+    async def test_change_while_a_connection_is_opened(self):
+        """Guards against zones that are fixed when a server is chosen."""
+        async with harness.launch(nodes=1) as site:
+            configuration = make_configuration(None, None)
+            for route in configuration["routes"]:
+                route |= {"targetLatencyMs": 20_000, "timeoutMs": 20_000}
+            await configure(site, configuration)
+            send_call, chosen = forwarder.Forwarder._send_call, []
+
+            async def narrow(self, state, server, call):
+                chosen.append(server.entry.zone)
+                if len(chosen) == 1:
+                    other = "us" if server.entry.zone == "a" else "eu"
+                    await configure(site, make_configuration([other], None, 3))
+                return await send_call(self, state, server, call)
+
+            arrivals = test_evacuation.record_arrivals(site)
+            with mock.patch.object(forwarder.Forwarder, "_send_call", narrow):
+                response = await call(
+                    site, site.nodes[0], "q", deadline_ms="8000"
+                )
+            self.assertEqual(response.status, 200)
+            self.assertEqual(len(set(chosen)), 2)
+            sent = [zone for zone, path, _ in arrivals if "/quote" in path]
+            self.assertNotIn(chosen[0], sent)
+
+    @virtual.on_virtual_time
+    async def test_change_applies_at_the_first_byte(self):
+        """Guards against zones that are fixed before the connection opens."""
+        async with harness.launch(nodes=1) as site:
+            runtime = site.nodes[0].runtime
+            server = runtime.server_registry.servers["p1"]
+            zones = None
+            check = runtime.eligibility.guard(server, zones=lambda: zones)
+            check()
+            zones = frozenset({"b"})
+            with self.assertRaises(serverclient.IneligibleError):
+                check()
+
     @parameterized.parameterized.expand([("a", True), ("b", False)])
     @virtual.on_virtual_time
     async def test_region_is_checked_at_the_first_byte(self, zone, is_sent):
