--- a/src/kingcupscale/fleet/eligibility.py
+++ b/src/kingcupscale/fleet/eligibility.py
@@ -26,6 +26,8 @@
 # share is computed again.
 HOLD_S = 0.05
 
+Zones = frozenset[str] | None | Callable[[], frozenset[str] | None]
+
 
 @attrs.frozen
 class ColdLimits:
@@ -185,10 +187,9 @@
 
     def _hold_if_full(self, server: registry.Server, model: str) -> None:
         if not self._has_room(server, model):
-            server.no_samples_until[model] = max(
-                server.no_samples_until.get(model, 0.0),
-                self.clock.monotonic() + HOLD_S,
-            )
+            # Not in ``no_samples_until``, where a change by others than
+            # ``rejections`` means news of a load.
+            server.samples_held_until[model] = self.clock.monotonic() + HOLD_S
 
     def reserve(self, server: registry.Server, sender: str = CALLS) -> None:
         """Records that a request was placed on a server and is sent soon."""
@@ -208,7 +209,7 @@
         server: registry.Server,
         before_send: Callable[[], None] | None = None,
         sender: str = CALLS,
-        zones: frozenset[str] | None = None,
+        zones: Zones = None,
     ) -> Callable[[], None]:
         """Returns the check right before the first byte of a request.
 
@@ -216,7 +217,8 @@
             server: The server that the request goes to.
             before_send: Another check that comes first; None for none.
             sender: The sample's model; ``CALLS`` for a call.
-            zones: The allowed zones; None for all.
+            zones: The allowed zones, or a function that returns them at the
+                time of the check; None for all.
 
         Returns:
             A function that raises ``IneligibleError`` if the server may not
@@ -231,13 +233,17 @@
         server: registry.Server,
         before_send: Callable[[], None] | None,
         sender: str,
-        zones: frozenset[str] | None,
+        zones: Zones,
     ) -> None:
         if before_send is not None:
             before_send()
+        if server.is_removed:
+            # Another server may have its id and address.
+            raise serverclient.IneligibleError("the server was removed")
         if server.is_evacuated():
             raise serverclient.IneligibleError("the server's zone is evacuated")
-        if not residency.allows(zones, server.entry.zone):
+        allowed = zones() if callable(zones) else zones
+        if not residency.allows(allowed, server.entry.zone):
             raise serverclient.IneligibleError("the region is not allowed")
         if server.cold is None or self._limited(server.entry.service) is None:
             return
--- a/src/kingcupscale/fleet/warmup.py
+++ b/src/kingcupscale/fleet/warmup.py
@@ -58,14 +58,23 @@
         reserved = [at + RESERVATION_S for at in self.reserved_at]
         return sorted(end for end in [*sent, *reserved] if end > now)
 
-    def has_room(self, share: int, now: float) -> bool:
-        """Returns whether one more request may be planned."""
+    def count_reserved(self, now: float) -> int:
+        """Returns the number of choices that have not been sent yet."""
         while self.reserved_at and self.reserved_at[0] <= now - RESERVATION_S:
             self.reserved_at.popleft()
-        return self.count_sent(now) + len(self.reserved_at) < share
+        return len(self.reserved_at)
+
+    def has_room(self, share: int, now: float) -> bool:
+        """Returns whether one more request may be planned."""
+        return self.count_sent(now) + self.count_reserved(now) < share
 
     def reserve(self, now: float) -> None:
-        """Records that a request is about to be sent."""
+        """Records that a request is about to be sent.
+
+        Expired reservations are removed here too: ``has_room`` is called only
+        while the server is cold.
+        """
+        self.count_reserved(now)
         self.reserved_at.append(now)
 
     def send(self, now: float) -> None:
@@ -75,9 +84,13 @@
         self.sent_at.append(now)
 
     def refund(self) -> None:
-        """Removes the newest request, which another server has answered."""
+        """Removes a request, which another server has answered.
+
+        It is not known which one, so the oldest is removed: the others count
+        at least until the ones that the server got leave the window.
+        """
         if self.sent_at:
-            self.sent_at.pop()
+            self.sent_at.popleft()
 
 
 @attrs.define
@@ -96,8 +109,13 @@
     period_began_at: float = -math.inf
 
     def update(self, seconds: float, now: float) -> None:
-        """Records a valid report."""
-        if seconds > self.seconds + REPORT_TOLERANCE_S:
+        """Records a valid report.
+
+        It begins a new cold period if it exceeds the previous one, or if the
+        previous one ended without being renewed.
+        """
+        has_ended = now > self.reported_at + self.seconds
+        if has_ended or seconds > self.seconds + REPORT_TOLERANCE_S:
             self.period_began_at = now
         self.seconds = seconds
         self.reported_at = now
@@ -129,6 +147,8 @@
         reports: The latest report of each source. An entry may be older than
             the latest response, so they are kept apart.
         is_unreachable: Whether the latest connection to it failed.
+        failed_at: Monotonic time of the latest failed connection; None if
+            there was none.
         reconnected_at: Monotonic time of the first response after a failed
             connection; None if there was none.
         windows: The requests sent to it, by kind of sender.
@@ -144,6 +164,7 @@
         self.started_at = started_at
         self.reports = {source: ColdReport() for source in Source}
         self.is_unreachable = False
+        self.failed_at: float | None = None
         self.reconnected_at: float | None = None
         self.windows: dict[str, SendWindow] = {}
         self.was_cold = False
@@ -166,8 +187,14 @@
         self.reports[source].update(seconds, self.clock.monotonic())
 
     def note_unreachable(self) -> None:
-        """Records that a connection to the server failed."""
+        """Records that a connection to the server failed.
+
+        From then on it is cold, because no response precedes the requests that
+        are sent together when its ejection ends. Only a time is kept: a node
+        without a share sends nothing, so that no response would end it.
+        """
         self.is_unreachable = True
+        self.failed_at = self.clock.monotonic()
 
     def note_response(self) -> None:
         """Records that the server has responded."""
@@ -206,7 +233,12 @@
         longest_s = start_s or MAX_REPORTED_S
         until = max(r.until(longest_s) for r in self.reports.values())
         if start_s > 0:
-            for began_at in (self.started_at, self.reconnected_at, reopened_at):
+            for began_at in (
+                self.started_at,
+                self.failed_at,
+                self.reconnected_at,
+                reopened_at,
+            ):
                 if began_at is not None:
                     until = max(until, began_at + start_s)
         return until
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -13,6 +13,7 @@
 import parameterized
 
 from bench import coldreplay
+from kingcupscale.batches import rejections
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import coldshares
 from kingcupscale.fleet import eligibility
@@ -125,7 +126,8 @@
             ):
                 node.eligibility.hold_samples(coldreplay.SERVICE, [model])
                 server = node.servers.servers["new"]
-                if server.no_samples_until.get(model, 0) > replay.clock.seconds:
+                held_until = server.samples_held_until.get(model, 0)
+                if held_until > replay.clock.seconds:
                     continue
                 node.eligibility.reserve(server, model)
                 node.eligibility.guard(server, sender=model)()
@@ -165,6 +167,21 @@
         window.refund()
         self.assertTrue(window.has_room(1, 0.1))
 
+    def test_refund_of_an_older_request_keeps_the_newer_one(self):
+        # The newer one would else be missing from the rest of its window.
+        window = warmup.SendWindow()
+        window.send(0.0)
+        window.send(1.0)
+        window.refund()
+        self.assertFalse(window.has_room(1, 1.0 + warmup.WINDOW_S - 0.1))
+
+    def test_reservations_of_a_warm_server_do_not_accumulate(self):
+        # Room is asked for only while the server is cold.
+        window = warmup.SendWindow()
+        for number in range(100):
+            window.reserve(float(number))
+        self.assertEqual(len(window.reserved_at), 1)
+
 
 class ShareTest(unittest.TestCase):
     @parameterized.parameterized.expand(
@@ -243,6 +260,7 @@
             ("known_before", lambda t, s: None, 0.0),
             ("respond", lambda t, s: s.cold.note_response(), 0.0),
             ("reconnected", lambda t, s: t._reconnect(s), COLD_S),
+            ("unreachable", lambda t, s: s.cold.note_unreachable(), COLD_S),
             (
                 "header",
                 lambda t, s: s.cold.report(warmup.Source.RESPONSE, 4.0),
@@ -282,7 +300,16 @@
         act(self, self.servers.servers["old"])
         self.assertAlmostEqual(self._cold_for_s("old"), seconds, delta=0.11)
 
-    def test_requests_placed_while_warm_are_checked_at_their_first_byte(self):
+    @parameterized.parameterized.expand(
+        [
+            ("reconnected", lambda t, s: t._reconnect(s)),
+            # Its ejection may end before any response arrives.
+            ("unreachable", lambda t, s: s.cold.note_unreachable()),
+        ]
+    )
+    def test_requests_placed_while_warm_are_checked_at_their_first_byte(
+        self, _, act
+    ):
         server = self.servers.servers["old"]
         self.eligibility.senders.note("n", True)
         self.clock.seconds += coldshares.SETTLE_S
@@ -290,7 +317,7 @@
         for _ in range(50):
             self.eligibility.reserve(server)
             checks.append(self.eligibility.guard(server))
-        self._reconnect(server)
+        act(self, server)
         sent = 0
         for check in checks:
             with contextlib.suppress(serverclient.IneligibleError):
@@ -310,6 +337,17 @@
         self.servers.register(coldreplay.make_entry("new", "a", started_at))
         self.assertAlmostEqual(self._cold_for_s("new"), seconds, delta=0.11)
 
+    @parameterized.parameterized.expand(
+        [(source.value, source) for source in warmup.Source]
+    )
+    def test_report_after_an_unrenewed_one_begins_a_new_period(self, _, source):
+        # An idle node sees no report between two cold periods.
+        cold = self.servers.servers["old"].cold
+        cold.report(source, COLD_S)
+        self.clock.seconds += 300
+        cold.report(source, COLD_S)
+        self.assertAlmostEqual(self._cold_for_s("old"), COLD_S, delta=0.11)
+
     @parameterized.parameterized.expand(
         [
             ("nan", float("nan"), 0.0),
@@ -327,16 +365,19 @@
 
     @parameterized.parameterized.expand(
         [
-            ("entry_reappears", True, 0.0),
-            ("first_read", False, 0.0),
-            ("new_start", True, COLD_S),
+            ("entry_reappears", True, COLD_S, 0.0),
+            # It is still cold by its start.
+            ("entry_reappears_early", True, 4.0, COLD_S - 4),
+            ("first_read", False, 0.0, 0.0),
+            ("new_start", True, 0.0, COLD_S),
         ]
     )
     def test_clock_set_back_makes_no_known_server_cold(
-        self, name, is_read, seconds
+        self, name, is_read, after_s, seconds
     ):
         self.servers.register(coldreplay.make_entry("new", "a", 500.0))
-        if name == "entry_reappears":
+        self.clock.seconds += after_s
+        if name.startswith("entry_reappears"):
             self.servers._drop(self.servers.servers["new"])
         if name == "first_read":
             del self.servers.servers["new"]
@@ -345,6 +386,65 @@
         self.servers.register(coldreplay.make_entry("new", "a", start))
         self.assertAlmostEqual(self._cold_for_s("new"), seconds, delta=0.11)
 
+    def _send(self, server, count):
+        """Returns how many of some requests pass the check."""
+        sent = 0
+        for _ in range(count):
+            with contextlib.suppress(serverclient.IneligibleError):
+                self.eligibility.guard(server)()
+                sent += 1
+        return sent
+
+    @parameterized.parameterized.expand(
+        [("restart", False, 5.0), ("lapse_and_restart", True, 500.0)]
+    )
+    def test_restart_keeps_the_requests_of_the_last_second(
+        self, _, is_dropped, start
+    ):
+        # Requests to the old and the new server arrive at one address.
+        old = self.servers.servers["old"]
+        self.eligibility.senders.note("n", True)
+        self.clock.seconds += coldshares.SETTLE_S
+        self.assertEqual(self._send(old, 3), 3)
+        if is_dropped:
+            self.servers._drop(old)
+        self.servers.register(coldreplay.make_entry("old", "a", start))
+        self.assertEqual(self._send(old, 5), 0)
+        new = self.servers.servers["old"]
+        share = LIMIT // coldshares.CONCURRENT_LISTS
+        self.assertEqual(self._send(new, 5), share - 3)
+
+    def test_reappearing_entry_keeps_a_failed_connection(self):
+        server = self.servers.servers["old"]
+        server.cold.note_unreachable()
+        self.servers._drop(server)
+        self.servers.register(server.entry)
+        self.assertTrue(self.servers.servers["old"].cold.is_unreachable)
+        self.assertAlmostEqual(self._cold_for_s("old"), COLD_S, delta=0.11)
+
+    def test_kept_states_of_removed_servers_are_bounded(self):
+        for number in range(registry.MAX_LEAVING_STARTS + 5):
+            entry = coldreplay.make_entry(f"s{number}", "a")
+            self.servers.register(entry)
+            self.servers._drop(self.servers.servers[entry.id])
+        self.assertEqual(
+            len(self.servers.past_colds), registry.MAX_LEAVING_STARTS
+        )
+
+    def test_hold_of_a_cold_engine_does_not_reset_its_backoff(self):
+        server = self.servers.servers["old"]
+        server.cold.note_unreachable()
+        pauses = rejections.Rejections()
+        for _ in range(3):
+            now = self.clock.seconds
+            pauses.record(server, "m", now, now)
+            self.clock.seconds = server.no_samples_until["m"] + 0.01
+            self.eligibility.hold_samples(coldreplay.SERVICE, ["m"])
+            self.assertGreater(
+                server.samples_held_until["m"], self.clock.seconds
+            )
+        self.assertAlmostEqual(server.no_samples_until["m"] - now, 0.4)
+
     def test_service_without_a_limit_has_no_cold_servers(self):
         self.configured = coldreplay.make_catalogue(per_s=0.0)
         self._reconnect(self.servers.servers["old"])
