Send no call after its deadline, and keep checking for free servers

Cause: A server granted at or after a call's deadline gave the attempt a negative timeout, which raised ValueError and became an internal error. And when the call that checks for free servers ended, it woke the next one. If that one ended in the same tick, no call checked any more, and the others slept until their deadlines.

Change: The forwarder gives a server back that was granted too late. The attempt's time is the one that was compared with the deadline. A call whose time has passed does not hand out servers. Each call that ends while no call checks wakes the first waiting one.

Tests: test_server_granted_after_the_deadline_is_given_back (ValueError before), test_call_whose_time_has_passed_gets_no_server and test_check_goes_on_after_two_calls_have_left_at_once (with the seed for which the checking call ends first) failed before and pass now.

--- a/src/kingcupscale/gateway/callstate.py
+++ b/src/kingcupscale/gateway/callstate.py
@@ -18,6 +18,8 @@
         tried: Servers that executed it or may have.
         unavailable: Servers that rejected it or were unreachable since
             it last waited for a server.
+        sent_at: Monotonic time at which its last attempt began, which is
+            before the deadline.
         attempts: Number of attempts that a server executed or may have.
         failure_reason: Why the last failed attempt failed; empty if none has
             failed, or if the server cannot have executed that attempt.
@@ -31,6 +33,7 @@
     wait_until: float
     tried: set[str] = attrs.field(factory=set)
     unavailable: set[str] = attrs.field(factory=set)
+    sent_at: float = 0.0
     attempts: int = 0
     failure_reason: str = ""
     zones: frozenset[str] | None = None
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -214,11 +214,16 @@
         if self.clock.monotonic() >= state.deadline:
             return None
         try:
-            return await self.waits.acquire(
+            server = await self.waits.acquire(
                 inbound, state, min(until, state.deadline)
             )
         except serverwait.WaitTooLongError as e:
             raise self._make_wait_error(inbound, state, e) from e
+        state.sent_at = self.clock.monotonic()
+        if server is not None and state.sent_at >= state.deadline:
+            self.waits.release(state, server, 0.0)
+            return None
+        return server
 
     def _choose_server(
         self,
@@ -252,7 +257,8 @@
 
         Returns None if the attempt failed or the server rejected the call.
         """
-        now = self.clock.monotonic()
+        # A later time could be after the deadline.
+        now = state.sent_at
         left_s = min(state.deadline - now, state.route.timeout_s)
         timeout_s = left_s
         if state.route.allows_retry() and not state.route.is_streaming:
--- a/src/kingcupscale/gateway/serverwait.py
+++ b/src/kingcupscale/gateway/serverwait.py
@@ -231,6 +231,8 @@
             call.woken = trio.Event()
             with trio.move_on_after(timeout_s):
                 await call.woken.wait()
+            if self.clock.monotonic() >= until:
+                return
             if is_checker and call.granted is None:
                 self.dispatch(call.state.service)
 
@@ -251,8 +253,9 @@
     def _pass_check_on(self, queue: ServiceQueue, call: WaitingCall) -> None:
         if queue.checker is call:
             queue.checker = None
-            if queue.waiters:
-                queue.waiters[0].woken.set()
+        # The call that was woken before may have ended without checking.
+        if queue.checker is None and queue.waiters:
+            queue.waiters[0].woken.set()
 
     def _give_back(self, call: WaitingCall) -> None:
         """Frees the server of a call that was cancelled before it used it."""
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,6 +1,7 @@
 """Single calls on the simulated platform."""
 
 import unittest
+from unittest import mock
 
 import parameterized
 import trio
@@ -110,6 +111,25 @@
             self.assertEqual(response.status, 200)
             self.assertEqual(site.runs[-1].server, "p2")
 
+    @virtual.on_virtual_time
+    async def test_server_granted_after_the_deadline_is_given_back(self):
+        """Guards against an internal error and a slot that stays in use."""
+        async with harness.launch(nodes=1) as site:
+            forwarder = site.nodes[0].runtime.forwarder
+            acquire = forwarder.waits.acquire
+
+            async def acquire_late(inbound, state, until):
+                server = await acquire(inbound, state, until)
+                await trio.sleep(state.deadline + 0.01 - trio.current_time())
+                return server
+
+            with mock.patch.object(forwarder.waits, "acquire", acquire_late):
+                response = await self._send(site, harness.CALL_PATH + "1")
+            self.assertEqual(response.status, 503)
+            self.assertEqual(site.runs, [])
+            servers = forwarder.servers.servers.values()
+            self.assertEqual([s.in_flight for s in servers if s.in_flight], [])
+
     @virtual.on_virtual_time
     async def test_draining_server_gets_nothing_new(self):
         async with harness.launch(nodes=1) as site:
--- a/tests/test_call_waiting.py
+++ b/tests/test_call_waiting.py
@@ -298,6 +298,42 @@
             fleet.waited["second"][0], 1.0001 + serverwait.RECHECK_S
         )
 
+    @parameterized.parameterized.expand(
+        [(str(seed), seed) for seed in range(6)]
+    )
+    def test_check_goes_on_after_two_calls_have_left_at_once(self, _, seed):
+        """Guards against waking only a call that ends without checking.
+
+        The seed decides in which order the two calls end.
+        """
+        fleet = Fleet(servers=0)
+
+        async def send_all():
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(fleet.send, "first", make_call(), 0.03)
+                await trio.sleep(0.01)
+                nursery.start_soon(fleet.send, "second", make_call())
+                await trio.sleep(1.0)
+                fleet.servers.append(make_server())
+
+        virtualtime.run(send_all, seed=seed)
+        self.assertEqual(fleet.waited["first"], [None, None])
+        self.assertLessEqual(
+            fleet.waited["second"][0], 1.0001 + serverwait.RECHECK_S
+        )
+
+    @virtual.on_virtual_time
+    async def test_call_whose_time_has_passed_gets_no_server(self):
+        """Guards against a server that the call has no time to use."""
+        fleet = Fleet(servers=0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.send, "late", make_call(), 0.03)
+            await trio.sleep(0.01)
+            fleet.servers.append(make_server())
+        self.assertEqual(fleet.waited["late"], [None])
+        self.assertEqual(fleet.in_flight(), 0)
+
     @virtual.on_virtual_time
     async def test_wait_ends_in_time(self):
         fleet = Fleet(servers=0)
