Count only accepted calls as slots, and never refuse the first in line

Cause: The rate at which slots come free counted every server that was handed out, also to calls that the server then rejected. With full servers the rate was too high, and calls were refused late or not at all. It also decays within a second, so that a call was refused although it was next, while calls ran for longer than that.

Change: A slot is recorded when a server has accepted a call that is not a background call. A call with none ahead is not refused.

Background calls come after the callers' calls of their class and are not charged to the organisation of the same name. With open routes both have the empty name, so scoring delayed callers, and callers were charged for it.

Tests: test_rejected_calls_do_not_count_as_slots, test_first_in_line_waits_even_if_no_slot_came_free_lately, test_callers_precede_background_calls_of_their_class and test_background_work_is_charged_to_no_organisation fail without the change that they name. The fleets of the waiting tests report accepted calls as the forwarder does.

--- a/src/kingcupscale/gateway/callstate.py
+++ b/src/kingcupscale/gateway/callstate.py
@@ -24,6 +24,7 @@
         failure_reason: Why the last failed attempt failed; empty if none has
             failed, or if the server cannot have executed that attempt.
         zones: Zones of the servers that it may be sent to; None for all.
+        is_background: Whether it is work for this service itself.
     """
 
     route: catalogue.Route
@@ -37,3 +38,4 @@
     attempts: int = 0
     failure_reason: str = ""
     zones: frozenset[str] | None = None
+    is_background: bool = False
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -135,6 +135,7 @@
             inbound.received_at + _time_limit_s(inbound, route),
             inbound.received_at + QUEUE_WAIT_FACTOR * route.target_latency_s,
             zones=self.eligibility.allowed_zones(route, owner),
+            is_background=inbound.is_background,
         )
         last_response: message.Response | None = None
         while True:
@@ -383,6 +384,7 @@
         if server_response.load is not None:
             server.update_load(server_response.load, now)
         if not server_response.not_executed:
+            self.waits.record_accepted(state)
             return False
         state.unavailable.add(server.id)
         if server_response.wrong_server:
--- a/src/kingcupscale/gateway/refusal.py
+++ b/src/kingcupscale/gateway/refusal.py
@@ -26,7 +26,8 @@
 
     Attributes:
         waiting_since: Monotonic time since which calls wait; None if none do.
-        slots: Slots that waiting calls got, decaying exponentially.
+        slots: Slots that calls used while others waited, decaying
+            exponentially.
         total: The same without decay.
         updated_at: Monotonic time of the last change.
     """
@@ -47,7 +48,7 @@
             self.total = 0
 
     def record_slot(self, now: float) -> None:
-        """Records that a call got a slot."""
+        """Records that a call uses a slot."""
         if self.waiting_since is None:
             return
         self.slots = self._decayed(now) + 1
--- a/src/kingcupscale/gateway/serverwait.py
+++ b/src/kingcupscale/gateway/serverwait.py
@@ -76,9 +76,7 @@
 
     def update_rate(self, now: float) -> None:
         """Records whether calls wait that count for the rate."""
-        is_waiting = any(
-            not waiter.inbound.is_background for waiter in self.waiters
-        )
+        is_waiting = any(not waiter.is_background for waiter in self.waiters)
         self.rate.update(is_waiting, now)
 
 
@@ -172,11 +170,26 @@
         server.in_flight -= 1
         service = state.service
         queue = self.queues.setdefault(service, ServiceQueue())
-        # The expected work has been charged when the server was handed out.
-        correction_s = elapsed_s - self.latency_s.get(service, DEFAULT_WORK_S)
-        queue.charge(_organisation(state), correction_s, self.clock.monotonic())
+        if not state.is_background:
+            # The expected work has been charged when the server was handed out.
+            expected_s = self.latency_s.get(service, DEFAULT_WORK_S)
+            queue.charge(
+                _organisation(state),
+                elapsed_s - expected_s,
+                self.clock.monotonic(),
+            )
         self.dispatch(service)
 
+    def record_accepted(self, state: callstate.CallState) -> None:
+        """Records that a server has accepted a call.
+
+        Servers that are handed out do not count before, because a full server
+        rejects the calls that probe it.
+        """
+        queue = self.queues.get(state.service)
+        if queue is not None and not state.is_background:
+            queue.rate.record_slot(self.clock.monotonic())
+
     def dispatch(self, service: str) -> None:
         """Hands out the free servers of a service to its waiting calls."""
         queue = self.queues.get(service)
@@ -191,8 +204,6 @@
         )
         for call in granted:
             call.granted.in_flight += 1
-            if not call.inbound.is_background:
-                queue.rate.record_slot(now)
             call.woken.set()
 
     def _require_short_wait(
@@ -203,15 +214,19 @@
         Background calls always wait, and so do calls that a server may have
         executed already: they must not be told that they have not run.
         """
-        if call.inbound.is_background or call.state.attempts:
+        if call.is_background or call.state.attempts:
             return
         now = self.clock.monotonic()
         ordered = queue.ordered(now)
         ahead = [
             other
             for other in ordered[: ordered.index(call)]
-            if not other.inbound.is_background
+            if not other.is_background
         ]
+        # The rate decays within a second, although calls may run for longer
+        # without any ending.
+        if not ahead:
+            return
         wait_s = refusal.expected_wait_s(len(ahead), queue.rate, now)
         if wait_s is not None and wait_s > left_s:
             raise WaitTooLongError(wait_s, len(ordered) - 1)
@@ -271,8 +286,14 @@
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
     name = _organisation(state)
-    group = (state.route.name, name, inbound.is_background)
-    return WaitingCall(priority, name, group, inbound=inbound, state=state)
+    return WaitingCall(
+        priority,
+        name,
+        (state.route.name, name, state.is_background),
+        is_background=state.is_background,
+        inbound=inbound,
+        state=state,
+    )
 
 
 def _organisation(state: callstate.CallState) -> str:
--- a/src/kingcupscale/gateway/waitqueue.py
+++ b/src/kingcupscale/gateway/waitqueue.py
@@ -3,7 +3,9 @@
 Load pattern: more calls than room, from organisations that send unequal
 numbers. The class priority comes first. Within a class, the organisation for
 which the servers have worked least recently is next, so that one that sends
-many calls does not delay the others.
+many calls does not delay the others. Background calls come after the callers'
+calls of their class, and are charged to no organisation: those of an open route
+have the same, empty name.
 """
 
 from collections.abc import Callable
@@ -30,6 +32,7 @@
         priority: Its priority; 0 is the most urgent.
         organisation: Name of its organisation; empty on an open route.
         group: Waiters of the same group may use the same servers.
+        is_background: Whether it is work for this service itself.
         number: Its number in the order of arrival.
         granted: The server that it got; None while it waits.
     """
@@ -37,6 +40,7 @@
     priority: int
     organisation: str
     group: Hashable
+    is_background: bool = False
     number: int = 0
     granted: registry.Server | None = None
 
@@ -98,7 +102,10 @@
             self.waiters,
             key=lambda waiter: (
                 waiter.priority,
-                done.get(waiter.organisation, 0.0),
+                waiter.is_background,
+                0.0
+                if waiter.is_background
+                else done.get(waiter.organisation, 0.0),
                 waiter.number,
             ),
         )
@@ -118,7 +125,7 @@
             find_server: Returns a free server for a call, or None. It must
                 take the calls into account that have been yielded.
             expected_s: Expected work of a call, which its organisation is
-                charged.
+                charged, except for background calls.
             now: Monotonic time.
         """
         without_server: set[Hashable] = set()
@@ -127,7 +134,8 @@
             if waiter is None:
                 return
             self.waiters.remove(waiter)
-            self.charge(waiter.organisation, expected_s, now)
+            if not waiter.is_background:
+                self.charge(waiter.organisation, expected_s, now)
             yield waiter
 
     def _grant_next(
--- a/tests/test_call_refusal.py
+++ b/tests/test_call_refusal.py
@@ -24,6 +24,17 @@
 PATIENCE_S = 0.3
 
 
+async def _send(site, number, responses):
+    response = await site.call(
+        site.nodes[0],
+        "POST",
+        harness.CALL_PATH + "1",
+        b"?",
+        **{names.REQUEST_ID: f"q{number}", names.DEADLINE_MS: "2000"},
+    )
+    responses.append(response)
+
+
 class RateTest(unittest.TestCase):
     def _measure(self, slots, interval_s):
         rate = refusal.SlotRate()
@@ -77,6 +88,7 @@
             self.in_vain += 1
             return
         await trio.sleep(waiting.WORK_S)
+        self.waits.record_accepted(state)
         self.served += 1
         self.waits.release(state, server, waiting.WORK_S)
 
@@ -146,32 +158,53 @@
                 if server is not None:
                     fleet.waits.release(kept[1], server, 0.0)
 
+    @virtual.on_virtual_time
+    async def test_first_in_line_waits_even_if_no_slot_came_free_lately(self):
+        """Guards against refusals while long calls run."""
+        fleet = Overload()
+        fleet.servers.clear()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.send, "low", waiting.make_call(priority=6))
+            for _ in range(refusal.MIN_SLOTS):
+                await trio.sleep(0.1)
+                fleet.waits.record_accepted(waiting.make_call()[1])
+            await trio.sleep(5.0)
+            nursery.start_soon(fleet.try_send, waiting.make_call())
+            await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+        self.assertEqual((fleet.refused, fleet.in_vain), (0, 1))
+
 
 class PlatformTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_rejected_calls_do_not_count_as_slots(self):
+        """Guards against refusals that come late because of probes."""
+        async with harness.launch(nodes=1) as site:
+            for name in ("p1", "p2"):
+                site.servers[name].is_full = True
+            forwarder = site.nodes[0].runtime.forwarder
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(_send, site, number, [])
+                await trio.sleep(0.15)
+                (queue,) = forwarder.waits.queues.values()
+                self.assertGreater(len(queue.waiters), 10)
+                self.assertEqual(queue.rate.total, 0)
+                for name in ("p1", "p2"):
+                    site.servers[name].is_full = False
+                await trio.sleep(0.2)
+                self.assertGreater(queue.rate.total, 0)
+
     @virtual.on_virtual_time
     async def test_refused_calls_get_a_code_and_different_times(self):
         responses = []
 
-        async def call(site, number):
-            responses.append(
-                await site.call(
-                    site.nodes[0],
-                    "POST",
-                    harness.CALL_PATH + "1",
-                    b"?",
-                    **{
-                        names.REQUEST_ID: f"q{number}",
-                        names.DEADLINE_MS: "2000",
-                    },
-                )
-            )
-
         async with harness.launch(nodes=1) as site:
             for name in ("p1", "p2"):
                 site.servers[name].event_s = 0.2
             async with trio.open_nursery() as nursery:
                 for number in range(400):
-                    nursery.start_soon(call, site, number)
+                    nursery.start_soon(_send, site, number, responses)
                     await trio.sleep(0.01)
             refused = [r for r in responses if r.status == 503]
             codes = [orjson.loads(r.body) for r in refused]
--- a/tests/test_call_waiting.py
+++ b/tests/test_call_waiting.py
@@ -54,7 +54,14 @@
     if background:
         inbound = attrs.evolve(inbound, is_background=True)
     owner = catalogue.Organisation(organisation, frozenset(), own_priority)
-    state = callstate.CallState(route, owner, SERVICE, LONG_S, LONG_S)
+    state = callstate.CallState(
+        route,
+        owner,
+        SERVICE,
+        LONG_S,
+        LONG_S,
+        is_background=inbound.is_background,
+    )
     return inbound, state
 
 
@@ -106,6 +113,29 @@
         )
         self.assertEqual([w.organisation for w in granted], ["b"])
 
+    def test_callers_precede_background_calls_of_their_class(self):
+        """Guards against scoring that delays the calls of an open route."""
+        queue, server = waitqueue.WaitQueue(), make_server()
+        queue.charge("", 3.0, 0.0)
+        for number, (name, priority) in enumerate(
+            [("background", 5), ("background", 5), ("caller", 5), ("low", 6)]
+        ):
+            is_background = name == "background"
+            waiter = waitqueue.Waiter(priority, "", number, is_background)
+            queue.add(waiter)
+        granted = list(queue.grant(lambda _: server, 1.0, 0.0))
+        self.assertEqual([w.group for w in granted], [2, 0, 1, 3])
+
+    @parameterized.parameterized.expand([("callers", 0), ("background", 1)])
+    @virtual.on_virtual_time
+    async def test_background_work_is_charged_to_no_organisation(
+        self, _, background
+    ):
+        fleet = Fleet()
+        call = make_call(organisation="", background=background)
+        await fleet.send("all", call)
+        self.assertEqual("" in fleet.waits.queues[SERVICE].work, not background)
+
     def test_past_work_is_forgotten_and_bounded(self):
         queue = waitqueue.WaitQueue()
         queue.charge("a", 10.0, 0.0)
@@ -164,6 +194,7 @@
         waited.append(trio.current_time() - started_at)
         try:
             await trio.sleep(WORK_S)
+            self.waits.record_accepted(state)
         finally:
             self.waits.release(state, server, WORK_S)
 
