Forget failures and latencies of servers that get no calls

Cause: Consecutive failures and the relative latency change only with responses. At a low load, a server with one failure or a slow spell cost more than the others, got no calls, and could not improve its figures. A reported slowness was also contained in the measured latency, so it counted twice while it was valid, and went on to count afterwards.

Change: Both lose their weight in the cost of calls within 4 s after the last call that succeeded or failed there, or after the ejection. Ejections and the placement of samples are as before. The measured latency is divided by the slowness that came with the response.

--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -24,6 +24,9 @@
 MAX_EJECTION_S = 5.0
 # Weight of the newest response in the moving average of the relative latency.
 LATENCY_WEIGHT = 0.15
+# Failures and the latency lose their weight linearly within this time after the
+# last response. A server that gets no calls cannot improve them.
+OBSERVATION_DECAY_S = 4.0
 # The reported load of other nodes decays linearly to zero within this time.
 LOAD_DECAY_S = 1.0
 # A reported slowness is valid for this long, because it changes that often.
@@ -120,6 +123,8 @@
             if not known.
         relative_latency: Mean latency relative to the other servers of its
             service; 1 is average.
+        observed_at: Monotonic time of the last call that succeeded or failed
+            there; None before the first.
         no_samples_until: Monotonic time, by model, before which it accepts no
             samples of the model because it is loading weights for it.
         loading_until: Monotonic time until which requests may have to wait,
@@ -147,6 +152,7 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     sequence: int | None = None
     relative_latency: float = 1.0
+    observed_at: float | None = None
     no_samples_until: dict[str, float] = attrs.field(factory=dict)
     loading_until: float = 0.0
     is_leaving: bool = False
@@ -188,6 +194,17 @@
         age_s = now - self.load_reported_at
         return min(1.0, max(0.0, 1 - age_s / LOAD_DECAY_S))
 
+    def observation_weight(self, now: float) -> float:
+        """Returns the weight of its failures and latency, from 1 to 0.
+
+        It remains 1 during an ejection, and decays after it and after the last
+        observed call.
+        """
+        if self.observed_at is None:
+            return 1.0
+        age_s = now - max(self.observed_at, self.ejected_until)
+        return min(1.0, max(0.0, 1 - age_s / OBSERVATION_DECAY_S))
+
     def record_call(self, now: float) -> None:
         """Counts a call that this node sends there."""
         self.recent_count = self.recent_calls(now) + 1
@@ -238,6 +255,10 @@
             min(ratio, 10.0) - self.relative_latency
         )
 
+    def record_observation(self, now: float) -> None:
+        """Records when a call last succeeded or failed there."""
+        self.observed_at = now
+
     def record_success(self) -> None:
         """Records a success, which resets the failures and the ejection."""
         self.failures = 0
@@ -259,6 +280,7 @@
         Failures while it is ejected are not counted, because requests that
         were in flight together usually fail together.
         """
+        self.record_observation(now)
         if now < self.ejected_until:
             return
         self.failures += 1
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -364,7 +364,7 @@
                 stack = opening.pop_all()
         state.attempts += 1
         state.tried.add(server.id)
-        self._record_success(state, server, started_at)
+        self._record_success(state, server, started_at, server_response.load)
         if not is_complete:
             # The stream begins with what has been read. A body that is left in
             # the response would be sent again after it.
@@ -408,11 +408,18 @@
         state: callstate.CallState,
         server: registry.Server,
         started_at: float,
+        load: registry.LoadReport | None,
     ) -> None:
-        elapsed_s = self.clock.monotonic() - started_at
+        now = self.clock.monotonic()
+        elapsed_s = now - started_at
         expected_s = self._update_latency(state.service, elapsed_s)
         server.record_success()
-        server.update_relative_latency(elapsed_s / max(expected_s, 0.001))
+        server.record_observation(now)
+        # The cost multiplies the relative latency by the reported slowness.
+        slowness = load.slowness if load else 1.0
+        server.update_relative_latency(
+            elapsed_s / max(expected_s, 0.001) / slowness
+        )
         if state.organisation is not None:
             self.usage.count_started(state.organisation.name)
 
--- a/src/kingcupscale/gateway/placement.py
+++ b/src/kingcupscale/gateway/placement.py
@@ -237,7 +237,8 @@
     """Returns the cost of choosing a server.
 
     It is the expected latency relative to an average idle server, plus the
-    costs of recent failures and of another zone.
+    costs of recent failures and of another zone. Failures and latencies that
+    were observed some time ago count less.
 
     Args:
         server: The server.
@@ -248,8 +249,11 @@
     if load is None:
         load = server.load(now)
     utilisation = load / max(1, server.entry.slots)
-    latency = server.relative_latency * server.slowness(now)
-    total = (1.0 + utilisation) * latency + FAILURE_COST * server.failures
+    weight = server.observation_weight(now)
+    relative = 1.0 + weight * (server.relative_latency - 1.0)
+    latency = relative * server.slowness(now)
+    total = (1.0 + utilisation) * latency
+    total += FAILURE_COST * weight * server.failures
     return total if server.entry.zone == zone else total + OTHER_ZONE_COST
 
 
--- a/tests/platform/fakeservers.py
+++ b/tests/platform/fakeservers.py
@@ -39,6 +39,7 @@
     """A backend server: a model engine, or a plain server without a model.
 
     Attributes:
+        slowness_percent: How long its work takes, as it reports.
         event_s: Seconds that each event takes, or a whole plain response.
         length: Number of events of a stream.
         orders: Number of orders accepted.
@@ -63,6 +64,7 @@
         self.address = f"{server_id}:80"
         self.versions = {model: 1} if model else {}
         self.slots = slots
+        self.slowness_percent = 100
         self.event_s = 0.02
         self.length = 10
         self.orders = 0
@@ -148,7 +150,8 @@
         return {
             names.REQUEST_ID: request.headers[names.REQUEST_ID],
             names.SIGNATURE: f"signed-{request.headers[names.REQUEST_ID]}",
-            names.SERVER_LOAD: f"{len(self.running)},0,{self.slots}",
+            names.SERVER_LOAD: f"{len(self.running)},0,{self.slots}"
+            f",{self.slowness_percent}",
         }
 
     def reject(self, status=503):
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -130,6 +130,24 @@
             servers = forwarder.servers.servers.values()
             self.assertEqual([s.in_flight for s in servers if s.in_flight], [])
 
+    @virtual.on_virtual_time
+    async def test_reported_slowness_does_not_count_as_latency_too(self):
+        """Guards against avoiding a slow server more than it is slow."""
+        async with harness.launch(nodes=1) as site:
+            site.servers["p1"].event_s *= 2.5
+            site.servers["p1"].slowness_percent = 250
+            for _ in range(30):
+                async with trio.open_nursery() as nursery:
+                    for number in range(6):
+                        path = harness.CALL_PATH + "1"
+                        nursery.start_soon(self._send, site, path, f"q{number}")
+            self.assertEqual({run.server for run in site.runs}, {"p1", "p2"})
+            registered = site.nodes[0].runtime.forwarder.servers.servers
+            slow, usual = (
+                registered[name].relative_latency for name in ("p1", "p2")
+            )
+            self.assertLess(slow, 1.3 * usual)
+
     @virtual.on_virtual_time
     async def test_draining_server_gets_nothing_new(self):
         async with harness.launch(nodes=1) as site:
--- a/tests/test_call_placement.py
+++ b/tests/test_call_placement.py
@@ -51,6 +51,12 @@
     server.update_load(registry.LoadReport(running, 0, 6, slowness), now)
 
 
+def record_latency(server, ratio, now):
+    for _ in range(10):
+        server.update_relative_latency(ratio)
+    server.record_observation(now)
+
+
 class ReplayTest(unittest.TestCase):
     """Fails if one of the mechanisms is removed."""
 
@@ -173,6 +179,44 @@
         spoil(servers[0])
         self.assertNotEqual(mine.choose(servers, 10.1).id, "e0")
 
+    @parameterized.parameterized.expand(
+        [
+            ("failure", lambda server: server.record_failure(0.0)),
+            ("slow_spell", lambda server: record_latency(server, 8.0, 0.0)),
+        ]
+    )
+    def test_server_gets_calls_again_without_being_tried(self, _, spoil):
+        """Guards against a server that is avoided for good at low load."""
+        servers = make_servers(6)
+        addresses = {server.entry.address for server in servers}
+        mine = make_placement(connections=addresses)
+        first = {s.id for s in servers if s.entry.zone == "a"}
+        spoil(servers[0])
+        self.assertEqual(first, {"e0", "e3"})
+        chosen = {}
+        for start, end in ((0.5, 1.5), (6.0, 16.0)):
+            used = collections.Counter()
+            now = start
+            while now < end:
+                usable = [s for s in servers if s.is_usable(now)]
+                server = mine.choose(usable, now)
+                mine.record_call(server, now)
+                used[server.id] += 1
+                now += 0.1
+            chosen[start] = used
+        self.assertEqual(chosen[0.5]["e0"], 0)
+        self.assertGreater(chosen[6.0]["e0"], 0.3 * chosen[6.0].total())
+
+    def test_observations_keep_their_weight_while_calls_fail(self):
+        server = make_server("e0")
+        self.assertEqual(server.observation_weight(100.0), 1.0)
+        for _ in range(4):
+            server.record_failure(server.ejected_until)
+        self.assertEqual(server.observation_weight(server.ejected_until), 1.0)
+        half_s = registry.OBSERVATION_DECAY_S / 2
+        later = server.ejected_until + half_s
+        self.assertAlmostEqual(server.observation_weight(later), 0.5)
+
     def test_server_without_report_counts_as_busy_as_the_others(self):
         servers = make_servers(6)
         for server in servers[1:]:
