Look for one idle connection instead of counting all

Cause: The placement of calls asks for each candidate whether there is an idle connection, and the pool polled the sockets of all its connections to count them.

Change: The pool stops at the first idle connection. The method is renamed to has_idle_connection and returns a bool, also in the clients above it.

--- a/src/kingcupscale/fleet/serverclient.py
+++ b/src/kingcupscale/fleet/serverclient.py
@@ -175,8 +175,8 @@
 class ServerClient(Protocol):
     """Client for backend servers."""
 
-    def idle_connections(self, server: registry.Server) -> int:
-        """Returns how many idle connections to a server can be used."""
+    def has_idle_connection(self, server: registry.Server) -> bool:
+        """Returns whether an idle connection to a server can be used."""
         ...
 
     def run(
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -105,7 +105,7 @@
         self.clock = clock
         self.rng = rng
         self.placement = placement.CallPlacement(
-            node, zone, client.idle_connections, rng, regions
+            node, zone, client.has_idle_connection, rng, regions
         )
         self.latency_s: dict[str, float] = {}
         self.waits = serverwait.ServerWaits(
--- a/src/kingcupscale/gateway/placement.py
+++ b/src/kingcupscale/gateway/placement.py
@@ -86,8 +86,8 @@
     Args:
         node: Name of this node.
         zone: Availability zone of this node.
-        idle_connections: Returns how many idle connections the node holds to
-            a server.
+        has_idle_connection: Returns whether the node holds an idle connection
+            to a server.
         rng: Breaks ties.
         regions: Region by zone; a zone may be missing.
 
@@ -99,13 +99,13 @@
         self,
         node: str,
         zone: str,
-        idle_connections: Callable[[registry.Server], int],
+        has_idle_connection: Callable[[registry.Server], bool],
         rng: random.Random,
         regions: Mapping[str, str] | None = None,
     ) -> None:
         self.node = node
         self.zone = zone
-        self.idle_connections = idle_connections
+        self.has_idle_connection = has_idle_connection
         self.rng = rng
         self.regions = regions or {}
         self.rates: dict[str, CallRate] = {}
@@ -154,7 +154,7 @@
             slots = max(1, server.entry.slots)
             total = cost(server, self.zone, now, load)
             total += max(0.0, load + 1 - slots) / slots
-            if not self.idle_connections(server):
+            if not self.has_idle_connection(server):
                 total += connection
             if server.id not in subset:
                 total += OUTSIDE_COST
--- a/src/kingcupscale/platform/servers.py
+++ b/src/kingcupscale/platform/servers.py
@@ -48,9 +48,9 @@
     def __init__(self, http_client: httpclient.HttpClient) -> None:
         self.http_client = http_client
 
-    def idle_connections(self, server: registry.Server) -> int:
-        """Returns how many idle connections to a server can be used."""
-        return self.http_client.idle_connections(server.entry.address)
+    def has_idle_connection(self, server: registry.Server) -> bool:
+        """Returns whether an idle connection to a server can be used."""
+        return self.http_client.has_idle_connection(server.entry.address)
 
     @contextlib.asynccontextmanager
     async def run(
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -50,8 +50,8 @@
         """
         ...
 
-    def idle_connections(self, address: str) -> int:
-        """Returns how many idle connections to an address can be used."""
+    def has_idle_connection(self, address: str) -> bool:
+        """Returns whether an idle connection to an address can be used."""
         ...
 
 
@@ -190,10 +190,12 @@
             address_pool.active_requests -= 1
             address_pool.used_at = trio.current_time()
 
-    def idle_connections(self, address: str) -> int:
-        """Returns how many idle connections to an address can be used."""
+    def has_idle_connection(self, address: str) -> bool:
+        """Returns whether an idle connection to an address can be used."""
         address_pool = self.pools.get(address)
-        return address_pool.pool.idle_connections() if address_pool else 0
+        return (
+            address_pool is not None and address_pool.pool.has_idle_connection()
+        )
 
     async def _close_idle_pools(self) -> None:
         """Closes the pools of addresses that have been idle for too long."""
--- a/src/kingcupscale/web/keepalive.py
+++ b/src/kingcupscale/web/keepalive.py
@@ -81,9 +81,12 @@
             socket_options=self.socket_options,
         )
 
-    def idle_connections(self) -> int:
-        """Returns how many connections are idle and can be used again."""
-        return sum(
+    def has_idle_connection(self) -> bool:
+        """Returns whether a connection is idle and can be used again.
+
+        It stops at the first, because each check polls a socket.
+        """
+        return any(
             connection.is_idle() and not connection.has_expired()
             for connection in self.connections
         )
