Explain that a server takes no calls after it rejected one

Cause: After a rejection for lack of room, a node limits its calls to the server. The explanation of calls did not know this rule and ranked such a server among the candidates.

Change: For calls, the server is excluded as full, with the time until it gets a call although none of those there ends.

Tests: test_excluded_server for full fails without the exclusion. test_rejection_limits_the_calls also compares that time with the decision.

--- a/src/kingcupscale/fleet/exclusions.py
+++ b/src/kingcupscale/fleet/exclusions.py
@@ -1,7 +1,8 @@
 """Why a server gets no request now, computed without changing anything.
 
-It states the same rules as ``registry.Server.is_usable``, ``eligibility`` and
-``batches.placement.can_run``, which decide. Tests compare the two.
+It states the same rules as ``registry.Server.is_usable`` and its
+``accepts_calls``, ``eligibility`` and ``batches.placement.can_run``, which
+decide. Tests compare the two.
 """
 
 import enum
@@ -84,6 +85,31 @@
     return [*found, *_find_cold(eligibility, server, sender, now)]
 
 
+def find_for_call(
+    eligibility: eligibilities.Eligibility,
+    server: registry.Server,
+    zones: frozenset[str] | None,
+) -> list[Exclusion]:
+    """Returns all reasons for which a server gets no call.
+
+    Args:
+        eligibility: The rules of this node.
+        server: The server.
+        zones: The allowed zones; None for all.
+    """
+    now = eligibility.clock.monotonic()
+    found = find(eligibility, server, zones)
+    if not server.accepts_calls(now):
+        found.append(
+            Exclusion(
+                Reason.FULL,
+                f"rejected a call {now - server.limited_at:.2f} s ago",
+                max(0.0, server.accepts_calls_at() - now),
+            )
+        )
+    return found
+
+
 def _find_cold(
     eligibility: eligibilities.Eligibility,
     server: registry.Server,
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -238,6 +238,11 @@
             return True
         return self.in_flight < self.call_limit + int(age_s / PROBE_S)
 
+    def accepts_calls_at(self) -> float:
+        """Returns from when it accepts calls if none of those there ends."""
+        probes = max(0, self.in_flight - self.call_limit + 1)
+        return self.limited_at + min(LIMIT_VALID_S, probes * PROBE_S)
+
     def update_load(self, report: LoadReport, now: float) -> None:
         """Records the load that a response reported."""
         total = report.running + report.waiting
--- a/src/kingcupscale/operating/explain.py
+++ b/src/kingcupscale/operating/explain.py
@@ -230,7 +230,7 @@
 ) -> explanations.Service:
     now = runtime.clock.monotonic()
     excluded = {
-        server: exclusions.find(runtime.eligibility, server, zones)
+        server: exclusions.find_for_call(runtime.eligibility, server, zones)
         for server in runtime.server_registry.list_servers(name)
     }
     candidates = [server for server, found in excluded.items() if not found]
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -139,6 +139,11 @@
     server.versions[harness.MODEL] = 0
 
 
+def reject(site, runtime, server):
+    server.record_full(runtime.clock.monotonic())
+    server.in_flight += 9
+
+
 def fill(site, runtime, server):
     server.in_flight += server.entry.slots
 
@@ -152,6 +157,7 @@
     (Reason.REGION, forbid),
     (Reason.COLD, fill_cold),
 ]
+CALLS = [(Reason.FULL, reject)]
 SAMPLES = [
     (Reason.LOADING, load_weights),
     (Reason.PAUSED, pause),
@@ -185,7 +191,7 @@
             self.assertEqual(site.runs[-1].server, servers[0]["id"])
 
     @parameterized.parameterized.expand(
-        [(reason.value, reason, change) for reason, change in GENERAL]
+        [(reason.value, reason, change) for reason, change in GENERAL + CALLS]
     )
     @virtual.on_virtual_time
     async def test_excluded_server(self, _, reason, change):
@@ -205,7 +211,8 @@
             self.assertEqual(
                 [e["reason"] for e in last["excluded"]], [reason.value]
             )
-            usable = server.is_usable(node.runtime.clock.monotonic())
+            now = node.runtime.clock.monotonic()
+            usable = server.is_usable(now) and server.accepts_calls(now)
             zones = {"b"} if reason is Reason.REGION else None
             decided = node.runtime.eligibility.filter([server], zones)
             self.assertFalse(usable and decided)
--- a/tests/test_call_waiting.py
+++ b/tests/test_call_waiting.py
@@ -163,6 +163,9 @@
         server.record_full(10.0)
         server.in_flight = in_flight
         self.assertEqual(server.accepts_calls(10.0 + age_s), expected)
+        accepts_at = server.accepts_calls_at()
+        self.assertTrue(server.accepts_calls(accepts_at + 1e-6))
+        self.assertEqual(accepts_at <= 10.0 + age_s, expected)
 
 
 class Fleet:
