--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -106,7 +106,7 @@
         self.clock = clock
         self.rng = rng
         self.placement = placement.CallPlacement(
-            node, zone, client.idle_connections, rng, regions
+            node, zone, client.has_idle_connection, rng, regions
         )
         self.latency_s: dict[str, float] = {}
         self.waits = serverwait.ServerWaits(
@@ -135,6 +135,7 @@
             self._pick_service(self.eligibility.usable_shares(route, owner)),
             inbound.received_at + _time_limit_s(inbound, route),
             inbound.received_at + QUEUE_WAIT_FACTOR * route.target_latency_s,
+            is_background=inbound.is_background,
         )
         last_response: message.Response | None = None
         while True:
@@ -214,11 +215,16 @@
         if self.clock.monotonic() >= state.deadline:
             return None
         try:
-            return await self.waits.acquire(
+            server = await self.waits.acquire(
                 inbound, state, min(until, state.deadline)
             )
         except serverwait.WaitTooLongError as e:
             raise self._make_wait_error(inbound, state, e) from e
+        state.sent_at = self.clock.monotonic()
+        if server is not None and state.sent_at >= state.deadline:
+            self.waits.release(state, server, 0.0)
+            return None
+        return server
 
     def _choose_server(
         self,
@@ -271,7 +277,8 @@
 
         Returns None if the attempt failed or the server rejected the call.
         """
-        now = self.clock.monotonic()
+        # A later time could be after the deadline.
+        now = state.sent_at
         left_s = min(state.deadline - now, state.route.timeout_s)
         timeout_s = left_s
         if state.route.allows_retry() and not state.route.is_streaming:
@@ -377,7 +384,7 @@
                 stack = opening.pop_all()
         state.attempts += 1
         state.tried.add(server.id)
-        self._record_success(state, server, started_at)
+        self._record_success(state, server, started_at, server_response.load)
         if not is_complete:
             # The stream begins with what has been read. A body that is left in
             # the response would be sent again after it.
@@ -397,6 +404,7 @@
         if server_response.load is not None:
             server.update_load(server_response.load, now)
         if not server_response.not_executed:
+            self.waits.record_accepted(state)
             return False
         state.unavailable.add(server.id)
         if server_response.wrong_server:
@@ -420,11 +428,18 @@
         state: callstate.CallState,
         server: registry.Server,
         started_at: float,
+        load: registry.LoadReport | None,
     ) -> None:
-        elapsed_s = self.clock.monotonic() - started_at
+        now = self.clock.monotonic()
+        elapsed_s = now - started_at
         expected_s = self._update_latency(state.service, elapsed_s)
         server.record_success()
-        server.update_relative_latency(elapsed_s / max(expected_s, 0.001))
+        server.record_observation(now)
+        # The cost multiplies the relative latency by the reported slowness.
+        slowness = load.slowness if load else 1.0
+        server.update_relative_latency(
+            elapsed_s / max(expected_s, 0.001) / slowness
+        )
         if state.organisation is not None:
             self.usage.count_started(state.organisation.name)
 
--- a/src/kingcupscale/gateway/placement.py
+++ b/src/kingcupscale/gateway/placement.py
@@ -86,8 +86,8 @@
     Args:
         node: Name of this node.
         zone: Availability zone of this node.
-        idle_connections: Returns how many idle connections the node holds to
-            a server.
+        has_idle_connection: Returns whether the node holds an idle connection
+            to a server.
         rng: Breaks ties.
         regions: Region by zone; a zone may be missing.
 
@@ -99,13 +99,13 @@
         self,
         node: str,
         zone: str,
-        idle_connections: Callable[[registry.Server], int],
+        has_idle_connection: Callable[[registry.Server], bool],
         rng: random.Random,
         regions: Mapping[str, str] | None = None,
     ) -> None:
         self.node = node
         self.zone = zone
-        self.idle_connections = idle_connections
+        self.has_idle_connection = has_idle_connection
         self.rng = rng
         self.regions = regions or {}
         self.rates: dict[str, CallRate] = {}
@@ -154,7 +154,7 @@
             slots = max(1, server.entry.slots)
             total = cost(server, self.zone, now, load)
             total += max(0.0, load + 1 - slots) / slots
-            if not self.idle_connections(server):
+            if not self.has_idle_connection(server):
                 total += connection
             if server.id not in subset:
                 total += OUTSIDE_COST
@@ -237,7 +237,8 @@
     """Returns the cost of choosing a server.
 
     It is the expected latency relative to an average idle server, plus the
-    costs of recent failures and of another zone.
+    costs of recent failures and of another zone. Failures and latencies that
+    were observed some time ago count less.
 
     Args:
         server: The server.
@@ -248,8 +249,11 @@
     if load is None:
         load = server.load(now)
     utilisation = load / max(1, server.entry.slots)
-    latency = server.relative_latency * server.slowness(now)
-    total = (1.0 + utilisation) * latency + FAILURE_COST * server.failures
+    weight = server.observation_weight(now)
+    relative = 1.0 + weight * (server.relative_latency - 1.0)
+    latency = relative * server.slowness(now)
+    total = (1.0 + utilisation) * latency
+    total += FAILURE_COST * weight * server.failures
     return total if server.entry.zone == zone else total + OTHER_ZONE_COST
 
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,6 +1,7 @@
 """Single calls on the simulated platform."""
 
 import unittest
+from unittest import mock
 
 import parameterized
 import trio
@@ -100,7 +101,7 @@
         async with harness.launch(nodes=1) as site:
             client = site.nodes[0].runtime.dependencies.servers.http_client
             # The server in the other zone.
-            client.idle_connections = lambda address: int(address == "p1:80")
+            client.has_idle_connection = lambda address: address == "p1:80"
             for number in range(5):
                 await self._send(site, harness.CALL_PATH + "1", f"q{number}")
                 await trio.sleep(2)
@@ -110,6 +111,43 @@
             self.assertEqual(response.status, 200)
             self.assertEqual(site.runs[-1].server, "p2")
 
+    @virtual.on_virtual_time
+    async def test_server_granted_after_the_deadline_is_given_back(self):
+        """Guards against an internal error and a slot that stays in use."""
+        async with harness.launch(nodes=1) as site:
+            forwarder = site.nodes[0].runtime.forwarder
+            acquire = forwarder.waits.acquire
+
+            async def acquire_late(inbound, state, until):
+                server = await acquire(inbound, state, until)
+                await trio.sleep(state.deadline + 0.01 - trio.current_time())
+                return server
+
+            with mock.patch.object(forwarder.waits, "acquire", acquire_late):
+                response = await self._send(site, harness.CALL_PATH + "1")
+            self.assertEqual(response.status, 503)
+            self.assertEqual(site.runs, [])
+            servers = forwarder.servers.servers.values()
+            self.assertEqual([s.in_flight for s in servers if s.in_flight], [])
+
+    @virtual.on_virtual_time
+    async def test_reported_slowness_does_not_count_as_latency_too(self):
+        """Guards against avoiding a slow server more than it is slow."""
+        async with harness.launch(nodes=1) as site:
+            site.servers["p1"].event_s *= 2.5
+            site.servers["p1"].slowness_percent = 250
+            for _ in range(30):
+                async with trio.open_nursery() as nursery:
+                    for number in range(6):
+                        path = harness.CALL_PATH + "1"
+                        nursery.start_soon(self._send, site, path, f"q{number}")
+            self.assertEqual({run.server for run in site.runs}, {"p1", "p2"})
+            registered = site.nodes[0].runtime.forwarder.servers.servers
+            slow, usual = (
+                registered[name].relative_latency for name in ("p1", "p2")
+            )
+            self.assertLess(slow, 1.3 * usual)
+
     @virtual.on_virtual_time
     async def test_draining_server_gets_nothing_new(self):
         async with harness.launch(nodes=1) as site:
--- a/tests/test_call_waiting.py
+++ b/tests/test_call_waiting.py
@@ -54,7 +54,14 @@
     if background:
         inbound = attrs.evolve(inbound, is_background=True)
     owner = catalogue.Organisation(organisation, frozenset(), own_priority)
-    state = callstate.CallState(route, owner, SERVICE, LONG_S, LONG_S)
+    state = callstate.CallState(
+        route,
+        owner,
+        SERVICE,
+        LONG_S,
+        LONG_S,
+        is_background=inbound.is_background,
+    )
     return inbound, state
 
 
@@ -106,6 +113,29 @@
         )
         self.assertEqual([w.organisation for w in granted], ["b"])
 
+    def test_callers_precede_background_calls_of_their_class(self):
+        """Guards against scoring that delays the calls of an open route."""
+        queue, server = waitqueue.WaitQueue(), make_server()
+        queue.charge("", 3.0, 0.0)
+        for number, (name, priority) in enumerate(
+            [("background", 5), ("background", 5), ("caller", 5), ("low", 6)]
+        ):
+            is_background = name == "background"
+            waiter = waitqueue.Waiter(priority, "", number, is_background)
+            queue.add(waiter)
+        granted = list(queue.grant(lambda _: server, 1.0, 0.0))
+        self.assertEqual([w.group for w in granted], [2, 0, 1, 3])
+
+    @parameterized.parameterized.expand([("callers", 0), ("background", 1)])
+    @virtual.on_virtual_time
+    async def test_background_work_is_charged_to_no_organisation(
+        self, _, background
+    ):
+        fleet = Fleet()
+        call = make_call(organisation="", background=background)
+        await fleet.send("all", call)
+        self.assertEqual("" in fleet.waits.queues[SERVICE].work, not background)
+
     def test_past_work_is_forgotten_and_bounded(self):
         queue = waitqueue.WaitQueue()
         queue.charge("a", 10.0, 0.0)
@@ -133,6 +163,9 @@
         server.record_full(10.0)
         server.in_flight = in_flight
         self.assertEqual(server.accepts_calls(10.0 + age_s), expected)
+        accepts_at = server.accepts_calls_at()
+        self.assertTrue(server.accepts_calls(accepts_at + 1e-6))
+        self.assertEqual(accepts_at <= 10.0 + age_s, expected)
 
 
 class Fleet:
@@ -164,6 +197,7 @@
         waited.append(trio.current_time() - started_at)
         try:
             await trio.sleep(WORK_S)
+            self.waits.record_accepted(state)
         finally:
             self.waits.release(state, server, WORK_S)
 
@@ -298,6 +332,42 @@
             fleet.waited["second"][0], 1.0001 + serverwait.RECHECK_S
         )
 
+    @parameterized.parameterized.expand(
+        [(str(seed), seed) for seed in range(6)]
+    )
+    def test_check_goes_on_after_two_calls_have_left_at_once(self, _, seed):
+        """Guards against waking only a call that ends without checking.
+
+        The seed decides in which order the two calls end.
+        """
+        fleet = Fleet(servers=0)
+
+        async def send_all():
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(fleet.send, "first", make_call(), 0.03)
+                await trio.sleep(0.01)
+                nursery.start_soon(fleet.send, "second", make_call())
+                await trio.sleep(1.0)
+                fleet.servers.append(make_server())
+
+        virtualtime.run(send_all, seed=seed)
+        self.assertEqual(fleet.waited["first"], [None, None])
+        self.assertLessEqual(
+            fleet.waited["second"][0], 1.0001 + serverwait.RECHECK_S
+        )
+
+    @virtual.on_virtual_time
+    async def test_call_whose_time_has_passed_gets_no_server(self):
+        """Guards against a server that the call has no time to use."""
+        fleet = Fleet(servers=0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.send, "late", make_call(), 0.03)
+            await trio.sleep(0.01)
+            fleet.servers.append(make_server())
+        self.assertEqual(fleet.waited["late"], [None])
+        self.assertEqual(fleet.in_flight(), 0)
+
     @virtual.on_virtual_time
     async def test_wait_ends_in_time(self):
         fleet = Fleet(servers=0)
