End a planned stop at its deadline when a response is not read

Cause: at the grace deadline the worker cancels its connections, but hypercorn shields its sending from cancellation, and the socket is closed only after its tasks end. A client that stops reading a large response keeps the process from ending.

Change: a connection that is cancelled is reset and its socket closed at once, which ends the shielded sending. All listeners of a node get bounds.grace_s.

Test: PlannedStopTest.

--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -203,7 +203,11 @@
     settings = runtime.settings
     peer_limits = limits.constant(limits.Limits(body_bytes=PEER_BODY_BYTES))
     probe_limits = limits.constant(limits.Limits(body_bytes=PROBE_BODY_BYTES))
-    serve = functools.partial(server.serve, guard=guard)
+    serve = functools.partial(
+        server.serve,
+        graceful_timeout_s=settings.bounds.grace_s,
+        guard=guard,
+    )
     async with trio.open_nursery() as nursery:
         await nursery.start(
             functools.partial(
@@ -212,7 +216,6 @@
                 settings.callers,
                 runtime.current_limits,
                 runtime.stopped.wait,
-                graceful_timeout_s=settings.bounds.grace_s,
                 listener=CALLERS,
             )
         )
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -176,7 +176,14 @@
                 nursery.start_soon(
                     self._run_hypercorn, stream, nursery.cancel_scope
                 )
-                await stream.closed.wait()
+                try:
+                    await stream.closed.wait()
+                except trio.Cancelled:
+                    # Hypercorn shields its sending from cancellation, so only
+                    # closing the socket ends it if the client does not read.
+                    stream.reset_on_close()
+                    stream.socket.close()
+                    raise
                 if not stream.is_evicted:
                     await trio.sleep(CLOSED_TASKS_TIMEOUT_S)
                 nursery.cancel_scope.cancel()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -3,10 +3,12 @@
 import contextlib
 import functools
 import unittest
+from unittest import mock
 
 import parameterized
 import trio
 
+from kingcupscale.platform import process
 from kingcupscale.web import clientguard
 from kingcupscale.web import clientlimits
 from kingcupscale.web import connectionlimits
@@ -214,6 +216,60 @@
             await stream.aclose()
 
 
+class PlannedStopTest(unittest.TestCase):
+    """A client that stops reading must not delay a planned stop."""
+
+    def test_stop_ends_at_the_deadline_although_a_response_is_not_read(self):
+        async def main():
+            stop, stopped = trio.Event(), trio.Event()
+            guard = clientguard.ClientGuard(clientlimits.derive())
+            serve = functools.partial(
+                server.serve, graceful_timeout_s=0.3, guard=guard
+            )
+
+            async def serve_until_stopped(task_status):
+                await serve(
+                    _handle,
+                    "127.0.0.1:0",
+                    limits.constant(limits.Limits()),
+                    stop.wait,
+                    task_status=task_status,
+                )
+                stopped.set()
+
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(serve_until_stopped)
+                head = EMPTY.replace(b" / ", b" /large ")
+                async with await _connect(address, head) as stream:
+                    await stream.receive_some()
+                    stop.set()
+                    with trio.move_on_after(RESERVED_S) as scope:
+                        await stopped.wait()
+            self.assertFalse(scope.cancelled_caught)
+
+        trio.run(main)
+
+    def test_each_listener_of_a_node_has_the_timeout_of_its_settings(self):
+        timeouts = {}
+
+        async def serve(
+            *args, listener, graceful_timeout_s=0, task_status, **_
+        ):
+            timeouts[listener] = graceful_timeout_s
+            task_status.started()
+
+        runtime = mock.MagicMock(run=mock.AsyncMock())
+        runtime.settings.bounds.grace_s = 7.0
+        runtime.settings.clients = clientlimits.derive()
+        runtime.settings.readiness = "127.0.0.1:0"
+        options = process.Options("", metrics_port=1)
+        with mock.patch.object(server, "serve", serve):
+            trio.run(process._serve, runtime, mock.MagicMock(), options)
+        names = (process.CALLERS, process.READINESS)
+        names += (process.PEERS, process.METRICS)
+        self.assertEqual(timeouts, dict.fromkeys(names, 7.0))
+
+
 class DecisionTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
