Serve HTTP/1 only

Cause: hypercorn switches to HTTP/2 on a connection that begins with its preface and on an offered upgrade. All requests of such a connection count as one connection. With an initial window of 0 and 70 requests, a client held the memory for requests for good.

Change: hypercorn 0.18.0 has no setting for this, so a subclass of its connection server replaces the check that switches. A request of another version than 1.0 and 1.1 closes its connection. A request that offers an upgrade is answered in HTTP/1.1; some client libraries always offer it.

Test: Http1Test. Without the change the connection stays open for 2 s and more, and the offer is answered with 101.

--- a/src/kingcupscale/web/watchedstream.py
+++ b/src/kingcupscale/web/watchedstream.py
@@ -35,7 +35,7 @@
         received: Bytes received since the start of the request.
         received_at: Time of the event loop at which bytes last arrived.
         is_reading_body: Whether the body of a request is incomplete.
-        is_evicted: Whether it was closed to make room for another one.
+        is_evicted: Whether it was closed in the midst of its tasks.
         sending_since: Time of the event loop at which it began to send a part
             of a response; infinity if it sends nothing.
         has_bytes: Whether bytes of a further request have been read.
@@ -99,7 +99,7 @@
         return connectionlimits.Candidate(id(self), self.address, state, since)
 
     def evict(self) -> None:
-        """Closes the connection to make room for another one."""
+        """Closes the connection and ends its tasks at once."""
         self.is_evicted = True
         self.closed.set()
         self.socket.close()
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -34,6 +34,10 @@
 # The same interval during shutdown.
 SHUTDOWN_CHECK_INTERVAL_S = 0.1
 
+# Versions of HTTP that are served. A connection of HTTP/2 carries many requests
+# at once, so the limits on connections would not bound them.
+HTTP_VERSIONS = ("1.0", "1.1")
+
 
 class Worker:
     """Serves one application on one address.
@@ -200,6 +204,9 @@
         send: Any,
     ) -> None:
         """Handles one request and marks the connection as in use meanwhile."""
+        if scope.get("http_version") not in HTTP_VERSIONS:
+            stream.evict()
+            return
         stream.mark_started()
 
         async def receive_and_note() -> Any:
@@ -227,7 +234,7 @@
         # Most bytes of incomplete headers that hypercorn reads. The application
         # checks the limit itself when the headers are complete.
         self.config.h11_max_incomplete_size = 2 * self.get_limits().header_bytes
-        server = hypercorn.trio.tcp_server.TCPServer(
+        server = _Http1Server(
             hypercorn.app_wrappers.ASGIWrapper(application),
             self.config,
             self.context,
@@ -247,6 +254,22 @@
         connection.cancel()
 
 
+class _Http1Server(hypercorn.trio.tcp_server.TCPServer):
+    """Hypercorn's server for a connection, without HTTP/2.
+
+    Hypercorn has no setting for that. A request that offers an upgrade to
+    HTTP/2 is answered as any other.
+    """
+
+    async def _read_data(self) -> None:
+        self.protocol.protocol._check_protocol = _keep_protocol
+        await super()._read_data()
+
+
+async def _keep_protocol(_: Any) -> None:
+    """Stands for hypercorn's check whether to switch to HTTP/2."""
+
+
 def _log_error(error: Exception | BaseExceptionGroup) -> None:
     """Logs the innermost error of a connection."""
     while isinstance(error, BaseExceptionGroup):
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -216,6 +216,55 @@
             await stream.aclose()
 
 
+def _frame(kind, flags, stream, payload):
+    """Returns a frame of HTTP/2."""
+    head = len(payload).to_bytes(3) + bytes([kind, flags])
+    return head + stream.to_bytes(4) + payload
+
+
+class Http1Test(unittest.TestCase):
+    """The interfaces are HTTP/1.1.
+
+    One connection of HTTP/2 holds any number of requests, which pass the
+    limits on connections and on responses that are not read.
+    """
+
+    @with_server()
+    async def test_connection_of_http_2_is_closed(self, address, guard):
+        # With an initial window of 0, no byte of a response can be sent.
+        settings = _frame(4, 0, 0, bytes.fromhex("0004 00000000"))
+        # GET http://a/large, with END_STREAM and END_HEADERS.
+        fields = b"\x82\x86\x41\x01a\x44\x06/large"
+        data = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings
+        for number in range(70):
+            data += _frame(1, 5, 2 * number + 1, fields)
+        async with await _connect(address, data) as stream:
+            is_closed = False
+            with trio.move_on_after(RESERVED_S):
+                await _read_to_end(stream)
+                is_closed = True
+            self.assertTrue(is_closed)
+            await _wait_until(lambda: not guard.connections.open["default"])
+        self.assertEqual(guard.budget.held, 0)
+
+    @with_server()
+    async def test_offered_upgrade_is_answered_in_http_1(self, address, guard):
+        # Some client libraries offer the upgrade with their first request.
+        offer = (
+            b"GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade, http2-settings"
+            b"\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABkAAQAAP__\r\n\r\n"
+        )
+        async with await _connect(address) as stream:
+            for head in (offer, EMPTY):
+                await stream.send_all(head)
+                data = b""
+                while not data.endswith(b"0 bytes"):
+                    part = await stream.receive_some()
+                    self.assertTrue(part, data)
+                    data += part
+                self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data[:40])
+
+
 class PlannedStopTest(unittest.TestCase):
     """A client that stops reading must not delay a planned stop."""
 
