Exclude stalls of the process from the waits of its clients

Slow bodies are refused after a further window.

Test: LateSweepTest; its three cases fail without the change.

--- a/src/kingcupscale/web/clientguard.py
+++ b/src/kingcupscale/web/clientguard.py
@@ -10,7 +10,6 @@
 from kingcupscale.web import connectionlimits
 from kingcupscale.web import memorybudget
 
-SWEEP_INTERVAL_S = 0.25
 # Refusals and closed connections are logged together, at most this often.
 LOG_INTERVAL_S = 1.0
 # The name of the only listener of a server that is given no guard.
@@ -45,7 +44,7 @@
     async def run(self) -> None:
         """Refuses requests that keep others from memory until cancelled."""
         while True:
-            await trio.sleep(SWEEP_INTERVAL_S)
+            await trio.sleep(memorybudget.SWEEP_INTERVAL_S)
             self.budget.sweep()
             if trio.current_time() - self.logged_at >= LOG_INTERVAL_S:
                 self.logged_at = trio.current_time()
--- a/src/kingcupscale/web/memorybudget.py
+++ b/src/kingcupscale/web/memorybudget.py
@@ -20,6 +20,11 @@
 SMALL_BYTES = 128 * 1024
 # Share of the memory that only small requests may use.
 SMALL_SHARE = 0.25
+# Interval between sweeps.
+SWEEP_INTERVAL_S = 0.25
+# A longer interval means that the process itself stalled, and read nothing that
+# clients had sent.
+MAX_SWEEP_GAP_S = 3 * SWEEP_INTERVAL_S
 
 
 class Refusal(enum.Enum):
@@ -88,6 +93,7 @@
         claims: The requests that hold memory or wait for it.
         waiting: Those of them that wait.
         held: Bytes held in total.
+        swept_at: Monotonic time of the last sweep; None before the first.
         opened: Number of requests so far.
         refused: Number of refused requests, by reason.
     """
@@ -102,6 +108,7 @@
         self.claims: set[Claim] = set()
         self.waiting: set[Claim] = set()
         self.held = 0
+        self.swept_at: float | None = None
         self.opened = 0
         self.held_by_address: collections.Counter[str] = collections.Counter()
         self.refused: collections.Counter[Refusal] = collections.Counter()
@@ -171,6 +178,11 @@
     def sweep(self) -> None:
         """Refuses requests if others have to wait; called regularly."""
         now = self.monotonic()
+        gap_s = 0.0 if self.swept_at is None else now - self.swept_at
+        self.swept_at = now
+        if gap_s > MAX_SWEEP_GAP_S:
+            self._exclude(gap_s, now)
+            return
         slow = [claim for claim in self.claims if self._is_slow(claim, now)]
         waiting = self._in_order()
         if slow and waiting:
@@ -178,6 +190,14 @@
         elif waiting:
             self._refuse_late(waiting, now)
 
+    def _exclude(self, gap_s: float, now: float) -> None:
+        """Excludes a time in which the process stalled from all waits."""
+        for claim in self.claims:
+            claim.fast_at = claim.swept_at = now
+            claim.received = 0
+        for claim in self.waiting:
+            claim.wanted_at = min(now, claim.wanted_at + gap_s)
+
     def _is_slow(self, claim: Claim, now: float) -> bool:
         """Returns whether a body has arrived too slowly for some time.
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -134,6 +134,46 @@
         self.assertEqual(late.held, STEP_BYTES)
 
 
+class LateSweepTest(unittest.TestCase):
+    """Time in which the process itself stalls is not counted as a client's."""
+
+    def setUp(self):
+        self.load = Load()
+        self.reading = self.load.open("10.0.0.2")
+        self.load.upload(self.reading, 12 * MIB)
+        self.waiting = self.load.open()
+        self.load.pass_time(SWEEP_S)
+        self.load.receive(self.waiting, 4 * MIB)
+
+    def refusals(self):
+        return self.reading.refusal, self.waiting.refusal
+
+    def test_stall_of_the_process_refuses_nobody(self):
+        self.load.now += 3.0
+        self.load.budget.sweep()
+        self.assertEqual(self.refusals(), (None, None))
+        self.load.pass_time(2 * SWEEP_S)
+        self.assertEqual(self.refusals(), (None, None))
+
+    def test_slow_body_is_refused_after_a_stall(self):
+        self.load.now += 3.0
+        self.load.budget.sweep()
+        self.load.pass_time(1.0)
+        reason = memorybudget.Refusal.TOO_SLOW
+        self.assertEqual(self.refusals(), (reason, None))
+
+    def test_wait_of_a_request_excludes_a_stall(self):
+        self.reading.is_reading = False
+        self.load.pass_time(2 * SWEEP_S)
+        self.load.now += 3.0
+        self.load.budget.sweep()
+        self.load.pass_time(SWEEP_S)
+        self.assertEqual(self.refusals(), (None, None))
+        self.load.pass_time(SWEEP_S)
+        reason = memorybudget.Refusal.NO_MEMORY
+        self.assertEqual(self.refusals(), (None, reason))
+
+
 class OrderTest(unittest.TestCase):
     """Who gets memory first when some is released."""
 
