Free the memory of a refused body before its refusal is sent

Change: everything but the overhead of a request is released before the refusal is sent, outside of the exception handler, because the traceback of the error holds the body.

Test: RefusedMemoryTest.

--- a/src/kingcupscale/web/bodyreader.py
+++ b/src/kingcupscale/web/bodyreader.py
@@ -127,6 +127,12 @@
         body = self.claim.held - size - memorybudget.REQUEST_BYTES
         self.budget.shrink(self.claim, max(0, body))
 
+    def discard_body(self) -> None:
+        """Releases the bytes of a body that is not handled."""
+        self.claim.is_reading = False
+        body = self.claim.held - memorybudget.REQUEST_BYTES
+        self.budget.shrink(self.claim, max(0, body))
+
     def release(self) -> None:
         """Releases everything at the end of the request."""
         self.budget.release(self.claim)
--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -62,10 +62,15 @@
     async def _serve_request(
         self, holder: bodyreader.Holder, scope: Any, receive: Any, send: Any
     ) -> None:
+        refusal: message.Response | None = None
         try:
             request = await self._read_request(holder, scope, receive)
         except errors.ServiceError as e:
-            await _send_refusal(message.error_response(e), receive, send)
+            refusal = message.error_response(e)
+        # Not in the handler, because the error's traceback holds the body.
+        if refusal is not None:
+            holder.discard_body()
+            await _send_refusal(refusal, receive, send)
             return
         response: message.Response | None = None
         async with trio.open_nursery() as nursery:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -13,6 +13,7 @@
 from kingcupscale.web import clientlimits
 from kingcupscale.web import connectionlimits
 from kingcupscale.web import limits
+from kingcupscale.web import memorybudget
 from kingcupscale.web import message
 from kingcupscale.web import server
 
@@ -140,6 +141,37 @@
         self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data[:40])
 
 
+class RefusedMemoryTest(unittest.TestCase):
+    """The memory of a refused body must be free while its refusal is sent.
+
+    Otherwise the next sweep refuses more requests than needed.
+    """
+
+    def test_only_the_overhead_is_held_while_a_refusal_is_sent(self):
+        held = []
+
+        async def receive():
+            await trio.lowlevel.checkpoint()
+            body = bytes(MIB // 4)
+            return {"type": "http.request", "body": body, "more_body": True}
+
+        async def main():
+            budget = clientguard.ClientGuard(clientlimits.derive()).budget
+            allowed = limits.constant(limits.Limits(body_bytes=MIB))
+            application = server.Application(_handle, allowed, budget)
+
+            async def send(event):
+                del event
+                held.append(budget.held)
+
+            scope = {"type": "http", "method": "POST", "raw_path": b"/"}
+            scope |= {"query_string": b"", "headers": []}
+            await application(scope, receive, send)
+
+        trio.run(main)
+        self.assertEqual(held, 2 * [memorybudget.REQUEST_BYTES])
+
+
 class DecodingTest(unittest.TestCase):
     """A small body must not decode to more than the memory for requests."""
 
