Keep connections whose bodies wait for memory

Cause: while a request waits for memory nothing of its body is read, so the time of its last bytes passed the 1.0 s after which a stalled body is closed for a new connection, before its refusal at 1.0 to 1.25 s. The client got no answer.

Change: a body counts as stalled only while the application waits for a part of it, and from then on; otherwise the request counts as handled.

--- a/src/kingcupscale/web/watchedstream.py
+++ b/src/kingcupscale/web/watchedstream.py
@@ -35,6 +35,9 @@
         received: Bytes received since the start of the request.
         received_at: Time of the event loop at which bytes last arrived.
         is_reading_body: Whether the body of a request is incomplete.
+        is_awaiting_body: Whether the application waits for a part of a body;
+            if not, it may wait for memory.
+        awaiting_since: Time of the event loop at which it began to wait.
         is_evicted: Whether it was closed in the midst of its tasks.
         sending_since: Time of the event loop at which it began to send a part
             of a response; infinity if it sends nothing.
@@ -51,6 +54,8 @@
         self.received = 0
         self.received_at = trio.current_time()
         self.is_reading_body = False
+        self.is_awaiting_body = False
+        self.awaiting_since = trio.current_time()
         self.is_evicted = False
         self.sending_since = math.inf
         self.socket = stream.socket
@@ -66,10 +71,16 @@
         self.requests += 1
         self.is_reading_body = True
 
+    def mark_awaiting_body(self) -> None:
+        """Records that the application waits for a part of the body."""
+        self.is_awaiting_body = True
+        self.awaiting_since = trio.current_time()
+
     def mark_handled(self) -> None:
         """Records the end of a request; later bytes belong to the next one."""
         self.requests -= 1
         self.is_reading_body = False
+        self.is_awaiting_body = False
         self.received = 0
         self.has_bytes = False
         self.is_used = True
@@ -91,8 +102,9 @@
         """Returns what decides whether it is closed for another connection."""
         states = connectionlimits.State
         if self.requests:
-            state = states.BODY if self.is_reading_body else states.HANDLING
-            since = self.received_at
+            is_body = self.is_reading_body and self.is_awaiting_body
+            state = states.BODY if is_body else states.HANDLING
+            since = max(self.received_at, self.awaiting_since)
         else:
             state = states.HEADERS if self.has_bytes else states.IDLE
             since = self.waiting_since
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -210,7 +210,9 @@
         stream.mark_started()
 
         async def receive_and_note() -> Any:
+            stream.mark_awaiting_body()
             event = await receive()
+            stream.is_awaiting_body = False
             if not event.get("more_body", False):
                 stream.is_reading_body = False
             return event
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -76,14 +76,14 @@
         nursery.cancel_scope.cancel()
 
 
-async def _connect(address, data=b""):
+async def connect(address, data=b""):
     host, _, port = address.rpartition(":")
     stream = await trio.open_tcp_stream(host, int(port))
     await stream.send_all(data)
     return stream
 
 
-async def _read_to_end(stream):
+async def read_to_end(stream):
     data = b""
     with contextlib.suppress(trio.BrokenResourceError):
         async for part in stream:
@@ -91,7 +91,7 @@
     return data
 
 
-async def _wait_until(condition):
+async def wait_until(condition):
     while not condition():
         await trio.sleep(0.05)
 
@@ -103,22 +103,22 @@
     ):
         # More chunks than hypercorn queues. Without a reader, its tasks wait
         # for room in the queue when the refusal is complete.
-        async with await _connect(address, CHUNKED) as stream:
+        async with await connect(address, CHUNKED) as stream:
             await stream.send_all(b"a\r\n0123456789\r\n" * 200)
-            data = await _read_to_end(stream)
+            data = await read_to_end(stream)
         self.assertTrue(data.startswith(b"HTTP/1.1 413 "), data[:40])
         connections = guard.connections
-        await _wait_until(lambda: not connections.open["default"])
+        await wait_until(lambda: not connections.open["default"])
         self.assertEqual(guard.budget.held, 0)
 
     @with_server(budget_mb=1, wait_s=0.3, body_bytes_per_s=0)
     async def test_refusal_for_memory_says_when_to_retry(self, address, guard):
-        async with await _connect(address, CHUNKED) as holder:
+        async with await connect(address, CHUNKED) as holder:
             await holder.send_all(b"a0000\r\n" + bytes(0xA0000))
-            await _wait_until(lambda: guard.budget.held > 0xA0000)
-            async with await _connect(address, CHUNKED) as stream:
+            await wait_until(lambda: guard.budget.held > 0xA0000)
+            async with await connect(address, CHUNKED) as stream:
                 await stream.send_all(b"40000\r\n" + bytes(0x40000) + b"\r\n")
-                data = await _read_to_end(stream)
+                data = await read_to_end(stream)
         self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data[:40])
         self.assertIn(b"retry-after: 1", data)
         self.assertIn(b'"run":"not_run"', data)
@@ -127,16 +127,16 @@
     async def test_stalled_body_is_refused_for_a_waiting_one(
         self, address, guard
     ):
-        async with await _connect(address, CHUNKED) as stalled:
+        async with await connect(address, CHUNKED) as stalled:
             await stalled.send_all(b"a0000\r\n" + bytes(0xA0000))
-            await _wait_until(lambda: guard.budget.held > 0xA0000)
+            await wait_until(lambda: guard.budget.held > 0xA0000)
             await trio.sleep(1.0)
-            async with await _connect(address, CHUNKED) as stream:
+            async with await connect(address, CHUNKED) as stream:
                 await stream.send_all(
                     b"40000\r\n" + bytes(0x40000) + b"\r\n0\r\n\r\n"
                 )
                 answer = await stream.receive_some()
-            data = await _read_to_end(stalled)
+            data = await read_to_end(stalled)
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer[:40])
         self.assertTrue(data.startswith(b"HTTP/1.1 408 "), data[:40])
 
@@ -185,7 +185,7 @@
         body = b"[" + 100_000 * part + b"{}]"
         head = HEAD.replace(b" / ", b" /json ")
         length = b"content-length: %d\r\n\r\n" % len(body)
-        async with await _connect(address, head + length + body) as stream:
+        async with await connect(address, head + length + body) as stream:
             data = await stream.receive_some()
         self.assertTrue(data.startswith(b"HTTP/1.1 %d " % status), data[:40])
 
@@ -198,24 +198,24 @@
         self, address, guard
     ):
         head = EMPTY.replace(b" / ", b" /reserve ")
-        async with await _connect(address, head) as first:
-            await _wait_until(lambda: guard.budget.held > MIB)
-            async with await _connect(address, head) as second:
-                async with await _connect(address, EMPTY) as small:
+        async with await connect(address, head) as first:
+            await wait_until(lambda: guard.budget.held > MIB)
+            async with await connect(address, head) as second:
+                async with await connect(address, EMPTY) as small:
                     data = await small.receive_some()
                     self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
                 data = await second.receive_some()
                 self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data)
             data = await first.receive_some()
             self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
-        await _wait_until(lambda: not guard.budget.held)
+        await wait_until(lambda: not guard.budget.held)
 
     @with_server(wait_s=0.5)
     async def test_one_is_served_beside_small_requests(self, address, guard):
         small = guard.budget.open("10.0.0.1")
         guard.budget.add(small, MIB // 4)
         head = EMPTY.replace(b" / ", b" /reserve ")
-        async with await _connect(address, head) as stream:
+        async with await connect(address, head) as stream:
             data = await stream.receive_some()
             self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
 
@@ -226,21 +226,21 @@
         self, address, guard
     ):
         head = EMPTY.replace(b" / ", b" /large ")
-        async with await _connect(address, head):
-            await _wait_until(
+        async with await connect(address, head):
+            await wait_until(
                 lambda: guard.connections.closed[
                     connectionlimits.Reason.NOT_READ
                 ]
             )
-        await _wait_until(lambda: not guard.budget.held)
+        await wait_until(lambda: not guard.budget.held)
 
     @with_server()
     async def test_new_connection_is_served_in_place_of_an_idle_one(
         self, address, guard
     ):
-        idle = [await _connect(address) for _ in range(40)]
+        idle = [await connect(address) for _ in range(40)]
         for _ in range(3):
-            async with await _connect(address, EMPTY) as stream:
+            async with await connect(address, EMPTY) as stream:
                 data = await stream.receive_some()
                 self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data[:40])
         self.assertLessEqual(guard.connections.open["default"], 16)
@@ -270,13 +270,13 @@
         data = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings
         for number in range(70):
             data += _frame(1, 5, 2 * number + 1, fields)
-        async with await _connect(address, data) as stream:
+        async with await connect(address, data) as stream:
             is_closed = False
             with trio.move_on_after(RESERVED_S):
-                await _read_to_end(stream)
+                await read_to_end(stream)
                 is_closed = True
             self.assertTrue(is_closed)
-            await _wait_until(lambda: not guard.connections.open["default"])
+            await wait_until(lambda: not guard.connections.open["default"])
         self.assertEqual(guard.budget.held, 0)
 
     @with_server()
@@ -286,7 +286,7 @@
             b"GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade, http2-settings"
             b"\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABkAAQAAP__\r\n\r\n"
         )
-        async with await _connect(address) as stream:
+        async with await connect(address) as stream:
             for head in (offer, EMPTY):
                 await stream.send_all(head)
                 data = b""
@@ -321,7 +321,7 @@
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(serve_until_stopped)
                 head = EMPTY.replace(b" / ", b" /large ")
-                async with await _connect(address, head) as stream:
+                async with await connect(address, head) as stream:
                     await stream.receive_some()
                     stop.set()
                     with trio.move_on_after(RESERVED_S) as scope:
