Bound waits and draws of single requests by what they need

Cause: a body whose last part arrived in the same tick as its refusal was served, but kept the refusal, so a later wait of it for memory was never refused. A request that needs no more memory waited for zero bytes while the memory was used up. A small JSON body was refused while others held all the memory. The growth of a body's buffer drew more than the largest body allowed.

--- a/src/kingcupscale/web/bodyreader.py
+++ b/src/kingcupscale/web/bodyreader.py
@@ -52,6 +52,8 @@
             await self.draw(memorybudget.REQUEST_BYTES)
             body = await self._read_chunks(receive, max_bytes)
             self.claim.is_reading = False
+            # It may have been refused after its last part had arrived.
+            self.claim.refusal = None
             return body
         if self.claim.refusal is None:
             raise errors.ServiceError(errors.ResultCode.BODY_TIMEOUT)
@@ -73,6 +75,7 @@
                 step = max(
                     MIN_STEP_BYTES, size - reserved, size >> GROWTH_SHIFT
                 )
+                step = min(step, max_bytes - reserved)
                 await self.draw(step)
                 reserved += step
             body.write(chunk)
@@ -91,15 +94,18 @@
         """Waits for memory for handling the request, besides its body.
 
         A request reserves at most the memory that large requests may use, so
-        that a single one is handled at any size, and small ones beside it.
+        that a single one is handled at any size, and small ones beside it. One
+        that needs no more does not wait.
 
         Raises:
             ServiceError: If there is not enough in time.
         """
+        size = min(size, self.budget.large_bytes() - self.claim.held)
+        if size <= 0:
+            return
         with trio.CancelScope() as scope:
             self.claim.on_refused = scope.cancel
-            limit = self.budget.large_bytes() - self.claim.held
-            await self.draw(max(0, min(size, limit)))
+            await self.draw(size)
             return
         raise self._make_refusal()
 
@@ -114,7 +120,8 @@
         """
         size = jsoncost.estimate_bytes(body)
         available = self.budget.available_to(self.claim)
-        if size <= max(available, DECODED_SHARE * len(body)):
+        allowed = max(available, DECODED_SHARE * len(body))
+        if size <= max(allowed, memorybudget.SMALL_BYTES):
             return
         self.budget.count_refused(memorybudget.Refusal.MANY_VALUES)
         if size <= self.budget.limits.memory_bytes:
