Add uncontrolled clients and evacuations to the soak

Cause: the soak covered neither clients that withhold or exceed their bodies nor evacuated zones, beside the faults of processes, links and the store.

Change: two schedules run beside the faults, each with a generator of its own derived from the seed. Uncontrolled clients connect to a listener of a node for some seconds. Zones are evacuated and reopened; each request to a server is recorded and checked against the limit of 5 s, which starts again after outages that overlap it. Descriptors of each process are bounded, and nodes run with lowered limits for clients.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -70,7 +70,8 @@
     print(
         f"seed {outcome.seed}: {outcome.served} of {outcome.calls_sent} calls, "
         f"{outcome.batches} batches, {len(outcome.faults)} faults, "
-        f"{outcome.memory_mb} MB, {len(outcome.problems)} problems",
+        f"{outcome.memory_mb} MB, {outcome.descriptors} descriptors, "
+        f"{len(outcome.problems)} problems",
         flush=True,
     )
     for problem in outcome.problems[:10]:
--- a/tests/soak/session.py
+++ b/tests/soak/session.py
@@ -4,6 +4,10 @@
 and checks that the nodes recover and that no invariant was violated.
 """
 
+import contextlib
+import itertools
+import operator
+import os
 import pathlib
 import tempfile
 
@@ -11,7 +15,9 @@
 import trio
 
 from tests.soak import callers
+from tests.soak import evacuations
 from tests.soak import faults
+from tests.soak import uncontrolled
 from tests.soak import world as worlds
 
 CALLERS = 3
@@ -37,6 +43,7 @@
         served: Single calls that were answered with status 200.
         batches: Batches that were accepted.
         memory_mb: Peak resident memory of any node.
+        descriptors: Most open descriptors of any node.
     """
 
     seed: int
@@ -46,6 +53,7 @@
     served: int = 0
     batches: int = 0
     memory_mb: float = 0.0
+    descriptors: int = 0
 
 
 async def run(seed, seconds, folder=None):
@@ -73,6 +81,7 @@
             for name, code in world.failed_stops:
                 session.observations.add_problem("planned stop", name, code)
             session.observations.check_end()
+            session.check_evacuations()
             nursery.cancel_scope.cancel()
     return session.outcome(seed)
 
@@ -85,7 +94,16 @@
         self.seed = seed
         self.observations = callers.Observations(world)
         self.faults = faults.Faults(world, worlds.make_rng(seed, "faults"))
+        # Own generators, so that the draws of ``faults`` stay as they were.
+        self.uncontrolled = uncontrolled.UncontrolledClients(
+            world, worlds.make_rng(seed, "uncontrolled clients")
+        )
+        self.evacuations = evacuations.Evacuations(
+            world, worlds.make_rng(seed, "evacuations")
+        )
+        self.healed_at = 0.0
         self.memory_mb = 0.0
+        self.descriptors = 0
 
     def _rng(self, purpose):
         return worlds.make_rng(self.seed, purpose)
@@ -95,7 +113,7 @@
         await self.world.open()
         await self._wait_until_ready("at the start")
         async with trio.open_nursery() as traffic:
-            traffic.start_soon(self._monitor_memory)
+            traffic.start_soon(self._monitor_processes)
             for number in range(CALLERS):
                 name = f"c{number}"
                 caller = callers.Caller(
@@ -108,13 +126,20 @@
                 self.world, self.observations, "a", self._rng("a")
             )
             traffic.start_soon(auditor.run)
-            await self.faults.run(seconds)
+            async with trio.open_nursery() as nursery:
+                for schedule in self._schedules():
+                    nursery.start_soon(schedule.run, seconds)
             self.world.heal()
+            self.healed_at = trio.current_time()
             await self._wait_until_ready("after the faults")
             await trio.sleep(2.0)
+            await self.evacuations.finish(self.healed_at)
             traffic.cancel_scope.cancel()
         await self._check_recovery()
 
+    def _schedules(self):
+        return self.faults, self.uncontrolled, self.evacuations
+
     def _trainer(self, name):
         return callers.Trainer(
             self.world, self.observations, name, self._rng(name)
@@ -154,7 +179,24 @@
                     item_count,
                 )
 
-    async def _monitor_memory(self):
+    def check_evacuations(self):
+        """Checks that no request reached an evacuated zone after the limit."""
+        outages = evacuations.outages(
+            self.faults.log, self.world.store_address, self.healed_at
+        )
+        for evacuation in self.evacuations.all:
+            late_requests = evacuations.late_requests(
+                evacuation, self.world.arrivals, outages
+            )
+            if late_requests:
+                self.observations.add_problem(
+                    "requests in an evacuated zone: number, first",
+                    len(late_requests),
+                    late_requests[0],
+                    evacuation,
+                )
+
+    async def _monitor_processes(self):
         while True:
             for node in self.world.nodes:
                 if node.process.poll() is None:
@@ -162,18 +204,32 @@
                     pages = int(path.read_text(encoding="ascii").split()[1])
                     used_mb = pages * PAGE_BYTES / 1e6
                     self.memory_mb = max(self.memory_mb, used_mb)
+                    # Fails for a process that has just ended.
+                    with contextlib.suppress(OSError):
+                        number = len(os.listdir(path.parent / "fd"))
+                        self.descriptors = max(self.descriptors, number)
             await trio.sleep(0.5)
 
     def outcome(self, seed):
-        """Returns the outcome; memory above ``MEMORY_MB`` is a problem."""
+        """Returns the outcome.
+
+        Memory above ``MEMORY_MB`` and descriptors above ``world.MAX_FDS`` are
+        problems.
+        """
         if self.memory_mb > MEMORY_MB:
             self.observations.add_problem("memory", round(self.memory_mb, 1))
+        if self.descriptors > worlds.MAX_FDS:
+            self.observations.add_problem("descriptors", self.descriptors)
         return Outcome(
             seed,
             self.observations.problems,
-            self.faults.log,
+            sorted(
+                itertools.chain(*(s.log for s in self._schedules())),
+                key=operator.itemgetter(0),
+            ),
             self.observations.calls_sent,
             self.observations.served,
             len(self.observations.accepted),
             round(self.memory_mb, 1),
+            self.descriptors,
         )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -36,6 +36,9 @@
 RESERVED_PORT = 12_000
 FIRST_PORT = 12_001
 READY_TIMEOUT_S = 20.0
+# Lowered limits of a node, so that few uncontrolled clients reach them.
+CLIENT_MEMORY_MB = 8
+MAX_FDS = 128
 
 
 class Host:
@@ -103,6 +106,16 @@
         await self.store(request)
 
 
+class RecordedServer(fakeservers.Server):
+    """A backend server that records each request that it receives."""
+
+    async def handle(self, request):
+        self.site.arrivals.append(
+            (self.zone, self.id, request.path, trio.current_time())
+        )
+        return await super().handle(request)
+
+
 class NodeProcess:
     """One node: its process and its proxies to callers, store and cloud.
 
@@ -132,6 +145,10 @@
         """Returns the proxies to the callers, the store and the cloud."""
         return [self.caller_proxy, self.store_proxy, self.cloud_proxy]
 
+    def listener_addresses(self):
+        """Returns the addresses for callers, probes and peers."""
+        return [self.caller_address, self.readiness_address, self.peer_address]
+
     def write_settings(self):
         """Writes the settings file and returns its path."""
         fields = {
@@ -148,6 +165,8 @@
             "bounds.leaseMs": "3000",
             "bounds.graceS": "8",
             "bounds.reportWindowS": "5",
+            "clients.memoryMb": str(CLIENT_MEMORY_MB),
+            "limits.maxFds": str(MAX_FDS),
         }
         path = self.folder / "settings"
         lines = [f"{name}={value}" for name, value in fields.items()]
@@ -240,6 +259,8 @@
     Attributes:
         violations: What backend servers received and must not receive.
         runs: All requests that backend servers have started to execute.
+        arrivals: All requests to backend servers, each as (zone, server, path,
+            time).
         orders: Orders that backend servers received, each with the server's id
             and the time.
         server_links: Proxies of the backend servers, by server id.
@@ -258,6 +279,7 @@
         self.unreliable_store = UnreliableStore(self.store, nursery, rng)
         self.violations = []
         self.runs = []
+        self.arrivals = []
         self.orders = []
         self.servers = {}
         self.server_links = {}
@@ -305,7 +327,7 @@
         )
 
     async def _add_server(self, name, service, zone, model):
-        added = fakeservers.Server(self, name, service, zone, model)
+        added = RecordedServer(self, name, service, zone, model)
         added.length = 40
         link = proxies.Proxy(await self._serve(added), self.host.name)
         await self.nursery.start(link.run)
