--- a/tests/soak/uncontrolled.py
+++ b/tests/soak/uncontrolled.py
@@ -8,13 +8,17 @@
 MAX_INTERVAL_S = 3.0
 MIN_DURATION_S = 1.0
 MAX_DURATION_S = 4.0
-# Two groups of the largest size, with ordinary connections, exceed what a node
-# accepts under ``world.MAX_FDS``.
-MIN_CONNECTIONS = 4
-MAX_CONNECTIONS = 48
+# A group of the largest size exceeds, with the ordinary connections, what a
+# node accepts under ``world.CLIENT_CONNECTIONS``.
+MIN_CONNECTIONS = 16
+MAX_CONNECTIONS = 96
+# Share of the groups that connect to the listener for callers, the only one
+# that reads large bodies of anyone.
+CALLERS_SHARE = 0.6
 KINDS = (
     clients.announce_too_much,
     clients.send_too_much,
+    clients.withhold_end,
     clients.withhold_large_chunk,
     clients.withhold_small_chunk,
     clients.withhold_end_of_head,
@@ -50,7 +54,12 @@
 
     def _draw(self):
         node = self.rng.choice(self.world.nodes)
-        address = self.rng.choice(node.listener_addresses())
+        is_callers = self.rng.random() < CALLERS_SHARE
+        address = (
+            node.caller_address
+            if is_callers
+            else self.rng.choice([node.readiness_address, node.peer_address])
+        )
         client = self.rng.choice(KINDS)
         number = self.rng.randint(MIN_CONNECTIONS, MAX_CONNECTIONS)
         duration_s = self.rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -36,8 +36,11 @@
 RESERVED_PORT = 12_000
 FIRST_PORT = 12_001
 READY_TIMEOUT_S = 20.0
-# Lowered limits of a node, so that few uncontrolled clients reach them.
-CLIENT_MEMORY_MB = 8
+# Lowered limits of a node, so that few uncontrolled clients reach them. The
+# memory holds one body of the largest size, 4 MiB. The descriptors that clients
+# cannot take are for files and the node's own connections.
+CLIENT_MEMORY_MB = 5
+CLIENT_CONNECTIONS = 80
 MAX_FDS = 128
 
 
@@ -145,10 +148,6 @@
         """Returns the proxies to the callers, the store and the cloud."""
         return [self.caller_proxy, self.store_proxy, self.cloud_proxy]
 
-    def listener_addresses(self):
-        """Returns the addresses for callers, probes and peers."""
-        return [self.caller_address, self.readiness_address, self.peer_address]
-
     def write_settings(self):
         """Writes the settings file and returns its path."""
         fields = {
@@ -166,6 +165,7 @@
             "bounds.graceS": "8",
             "bounds.reportWindowS": "5",
             "clients.memoryMb": str(CLIENT_MEMORY_MB),
+            "clients.connections": str(CLIENT_CONNECTIONS),
             "limits.maxFds": str(MAX_FDS),
         }
         path = self.folder / "settings"
