Pace bodies that consist of very small chunks

Cause: decoding a chunk takes tens of microseconds whatever its size.

Change: after 2,048 chunks of fewer than 256 bytes on average, a request pauses so that all requests together read 8,192 such chunks a second.

Test: tests.test_chunk_pacer; without the pause test_requests_share_the_pace ends at once.

--- a/src/kingcupscale/web/bodyreader.py
+++ b/src/kingcupscale/web/bodyreader.py
@@ -6,6 +6,7 @@
 import trio
 
 from kingcupscale import errors
+from kingcupscale.web import chunkpacer
 from kingcupscale.web import jsoncost
 from kingcupscale.web import memorybudget
 
@@ -62,7 +63,7 @@
     async def _read_chunks(self, receive: Any, max_bytes: int) -> bytes:
         # Unlike a bytearray, it gives its content away without a copy.
         body = io.BytesIO()
-        size = reserved = 0
+        size = reserved = chunks = 0
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
@@ -80,10 +81,18 @@
                 reserved += step
             body.write(chunk)
             self.claim.received += len(chunk)
+            chunks += 1
+            if chunkpacer.is_due(chunks, size):
+                await self._pause()
             if not event.get("more_body", False):
                 self.budget.shrink(self.claim, reserved - size)
                 return body.getvalue()
 
+    async def _pause(self) -> None:
+        """Waits until more small chunks may be read."""
+        now = self.budget.monotonic()
+        await trio.sleep(self.budget.pacer.reserve(now) - now)
+
     def _make_refusal(self) -> errors.ServiceError:
         """Returns the error for a request that the budget has refused."""
         if self.claim.refusal is memorybudget.Refusal.TOO_SLOW:
--- a/src/kingcupscale/web/memorybudget.py
+++ b/src/kingcupscale/web/memorybudget.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from kingcupscale.web import chunkpacer
 from kingcupscale.web import clientlimits
 
 # What a request holds besides its body: what has been received but not passed
@@ -96,6 +97,7 @@
         swept_at: Monotonic time of the last sweep; None before the first.
         opened: Number of requests so far.
         refused: Number of refused requests, by reason.
+        pacer: Paces bodies that consist of small chunks.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
     ) -> None:
         self.limits = limits
         self.monotonic = monotonic
+        self.pacer = chunkpacer.ChunkPacer()
         self.claims: set[Claim] = set()
         self.waiting: set[Claim] = set()
         self.held = 0
