--- a/src/kingcupscale/batches/loadlimit.py
+++ b/src/kingcupscale/batches/loadlimit.py
@@ -63,6 +63,7 @@
         first_limit: Limit that the present number of engines would have begun
             with.
         rounds_to_slow: Rounds of loads before it is tried again.
+        is_measured: Whether a load has been measured.
     """
 
     limit: int = 0
@@ -73,20 +74,22 @@
     slow_limit: int = 0
     first_limit: int = 0
     rounds_to_slow: int = ROUNDS_TO_SLOW
+    is_measured: bool = False
 
     def current(self, engines: int) -> int:
         """Returns the limit.
 
-        The number of engines sets only the first limit. What slows loads down
-        is shared by the engines and does not grow with them. An autoscaler may
-        start with few engines, so the limit doubles up to the first limit of
-        the present engines as long as no loads were slow.
+        The number of engines sets only the first limit, until a load has been
+        measured. What slows loads down is shared by the engines and does not
+        grow with them. An autoscaler may start with few engines, so the limit
+        doubles up to the first limit of the present engines as long as no loads
+        were slow.
 
         Args:
             engines: Number of engines that accept work.
         """
         self.first_limit = max(MIN_LIMIT, int(engines * INITIAL_SHARE))
-        if not self.limit and engines:
+        if engines and not self.is_measured:
             self.limit = self.first_limit
         return max(MIN_LIMIT, self.limit)
 
@@ -114,6 +117,7 @@
             is_limited: Whether another load was due meanwhile that the limit
                 did not allow.
         """
+        self.is_measured = True
         self.durations.append(now - ordered_at)
         # It began before the change, or so few ran that a decrease would not
         # have delayed any of them.
