Log what a record was made from, and short reads of ended batches

Cause of the change: no log line told from where a node had a batch, at which revision, or that it returned fewer results than others had. The hypotheses of docs/incidents/hidden-results.md differ in just that: with 1 and 4 the mirror holds keys of chunks that the record lacks, with 2 and 3 it does not.

Evidence: test_cache, test_tables and test_announcements pass (107 tests). No decision is changed.

--- a/src/kingcupscale/batches/announced.py
+++ b/src/kingcupscale/batches/announced.py
@@ -95,7 +95,7 @@
         batch_id = snapshot.batch.id
         if not self.is_expected(batch_id, revision):
             return False
-        record = records.from_snapshot(snapshot)
+        record = records.from_snapshot(snapshot, records.Origin.ANNOUNCEMENT)
         self.undelivered[batch_id] = Undelivered(
             revision, self.clock.monotonic(), record
         )
--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -383,6 +383,7 @@
         pending = self.pending_loads.pop(batch_id)
         pending.done.set()
         if record is not None:
+            self._log_loaded(record)
             self._add_loaded(record, is_read)
         # If no record was found, these may be the first notice of the batch.
         for entry in pending.entries:
@@ -391,6 +392,18 @@
         if cached is not None and self.reload_count != pending.reload_count:
             cached.mark_incomplete()
 
+    def _log_loaded(self, record: records.Record) -> None:
+        events.log(
+            events.Event.BATCH_LOADED,
+            batch=record.batch.id,
+            listed=len(record.results),
+            ended=record.is_ended,
+            received=self.received_positions(record.batch.id),
+            origin=record.origin.value,
+            origin_revision=record.origin_revision,
+            revision=self.mirror.revision,
+        )
+
     def _add_loaded(self, record: records.Record, is_read: bool) -> None:
         """Caches a loaded record if it was read or is of interest."""
         batch_id, model = record.batch.id, record.batch.model
@@ -431,7 +444,34 @@
                 self.waiting_readers -= 1
         if after >= len(record.results) and self._may_lack_results(record):
             await self.fetcher.refresh(record)
-        return record.page(after)
+        page = record.page(after)
+        if not page and record.is_ended and after < len(record.batch.items):
+            self._log_short(record, after)
+        return page
+
+    def _log_short(self, record: records.Record, after: int) -> None:
+        events.log(
+            events.Event.RESULTS_SHORT,
+            batch=record.batch.id,
+            after=after,
+            listed=len(record.results),
+            total=len(record.batch.items),
+            received=self.received_positions(record.batch.id),
+            current=record.is_current,
+            origin=record.origin.value,
+            origin_revision=record.origin_revision,
+            revision=self.mirror.revision,
+            view_age_s=round(self.mirror.age_s(), 3),
+        )
+
+    def received_positions(self, batch_id: str) -> list[int]:
+        """Returns the positions of the chunks that the mirror has received."""
+        prefix = f"{records.RESULTS_PREFIX}{batch_id}/"
+        suffixes = [
+            entry.key.removeprefix(prefix)
+            for entry in self.mirror.entries_under(prefix)
+        ]
+        return [int(suffix) for suffix in suffixes if suffix.isdigit()]
 
     def _may_lack_results(self, record: records.Record) -> bool:
         """Returns whether other nodes may have results that this one lacks.
--- a/src/kingcupscale/batches/fetching.py
+++ b/src/kingcupscale/batches/fetching.py
@@ -104,6 +104,7 @@
         record = records.assemble(parts)
         if record is None:
             return None
+        record.origin = records.Origin.STORE
         await self._read_results(record)
         if is_ended:
             record.mark_ended()
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -4,6 +4,7 @@
 encoding, and ``Record``, which collects a batch's results in order.
 """
 
+import enum
 from typing import TypeVar
 
 import attrs
@@ -77,6 +78,15 @@
     is_ended: bool
 
 
+class Origin(enum.Enum):
+    """What a node made its record of a batch from."""
+
+    SPECIFICATION = "specification"
+    SNAPSHOT = "snapshot"
+    ANNOUNCEMENT = "announcement"
+    STORE = "store"
+
+
 @attrs.define(eq=False)
 class Record:
     """In-memory record of a batch and of its results in the store.
@@ -94,6 +104,9 @@
             loaded.
         missed_updates: How often changes may have been missed. A caller
             compares two readings to detect a miss in between.
+        origin: What the record was made from, for the log.
+        origin_revision: Store revision of the snapshot that it was made from;
+            0 for any other origin.
     """
 
     batch: batch.Batch
@@ -105,6 +118,8 @@
     is_removed: bool = False
     is_current: bool = True
     missed_updates: int = 0
+    origin: Origin = Origin.SPECIFICATION
+    origin_revision: int = 0
 
     def has_result(self, item: str) -> bool:
         """Returns whether the store is known to hold an item's result."""
@@ -223,9 +238,16 @@
     return attrs.evolve(whole, items=items)
 
 
-def from_snapshot(snapshot: RecordSnapshot) -> Record:
+def from_snapshot(
+    snapshot: RecordSnapshot, origin: Origin = Origin.SNAPSHOT
+) -> Record:
     """Returns a record made from another node's snapshot."""
-    record = Record(snapshot.batch, snapshot.submitted_ms)
+    record = Record(
+        snapshot.batch,
+        snapshot.submitted_ms,
+        origin=origin,
+        origin_revision=snapshot.revision,
+    )
     record.add_chunk(0, snapshot.results)
     record.is_ended = snapshot.is_ended
     return record
