Show a node that hides results which it received before a load

The random schedules get a third kind: one leader writes all results in few chunks, then the batch is ended.

--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -236,6 +236,29 @@
 
     async def write(self, batch_id, is_ended=False):
         """Submits a batch to one node and appends its results at others."""
+        items = await self._submit(batch_id)
+        await trio.sleep(self.rng.uniform(0.0, 0.5))
+        is_complete = False
+        while not is_complete:
+            node = self.rng.choice(self.nodes)
+            is_complete = await self._append(node, batch_id, items, (1, 4))
+        if is_ended:
+            await trio.sleep(self.rng.uniform(0.0, 2.0))
+            await self._end(batch_id)
+
+    async def write_at_leader(self, batch_id):
+        """Submits a batch whose results one leader appends in few chunks."""
+        await trio.sleep(self.rng.uniform(0.0, 6.0))
+        items = await self._submit(batch_id)
+        await trio.sleep(self.rng.uniform(0.0, 1.0))
+        node = self.rng.choice(self.leaders())
+        is_complete = False
+        while not is_complete:
+            is_complete = await self._append(node, batch_id, items, (10, ITEMS))
+        await trio.sleep(self.rng.uniform(0.0, 1.0))
+        await self._end(batch_id)
+
+    async def _submit(self, batch_id):
         items = [
             batch.Item(f"{batch_id}-{i}", "/", {}, b"body", 1, "g", None)
             for i in range(ITEMS)
@@ -243,22 +266,24 @@
         model = self.rng.choice(MODELS)
         new = batch.Batch(batch_id, "o", "r", "h", 0, model, 1, 1, items)
         await self.rng.choice(self.nodes).batch_cache.accept(new, 10.0)
-        await trio.sleep(self.rng.uniform(0.0, 0.5))
-        while True:
-            batch_cache = self.rng.choice(self.nodes).batch_cache
-            record = await batch_cache.find(batch_id, "o")
-            unfinished = [i for i in items if not record.has_result(i.id)]
-            if not unfinished:
-                break
-            chosen = unfinished[: self.rng.randint(1, 4)]
-            state = batch.ResultState.DONE
-            results = [batch.Result(i.id, state, i.id) for i in chosen]
-            await batch_cache.append([(record, records.Chunk(results))])
-            await trio.sleep(self.rng.choice([0.0, 0.02, 0.3]))
-        if is_ended:
-            await trio.sleep(self.rng.uniform(0.0, 2.0))
-            batch_cache = self.rng.choice(self.nodes).batch_cache
-            await batch_cache.end(await batch_cache.find(batch_id, "o"), 5.0)
+        return items
+
+    async def _append(self, node, batch_id, items, sizes):
+        """Appends the next results at a node; returns whether none was left."""
+        record = await node.batch_cache.find(batch_id, "o")
+        unfinished = [i for i in items if not record.has_result(i.id)]
+        if not unfinished:
+            return True
+        chosen = unfinished[: self.rng.randint(*sizes)]
+        state = batch.ResultState.DONE
+        results = [batch.Result(i.id, state, i.id) for i in chosen]
+        await node.batch_cache.append([(record, records.Chunk(results))])
+        await trio.sleep(self.rng.choice([0.0, 0.02, 0.3]))
+        return False
+
+    async def _end(self, batch_id):
+        batch_cache = self.rng.choice(self.nodes).batch_cache
+        await batch_cache.end(await batch_cache.find(batch_id, "o"), 5.0)
 
     async def read(self, batch_ids):
         while True:
@@ -320,6 +345,11 @@
         value = records.encode(records.Chunk([result]))
         self.store.write_without_history(records.result_key("b", 0), value)
 
+    async def wait_for_recent_view(self):
+        """Waits until the follower trusts its mirror and reads no store."""
+        while self.follower.mirror.age_s() >= caches.MIRROR_STALE_S:
+            await trio.sleep(0.01)
+
     async def read(self, node=None):
         """Returns how many results a node returns, by default the follower."""
         batch_cache = (node or self.follower).batch_cache
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -34,18 +34,20 @@
 class CacheScheduleTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
-            (f"{kind}_{seed}", seed, kind == "restarts")
+            (f"{kind}_{seed}", seed, kind)
             for kind, seeds in (
                 ("calm", range(1, 31)),
                 ("restarts", range(51, 71)),
+                ("few_chunks", range(101, 131)),
             )
             for seed in seeds
         ]
     )
     @virtual.on_virtual_time
     async def test_no_node_lacks_a_result_of_a_cached_batch(
-        self, _, seed, has_restarts
+        self, _, seed, kind
     ):
+        has_restarts = kind == "restarts"
         fleet = fleets.Fleet(seed)
         batch_ids = [f"b{number}" for number in range(6)]
         async with trio.open_nursery() as nursery:
@@ -59,7 +61,10 @@
                 nursery.start_soon(fleet.inject_faults, nursery, fault_scope)
             async with trio.open_nursery() as writers:
                 for batch_id in batch_ids:
-                    writers.start_soon(fleet.write, batch_id, has_restarts)
+                    if kind == "few_chunks":
+                        writers.start_soon(fleet.write_at_leader, batch_id)
+                    else:
+                        writers.start_soon(fleet.write, batch_id, has_restarts)
                 for _ in range(3):
                     nursery.start_soon(fleet.read, batch_ids)
             fault_scope.cancel()
@@ -106,6 +111,51 @@
             )
             self.assertEqual(await pair.read(), 1)
 
+    @parameterized.parameterized.expand(
+        [("by_the_followed_node", True), ("by_the_reading_node", False)]
+    )
+    @virtual.on_virtual_time
+    async def test_result_received_before_a_load_is_returned(
+        self, _, is_remote
+    ):
+        # A node receives some changes ahead of its mirror's revision. They are
+        # not delivered again, so a snapshot has to include them.
+        async with fleets.running_pair(items=1) as pair:
+            record = pair.leader.batch_cache.records["b"]
+            old = record.snapshot(pair.follower.mirror.revision)
+            watch = pair.store.watch
+            is_waiting, is_answering = trio.Event(), trio.Event()
+
+            async def watch_late(prefix, after, wait_s):
+                is_waiting.set()
+                await is_answering.wait()
+                return await watch(prefix, after, wait_s)
+
+            async def fetch_old_snapshot(batch_id):
+                return old
+
+            pair.follower.batch_cache.fetcher.fetch_snapshot = (
+                fetch_old_snapshot
+            )
+            pair.store.watch = watch_late
+            await is_waiting.wait()
+            await pair.wait_for_recent_view()
+            writer = pair.leader if is_remote else pair.follower
+            result = batch.Result("i0", batch.ResultState.DONE, "i0")
+            await writer.batch_cache.append(
+                [(records.from_snapshot(old), records.Chunk([result]))]
+            )
+            follower = pair.follower.batch_cache
+            while not follower.received_positions("b"):
+                await trio.sleep(0.01)
+            await pair.read()
+            is_answering.set()
+            await trio.sleep(2)
+            await pair.leader.batch_cache.end(record, 5.0)
+            await trio.sleep(2)
+            await pair.wait_for_recent_view()
+            self.assertEqual(await pair.read(), 1)
+
     @virtual.on_virtual_time
     async def test_result_written_during_a_load_is_returned(self):
         async with fleets.running_pair() as pair:
