--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -389,9 +389,21 @@
         for entry in pending.entries:
             self._apply_entry(entry)
         cached = record or self.records.get(batch_id)
-        if cached is not None and self.reload_count != pending.reload_count:
+        if cached is not None and (
+            self.reload_count != pending.reload_count
+            or self._lacks_received_chunk(cached)
+        ):
             cached.mark_incomplete()
 
+    def _lacks_received_chunk(self, record: records.Record) -> bool:
+        """Returns whether the mirror has received results that a record lacks.
+
+        A mirror receives some changes ahead of its revision, and only once. A
+        snapshot that is as new as the revision may lack them.
+        """
+        positions = self.received_positions(record.batch.id)
+        return any(position >= len(record.results) for position in positions)
+
     def _log_loaded(self, record: records.Record) -> None:
         events.log(
             events.Event.BATCH_LOADED,
