Read the results of a batch that is evicted while a reader waits

What callers saw: an empty page for a batch whose results others had returned.

Cause: a reader waits up to 1 s with a record in hand. If that record leaves the cache meanwhile, by eviction or because an announced batch is dropped, it gets no more changes, but still called itself current.

Change: a record that is not the cached one is refreshed before it is answered.

Evidence: test_reader_gets_results_of_a_batch_that_is_evicted_meanwhile, both cases, returned 0 of 1 results before and pass now.

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -492,7 +492,13 @@
         mirror delivered its results.
         """
         is_complete = len(record.results) >= len(record.batch.items)
-        is_stale = self.mirror.age_s() > MIRROR_STALE_S or not record.is_current
+        # A record that was evicted meanwhile gets no more changes.
+        is_cached = self.records.get(record.batch.id) is record
+        is_stale = (
+            self.mirror.age_s() > MIRROR_STALE_S
+            or not record.is_current
+            or not is_cached
+        )
         return is_stale and not is_complete
 
     async def _wait_for_result(
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -233,6 +233,31 @@
             await pair.accept(node=late)
             self.assertEqual(await pair.read(late), 1)
 
+    @parameterized.parameterized.expand(["evicted", "removed"])
+    @virtual.on_virtual_time
+    async def test_reader_gets_results_of_a_batch_that_is_evicted_meanwhile(
+        self, how
+    ):
+        # An evicted record gets no more results from the mirror.
+        async with fleets.running_pair() as pair:
+            follower = pair.follower.batch_cache
+            record = await follower.find("b", "o")
+            pages = []
+
+            async def read():
+                pages.append(await follower.read(record, 0, 1.0))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                await trio.sleep(0.1)
+                if how == "evicted":
+                    del follower.records["b"]
+                else:
+                    follower.remove("b")
+                await pair.append_result()
+                await pair.wait_for_recent_view()
+            self.assertEqual(len(pages[0]), 1)
+
     @virtual.on_virtual_time
     async def test_closed_batch_is_read_from_the_store_by_one_node(self):
         async with fleets.running_pair(items=1) as pair:
