Confirm an ended batch with the store before it lacks results

Cause: that a record is complete was concluded from many conditions that each hold only if no other part of the node errs. A reader of an open batch comes again; the short answer to an ended batch is final, and nobody was asked.

Change: a node answers an ended batch with a missing position only after it has read the results from the store once since the end.

Evidence: test_ended_batch_is_confirmed_before_it_lacks_results (three cases) failed before with a record that lacked a result without any notice, and passes; test_ended_batch_is_confirmed_once bounds the cost at one call a node and batch.

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -494,12 +494,13 @@
         is_complete = len(record.results) >= len(record.batch.items)
         # A record that was evicted meanwhile gets no more changes.
         is_cached = self.records.get(record.batch.id) is record
-        is_stale = (
+        is_uncertain = (
             self.mirror.age_s() > MIRROR_STALE_S
             or not record.is_current
             or not is_cached
+            or record.needs_confirmation()
         )
-        return is_stale and not is_complete
+        return is_uncertain and not is_complete
 
     async def _wait_for_result(
         self, record: records.Record, after: int, wait_s: float
--- a/src/kingcupscale/batches/fetching.py
+++ b/src/kingcupscale/batches/fetching.py
@@ -108,6 +108,7 @@
         await self._read_results(record)
         if is_ended:
             record.mark_ended()
+            record.is_end_confirmed = True
         return record
 
     async def _read_batch_entries(self, batch_id: str) -> list[stores.Entry]:
@@ -141,18 +142,21 @@
         """Reads the results that a record lacks.
 
         They are read from the store. If it cannot be reached, a current mirror
-        is enough for a record that has missed no change; other records need a
-        current snapshot from another node.
+        is enough for a record that has missed no change; other records, and
+        those of ended batches that lack results, need a current snapshot from
+        another node.
 
         Raises:
             ServiceError: ``STORE_UNAVAILABLE`` if none of these is available.
         """
         # Later changes are received, unless missed_updates is incremented.
         missed_updates = record.missed_updates
+        is_ended = record.is_ended
         try:
             await self._read_results(record)
             if record.missed_updates == missed_updates:
                 record.is_current = True
+                record.is_end_confirmed = is_ended
             return
         except stores.StoreError as e:
             reason = e.reason
@@ -162,7 +166,7 @@
                 reason,
                 retry_after_s=RETRY_AFTER_S,
             )
-        if not record.is_current:
+        if not record.is_current or record.needs_confirmation():
             await self._apply_snapshot(record)
 
     async def _read_results(self, record: records.Record) -> None:
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -104,6 +104,8 @@
             loaded.
         missed_updates: How often changes may have been missed. A caller
             compares two readings to detect a miss in between.
+        is_end_confirmed: Whether the results have been read from the store
+            since the batch ended.
         origin: What the record was made from, for the log.
         origin_revision: Store revision of the snapshot that it was made from;
             0 for any other origin.
@@ -118,6 +120,7 @@
     is_removed: bool = False
     is_current: bool = True
     missed_updates: int = 0
+    is_end_confirmed: bool = False
     origin: Origin = Origin.SPECIFICATION
     origin_revision: int = 0
 
@@ -173,6 +176,15 @@
         self.is_ended = True
         self.batch = without_bodies(self.batch)
 
+    def needs_confirmation(self) -> bool:
+        """Returns whether the store may have results of the ended batch.
+
+        An open batch is read again until it is complete, but a reader of an
+        ended one takes missing results as final.
+        """
+        is_complete = len(self.results) >= len(self.batch.items)
+        return self.is_ended and not self.is_end_confirmed and not is_complete
+
     def is_open(self) -> bool:
         """Returns whether the batch still has items to run."""
         return not (
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import unittest
+import unittest.mock
 
 import parameterized
 import trio
@@ -233,6 +234,64 @@
             await pair.accept(node=late)
             self.assertEqual(await pair.read(late), 1)
 
+    @parameterized.parameterized.expand(
+        [
+            ("reads_the_store", True, True),
+            ("asks_a_node", False, True),
+            ("refuses", False, False),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_ended_batch_is_confirmed_before_it_lacks_results(
+        self, _, reaches_store, reaches_node
+    ):
+        # Whichever way a record came to lack results without a notice of it.
+        async with fleets.running_pair(items=2) as pair:
+            follower = pair.follower.batch_cache
+            record = pair.leader.batch_cache.records["b"]
+            empty = records.from_snapshot(record.snapshot(10**6))
+            await pair.append_result()
+            await pair.leader.batch_cache.end(record, 5.0)
+            await trio.sleep(1)
+            empty.mark_ended()
+            follower.records["b"] = empty
+            if not reaches_store:
+
+                async def fail_to_scan(prefix, after=""):
+                    raise stores.StoreError("unreachable", False)
+
+                follower.store.store = unittest.mock.Mock(scan=fail_to_scan)
+            if not reaches_node:
+                follower.fetcher.fetch_snapshot = unittest.mock.AsyncMock(
+                    return_value=None
+                )
+            await pair.wait_for_recent_view()
+            if reaches_store or reaches_node:
+                self.assertEqual(await pair.read(), 1)
+            else:
+                with self.assertRaises(errors.ServiceError) as caught:
+                    await pair.read()
+                self.assertIs(
+                    caught.exception.code, errors.ResultCode.STORE_UNAVAILABLE
+                )
+
+    @virtual.on_virtual_time
+    async def test_ended_batch_is_confirmed_once(self):
+        async with fleets.running_pair(items=2) as pair:
+            await pair.append_result()
+            await pair.read()
+            await pair.leader.batch_cache.end(
+                pair.leader.batch_cache.records["b"], 5.0
+            )
+            await trio.sleep(1)
+            record = await pair.follower.batch_cache.find("b", "o")
+            scans = pair.store.scans
+            for _ in range(5):
+                await pair.wait_for_recent_view()
+                page = await pair.follower.batch_cache.read(record, 1, 0.0)
+                self.assertEqual(page, [])
+            self.assertEqual(pair.store.scans, scans + 1)
+
     @parameterized.parameterized.expand(["evicted", "removed"])
     @virtual.on_virtual_time
     async def test_reader_gets_results_of_a_batch_that_is_evicted_meanwhile(
