Log a fingerprint of requests whose answer was rejected

Cause of the change: a caller that tries again sends a new id, so the logs could not tell whether servers ended under one request that came again or under several (hypotheses 1 and 3 of docs/incidents/crashing-requests.md).

Evidence: test_calls, test_broken_answers and test_tables pass. No decision is changed.

--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -21,6 +21,7 @@
 from kingcupscale.gateway import admission as admissions
 from kingcupscale.gateway import backoff
 from kingcupscale.gateway import callstate
+from kingcupscale.gateway import fingerprint
 from kingcupscale.gateway import inboundrequest
 from kingcupscale.gateway import placement
 from kingcupscale.gateway import responsestream
@@ -311,6 +312,10 @@
             events.log(
                 events.Event.ANSWER_REJECTED,
                 request=call.request_id,
+                fingerprint=fingerprint.compute(
+                    inbound, call.organisation or ""
+                ),
+                route=state.route.name,
                 server=server.id,
                 reason=e.reason,
                 may_have_run=e.may_have_run,
