--- a/src/kingcupscale/fakes/network.py
+++ b/src/kingcupscale/fakes/network.py
@@ -127,11 +127,15 @@
         if not process.is_up:
             await trio.sleep_forever()
 
+    def is_up(self, name: str) -> bool:
+        """Tells whether a process runs; one that was never added does."""
+        process = self.processes.get(name)
+        return process is None or process.is_up
+
     def reaches(self, caller: str, target: str) -> bool:
         """Tells whether a call would get through now."""
-        process = self.processes.get(target)
-        is_up = process is None or process.is_up
-        return is_up and frozenset((caller, target)) not in self.cuts
+        is_cut = frozenset((caller, target)) in self.cuts
+        return self.is_up(target) and not is_cut
 
     def strike(self, fault: faults.Fault | None, caller: str, to: str) -> None:
         """Lets a fault take place that is more than this call's."""
@@ -192,6 +196,10 @@
         if fault is faults.Fault.REQUEST_LATE:
             await self._send_late(handler, request, timeout_s)
         response = await self._answer(handler, request, timeout_s)
+        if not network.is_up(name):
+            raise httpclient.RequestError(
+                "server disconnected", may_have_been_sent=True
+            )
         await self._spoil(fault, operation, response)
         await network.gate(self.caller)
         chunks = self._chunks(response, name, timeout_s, fault, operation)
