Refresh evicted batches also while the store rejects the node

What callers saw: an empty page of a batch that had left the node's memory while they waited, if the store rejected the node as well.

When the store does not answer, a current mirror was taken as enough, as the record called itself current; but the mirror had not updated it since it was evicted.

Change: a record is marked as incomplete when it leaves the cache, in one place for evictions and removals.

Evidence: test_reader_gets_results_of_a_batch_that_is_evicted_meanwhile has a case with a store that rejects the node; it returned 0 of 1 results before and passes now.

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -207,9 +207,16 @@
         self.summaries.pop(batch_id, None)
         self.last_read_at.pop(batch_id, None)
         self.load_candidates.discard(batch_id)
-        record = self.records.pop(batch_id, None)
-        if record is not None:
-            record.is_removed = True
+        if batch_id in self.records:
+            self.records[batch_id].is_removed = True
+            self.evict(batch_id)
+
+    def evict(self, batch_id: str) -> None:
+        """Drops the record of a batch.
+
+        It gets no more changes, so a reader that still has it must refresh it.
+        """
+        self.records.pop(batch_id).mark_incomplete()
 
     def _apply_specification(
         self, batch_id: str, number: str, entry: stores.Entry
@@ -492,12 +499,9 @@
         mirror delivered its results.
         """
         is_complete = len(record.results) >= len(record.batch.items)
-        # A record that was evicted meanwhile gets no more changes.
-        is_cached = self.records.get(record.batch.id) is record
         is_uncertain = (
             self.mirror.age_s() > MIRROR_STALE_S
             or not record.is_current
-            or not is_cached
             or record.needs_confirmation()
         )
         return is_uncertain and not is_complete
--- a/src/kingcupscale/batches/maintenance.py
+++ b/src/kingcupscale/batches/maintenance.py
@@ -101,7 +101,7 @@
                 continue
             closed_bytes += record.estimated_bytes()
             if not is_wanted or closed_bytes > MAX_CLOSED_BYTES:
-                del self.batch_cache.records[batch_id]
+                self.batch_cache.evict(batch_id)
 
     def _recency(self, record: records.Record) -> tuple[float, int]:
         """Returns a sort key: time of the last read, then of submission."""
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -32,6 +32,14 @@
     return record
 
 
+async def _fail_to_scan(prefix, after=""):
+    raise stores.StoreError("unreachable", False)
+
+
+# A store that rejects a node.
+UNREACHABLE = unittest.mock.Mock(scan=_fail_to_scan)
+
+
 class CacheScheduleTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
@@ -256,11 +264,7 @@
             empty.mark_ended()
             follower.records["b"] = empty
             if not reaches_store:
-
-                async def fail_to_scan(prefix, after=""):
-                    raise stores.StoreError("unreachable", False)
-
-                follower.store.store = unittest.mock.Mock(scan=fail_to_scan)
+                follower.store.store = UNREACHABLE
             if not reaches_node:
                 follower.fetcher.fetch_snapshot = unittest.mock.AsyncMock(
                     return_value=None
@@ -292,10 +296,16 @@
                 self.assertEqual(page, [])
             self.assertEqual(pair.store.scans, scans + 1)
 
-    @parameterized.parameterized.expand(["evicted", "removed"])
+    @parameterized.parameterized.expand(
+        [
+            (f"{how}_{'' if reaches_store else 'un'}reachable", how, at)
+            for how in ("evicted", "removed")
+            for reaches_store, at in ((True, None), (False, 0.3))
+        ]
+    )
     @virtual.on_virtual_time
     async def test_reader_gets_results_of_a_batch_that_is_evicted_meanwhile(
-        self, how
+        self, _, how, unreachable_after_s
     ):
         # An evicted record gets no more results from the mirror.
         async with fleets.running_pair() as pair:
@@ -310,10 +320,13 @@
                 nursery.start_soon(read)
                 await trio.sleep(0.1)
                 if how == "evicted":
-                    del follower.records["b"]
+                    follower.evict("b")
                 else:
                     follower.remove("b")
                 await pair.append_result()
+                if unreachable_after_s is not None:
+                    await trio.sleep(unreachable_after_s)
+                    follower.store.store = UNREACHABLE
                 await pair.wait_for_recent_view()
             self.assertEqual(len(pages[0]), 1)
 
