--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -756,4 +756,32 @@
         "MIN_STORED_CRASHES = 99",
         SITE + "test_crashing_requests",
     ),
+    Break(
+        "results received before a load are returned",
+        "batches/cache.py",
+        "return any(position >= len(record.results) for position in positions)",
+        "return False",
+        CACHE,
+    ),
+    Break(
+        "a reader gets the results of an evicted batch",
+        "batches/cache.py",
+        "self.records.pop(batch_id).mark_incomplete()",
+        "self.records.pop(batch_id)",
+        CACHE,
+    ),
+    Break(
+        "an ended batch is confirmed before it lacks results",
+        "batches/record.py",
+        "self.is_ended and not self.is_end_confirmed",
+        "False",
+        CACHE,
+    ),
+    Break(
+        "a record that is not confirmed confirms no other one",
+        "batches/cache.py",
+        "await self.fetcher.refresh_from_store(record)",
+        "return record.is_current",
+        CACHE,
+    ),
 )
--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -439,6 +439,20 @@
         else:
             self._apply_results(entry)
 
+    async def confirm(self, record: records.Record) -> bool:
+        """Returns whether a record is as complete as the store.
+
+        The results of an ended batch are read from the store if they have not
+        been since the end. Other nodes are not asked: they may be asking this
+        one.
+        """
+        if record.needs_confirmation():
+            try:
+                await self.fetcher.refresh_from_store(record)
+            except stores.StoreError:
+                return False
+        return record.is_current and not record.needs_confirmation()
+
     async def read(
         self, record: records.Record, after: int, wait_s: float
     ) -> list[batch.Result]:
--- a/src/kingcupscale/batches/fetching.py
+++ b/src/kingcupscale/batches/fetching.py
@@ -149,14 +149,8 @@
         Raises:
             ServiceError: ``STORE_UNAVAILABLE`` if none of these is available.
         """
-        # Later changes are received, unless missed_updates is incremented.
-        missed_updates = record.missed_updates
-        is_ended = record.is_ended
         try:
-            await self._read_results(record)
-            if record.missed_updates == missed_updates:
-                record.is_current = True
-                record.is_end_confirmed = is_ended
+            await self.refresh_from_store(record)
             return
         except stores.StoreError as e:
             reason = e.reason
@@ -169,6 +163,20 @@
         if not record.is_current or record.needs_confirmation():
             await self._apply_snapshot(record)
 
+    async def refresh_from_store(self, record: records.Record) -> None:
+        """Reads the results that a record lacks from the store only.
+
+        Raises:
+            StoreError: If the store cannot be reached.
+        """
+        # Later changes are received, unless missed_updates is incremented.
+        missed_updates = record.missed_updates
+        is_ended = record.is_ended
+        await self._read_results(record)
+        if record.missed_updates == missed_updates:
+            record.is_current = True
+            record.is_end_confirmed = is_ended
+
     async def _read_results(self, record: records.Record) -> None:
         """Adds the results that a record lacks, read from the store."""
         prefix = f"{records.RESULTS_PREFIX}{record.batch.id}/"
@@ -197,6 +205,7 @@
         record.add_chunk(known, snapshot.results[known:])
         if record.missed_updates == missed_updates:
             record.is_current = True
+            record.is_end_confirmed |= snapshot.is_end_confirmed
 
     async def _wait_for_current_mirror(self) -> bool:
         """Waits until another node has confirmed that the mirror is current.
--- a/src/kingcupscale/batches/record.py
+++ b/src/kingcupscale/batches/record.py
@@ -69,6 +69,8 @@
         batch: The batch with all of its items.
         results: Results that are in the store, in order of position.
         is_ended: Whether the client has ended the batch.
+        is_end_confirmed: Whether the results have been read from the store
+            since the batch ended; False from a node of an earlier release.
     """
 
     revision: int
@@ -76,6 +78,7 @@
     batch: batch.Batch
     results: list[batch.Result]
     is_ended: bool
+    is_end_confirmed: bool = False
 
 
 class Origin(enum.Enum):
@@ -177,10 +180,11 @@
         self.batch = without_bodies(self.batch)
 
     def needs_confirmation(self) -> bool:
-        """Returns whether the store may have results of the ended batch.
+        """Returns whether the batch ended and may have further results.
 
         An open batch is read again until it is complete, but a reader of an
-        ended one takes missing results as final.
+        ended one takes missing results as final. So its results have to be read
+        from the store once since the end.
         """
         is_complete = len(self.results) >= len(self.batch.items)
         return self.is_ended and not self.is_end_confirmed and not is_complete
@@ -227,6 +231,7 @@
             self.batch,
             list(self.results),
             self.is_ended,
+            self.is_end_confirmed,
         )
 
 
@@ -257,6 +262,7 @@
     record = Record(
         snapshot.batch,
         snapshot.submitted_ms,
+        is_end_confirmed=snapshot.is_end_confirmed,
         origin=origin,
         origin_revision=snapshot.revision,
     )
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -214,6 +214,10 @@
         """
         ...
 
+    async def confirm(self, record: records.Record) -> bool:
+        """Returns whether a record is as complete as the store."""
+        ...
+
 
 class RelayHandler:
     """Serves followers from this node's mirror.
@@ -269,7 +273,7 @@
             record = await self.batch_cache.load(
                 copy_request.batch, is_read=True, asks_nodes=False
             )
-        if record is None or not record.is_current:
+        if record is None or not await self.batch_cache.confirm(record):
             return message.Response(STATUS_BATCH_UNKNOWN)
         return message.Response(
             200,
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -121,11 +121,15 @@
             self.assertEqual(await pair.read(), 1)
 
     @parameterized.parameterized.expand(
-        [("by_the_followed_node", True), ("by_the_reading_node", False)]
+        [
+            (f"by_the_{writer}_node_{state}", writer, state)
+            for writer in ("followed", "reading")
+            for state in ("open", "ended")
+        ]
     )
     @virtual.on_virtual_time
     async def test_result_received_before_a_load_is_returned(
-        self, _, is_remote
+        self, _, writer, state
     ):
         # A node receives some changes ahead of its mirror's revision. They are
         # not delivered again, so a snapshot has to include them.
@@ -149,9 +153,9 @@
             pair.store.watch = watch_late
             await is_waiting.wait()
             await pair.wait_for_recent_view()
-            writer = pair.leader if is_remote else pair.follower
+            node = pair.leader if writer == "followed" else pair.follower
             result = batch.Result("i0", batch.ResultState.DONE, "i0")
-            await writer.batch_cache.append(
+            await node.batch_cache.append(
                 [(records.from_snapshot(old), records.Chunk([result]))]
             )
             follower = pair.follower.batch_cache
@@ -160,8 +164,9 @@
             await pair.read()
             is_answering.set()
             await trio.sleep(2)
-            await pair.leader.batch_cache.end(record, 5.0)
-            await trio.sleep(2)
+            if state == "ended":
+                await pair.leader.batch_cache.end(record, 5.0)
+                await trio.sleep(2)
             await pair.wait_for_recent_view()
             self.assertEqual(await pair.read(), 1)
 
@@ -253,7 +258,8 @@
     async def test_ended_batch_is_confirmed_before_it_lacks_results(
         self, _, reaches_store, reaches_node
     ):
-        # Whichever way a record came to lack results without a notice of it.
+        # Guards against an ended batch that is answered from an incomplete
+        # record.
         async with fleets.running_pair(items=2) as pair:
             follower = pair.follower.batch_cache
             record = pair.leader.batch_cache.records["b"]
@@ -279,22 +285,60 @@
                     caught.exception.code, errors.ResultCode.STORE_UNAVAILABLE
                 )
 
+    @parameterized.parameterized.expand(
+        [("by_the_store", True), ("by_another_node", False)]
+    )
     @virtual.on_virtual_time
-    async def test_ended_batch_is_confirmed_once(self):
+    async def test_ended_batch_is_confirmed_once(self, _, reaches_store):
         async with fleets.running_pair(items=2) as pair:
+            follower = pair.follower.batch_cache
             await pair.append_result()
             await pair.read()
             await pair.leader.batch_cache.end(
                 pair.leader.batch_cache.records["b"], 5.0
             )
             await trio.sleep(1)
-            record = await pair.follower.batch_cache.find("b", "o")
+            record = await follower.find("b", "o")
+            snapshots = follower.fetcher.fetch_snapshot = unittest.mock.Mock(
+                side_effect=follower.fetcher.fetch_snapshot
+            )
+            if not reaches_store:
+                follower.store.store = UNREACHABLE
             scans = pair.store.scans
             for _ in range(5):
                 await pair.wait_for_recent_view()
-                page = await pair.follower.batch_cache.read(record, 1, 0.0)
-                self.assertEqual(page, [])
+                self.assertEqual(await follower.read(record, 1, 0.0), [])
             self.assertEqual(pair.store.scans, scans + 1)
+            self.assertEqual(snapshots.call_count, int(not reaches_store))
+
+    @virtual.on_virtual_time
+    async def test_incomplete_record_of_another_node_confirms_no_end(self):
+        async with fleets.running_pair(items=2) as pair:
+            leader = pair.leader.batch_cache
+            empty = records.from_snapshot(leader.records["b"].snapshot(10**6))
+            await pair.append_result()
+            await leader.end(leader.records["b"], 5.0)
+            await trio.sleep(1)
+            empty.mark_ended()
+            leader.records["b"] = empty
+            pair.follower.batch_cache.store.store = UNREACHABLE
+            self.assertEqual(await pair.read(), 1)
+
+    @virtual.on_virtual_time
+    async def test_read_that_began_before_the_end_confirms_nothing(self):
+        async with fleets.running_pair(items=2) as pair:
+            leader = pair.leader.batch_cache
+            record = leader.records["b"]
+            scan = pair.store.scan
+
+            async def scan_before_the_end(prefix, after=""):
+                page = await scan(prefix, after)
+                await leader.end(record, 5.0)
+                return page
+
+            pair.store.scan = scan_before_the_end
+            await leader.fetcher.refresh(record)
+            self.assertTrue(record.needs_confirmation())
 
     @parameterized.parameterized.expand(
         [
