Keep sharing crash records when an own one is dropped

What operators would see: a node that ends with a KeyError once it has recorded crashes of more than 1,000 requests, and another node had accepted the oldest of them.

Cause: the oldest record is dropped at the limit, but the list of own records was cleaned only at the next interval.

Change: only own records that are still kept are sent.

Evidence: test_dropped_own_record_is_not_sent raised the KeyError before and passes.

--- a/src/kingcupscale/crashes/sharing.py
+++ b/src/kingcupscale/crashes/sharing.py
@@ -150,7 +150,7 @@
             while True:
                 await self._wait_for_records()
                 self._remove_expired()
-                await self._send_own()
+                await self.send_own()
                 await self.clock.sleep_aligned(SEND_INTERVAL_S)
 
     async def _wait_for_records(self) -> None:
@@ -166,22 +166,29 @@
         for fingerprint in self.own.keys() - self.records.records.keys():
             del self.own[fingerprint]
 
-    async def _send_own(self) -> None:
+    async def send_own(self) -> None:
         """Sends own records to the nodes that have not accepted them."""
         limiter = trio.CapacityLimiter(MAX_CONCURRENT_SENDS)
         async with trio.open_nursery() as nursery:
             for name, address in self.peers.addresses().items():
                 missing = [
-                    self.records.records[fingerprint]
-                    for fingerprint, report in self.own.items()
-                    if report.accepted.get(name)
-                    != self.records.records.get(fingerprint)
+                    record
+                    for record in self._own_records()
+                    if self.own[record.fingerprint].accepted.get(name) != record
                 ]
                 if missing:
                     nursery.start_soon(
                         self._send, name, address, missing, limiter
                     )
 
+    def _own_records(self) -> list[records.CrashRecord]:
+        """Returns the own records that are still kept."""
+        return [
+            self.records.records[fingerprint]
+            for fingerprint in self.own
+            if fingerprint in self.records.records
+        ]
+
     async def _send(
         self,
         name: str,
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -19,6 +19,7 @@
 from kingcupscale.crashes import fingerprint
 from kingcupscale.crashes import guard as guards
 from kingcupscale.crashes import records
+from kingcupscale.crashes import sharing
 from kingcupscale.fakes import virtualtime
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import crashwatch
@@ -221,6 +222,35 @@
         self.assertEqual(len(results), 1)
 
 
+class SharingTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_dropped_own_record_is_not_sent(self):
+        # More requests crash servers than records are kept.
+        clock = virtualtime.VirtualClock()
+        guard = guards.CrashGuard(mock.Mock(), clock, lambda _: True)
+        client = mock.Mock(send=mock.AsyncMock())
+        shared = sharing.CrashSharing(
+            "n1",
+            guard,
+            mock.Mock(addresses=lambda: {"n2": "n2:1"}),
+            client,
+            mock.Mock(),
+            mock.Mock(),
+            clock,
+            random.Random(1),
+        )
+        for number in range(records.MAX_RECORDS + 1):
+            ended_ms = guard.records.now_ms() + number
+            crash = records.Crash("s", 1, ended_ms)
+            guard.records.add_crash(f"r{number}", crash)
+            guard.on_change(f"r{number}")
+            if number == 0:
+                await shared.send_own()
+        await shared.send_own()
+        sent = client.send.call_args.args[1].records
+        self.assertEqual(len(sent), sharing.MAX_RECORDS_PER_MESSAGE)
+
+
 class FingerprintTest(unittest.TestCase):
     BASE = ("POST", "h", "/a/", "x=1", "one", b"body")
 
