Let the crash guard work with any kind of server

Cause: CrashGuard and LossVerifier take a server of the platform's registry. The product's own interface has servers of another type and needs the same decisions.

Change: both are generic over a Protocol with the four values that they read (id, start, last response, whether it was removed). Merging and expiring records with their log lines move from CrashSharing to CrashGuard, so that another way of sharing records need not repeat them. Nothing else changes for the platform.

Evidence: tests.test_crash_records and tests.platform.test_crashing_requests (78 tests) pass without a change to them.

--- a/src/kingcupscale/crashes/guard.py
+++ b/src/kingcupscale/crashes/guard.py
@@ -1,6 +1,7 @@
 """Keeps a node from sending requests that crash backend servers."""
 
 from collections.abc import Callable
+from typing import Generic
 
 import trio
 
@@ -8,12 +9,11 @@
 from kingcupscale import events
 from kingcupscale.crashes import records
 from kingcupscale.crashes import verification
-from kingcupscale.fleet import registry
 
 STEP_INTERVAL_S = 0.1
 
 
-class CrashGuard:
+class CrashGuard(Generic[verification.ServerT]):
     """Records the requests under which servers crash, and blocks them.
 
     Args:
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        probe: verification.ServerProbe,
+        probe: verification.ServerProbe[verification.ServerT],
         clock: clocks.Clock,
         makes_trials: Callable[[str], bool],
     ) -> None:
@@ -56,7 +56,7 @@
         self.records.begin_trial(fingerprint)
         events.log(events.Event.CRASH_TRIAL, fingerprint=fingerprint)
 
-    def note_loss(self, fingerprint: str, server: registry.Server) -> None:
+    def note_loss(self, fingerprint: str, server: verification.ServerT) -> None:
         """Records that the response to a request was cut off."""
         self.verifier.add(fingerprint, server)
         self.has_loss.set()
@@ -68,7 +68,34 @@
             events.log(events.Event.CRASHES_CLEARED, fingerprint=fingerprint)
             self.on_change(fingerprint)
 
-    def _record_crash(self, loss: verification.Loss) -> None:
+    def merge(self, record: records.CrashRecord, source: str) -> bool:
+        """Merges the record of another node; returns whether it was news.
+
+        Args:
+            record: The record.
+            source: Where it comes from, for the log.
+        """
+        if not self.records.merge(record):
+            return False
+        events.log(
+            events.Event.CRASHES_LEARNED,
+            fingerprint=record.fingerprint,
+            source=source,
+            crashes=len(record.crashes),
+            blocked=self.records.records[record.fingerprint].is_blocking(),
+        )
+        return True
+
+    def remove_expired(self) -> None:
+        """Removes records after their retention time."""
+        for record in self.records.remove_expired():
+            events.log(
+                events.Event.CRASHES_EXPIRED, fingerprint=record.fingerprint
+            )
+
+    def _record_crash(
+        self, loss: verification.Loss[verification.ServerT]
+    ) -> None:
         if not self.records.add_crash(loss.fingerprint, loss.crash):
             return
         record = self.records.records[loss.fingerprint]
--- a/src/kingcupscale/crashes/sharing.py
+++ b/src/kingcupscale/crashes/sharing.py
@@ -19,6 +19,7 @@
 from kingcupscale import events
 from kingcupscale.crashes import guard as guards
 from kingcupscale.crashes import records
+from kingcupscale.fleet import registry
 from kingcupscale.peering import calls
 from kingcupscale.peering import crashreports
 from kingcupscale.storage import decoding
@@ -84,7 +85,7 @@
     def __init__(
         self,
         node: str,
-        guard: guards.CrashGuard,
+        guard: guards.CrashGuard[registry.Server],
         peers: Peers,
         client: crashreports.CrashReportClient,
         store: stores.Store,
@@ -93,6 +94,7 @@
         rng: random.Random,
     ) -> None:
         self.node = node
+        self.guard = guard
         self.records = guard.records
         self.peers = peers
         self.client = client
@@ -131,16 +133,8 @@
             self._merge(record, "store")
 
     def _merge(self, record: records.CrashRecord, source: str) -> None:
-        if not self.records.merge(record):
-            return
-        self.has_records.set()
-        events.log(
-            events.Event.CRASHES_LEARNED,
-            fingerprint=record.fingerprint,
-            source=source,
-            crashes=len(record.crashes),
-            blocked=self.records.records[record.fingerprint].is_blocking(),
-        )
+        if self.guard.merge(record, source):
+            self.has_records.set()
 
     async def run(self) -> None:
         """Shares records until cancelled."""
@@ -159,10 +153,7 @@
             self.has_records = trio.Event()
 
     def _remove_expired(self) -> None:
-        for record in self.records.remove_expired():
-            events.log(
-                events.Event.CRASHES_EXPIRED, fingerprint=record.fingerprint
-            )
+        self.guard.remove_expired()
         for fingerprint in self.own.keys() - self.records.records.keys():
             del self.own[fingerprint]
 
--- a/src/kingcupscale/crashes/verification.py
+++ b/src/kingcupscale/crashes/verification.py
@@ -5,13 +5,14 @@
 """
 
 from collections.abc import Callable
+from typing import Generic
 from typing import Protocol
+from typing import TypeVar
 
 import attrs
 
 from kingcupscale import clock as clocks
 from kingcupscale.crashes import records
-from kingcupscale.fleet import registry
 
 # Evidence is looked for after this time. Until then, most requests have been
 # answered by another server, which shows that they crash none.
@@ -23,16 +24,45 @@
 MAX_PENDING = 200
 
 
-class ServerProbe(Protocol):
+class ObservedServer(Protocol):
+    """A server that runs requests, as this node has observed it.
+
+    Attributes:
+        answered_at: Monotonic time of its last response; negative before the
+            first.
+        is_removed: Whether it is known to have ended.
+    """
+
+    answered_at: float
+    is_removed: bool
+
+    @property
+    def id(self) -> str:
+        """Its id."""
+        ...
+
+    @property
+    def start_ms(self) -> int:
+        """Its start time; see ``records.Crash``."""
+        ...
+
+
+ServerT = TypeVar("ServerT", bound=ObservedServer)
+ProbedServerT = TypeVar(
+    "ProbedServerT", bound=ObservedServer, contravariant=True
+)
+
+
+class ServerProbe(Protocol[ProbedServerT]):
     """Finds out whether a server process listens."""
 
-    async def is_listening(self, server: registry.Server) -> bool | None:
+    async def is_listening(self, server: ProbedServerT) -> bool | None:
         """Returns whether a server listens; None if that cannot be told."""
         ...
 
 
 @attrs.define(eq=False)
-class Loss:
+class Loss(Generic[ServerT]):
     """A response that was cut off.
 
     Attributes:
@@ -43,12 +73,12 @@
     """
 
     fingerprint: str
-    server: registry.Server
+    server: ServerT
     lost_at: float
     crash: records.Crash
 
 
-class LossVerifier:
+class LossVerifier(Generic[ServerT]):
     """Verifies which losses are crashes.
 
     Args:
@@ -62,21 +92,21 @@
 
     def __init__(
         self,
-        probe: ServerProbe,
+        probe: ServerProbe[ServerT],
         clock: clocks.Clock,
-        on_crash: Callable[[Loss], None],
+        on_crash: Callable[[Loss[ServerT]], None],
     ) -> None:
         self.probe = probe
         self.clock = clock
         self.on_crash = on_crash
-        self.pending: list[Loss] = []
+        self.pending: list[Loss[ServerT]] = []
 
-    def add(self, fingerprint: str, server: registry.Server) -> None:
+    def add(self, fingerprint: str, server: ServerT) -> None:
         """Adds a response that was cut off just now."""
         if len(self.pending) >= MAX_PENDING:
             return
         ended_ms = int(self.clock.now().timestamp() * 1000)
-        crash = records.Crash(server.id, server.entry.start_ms, ended_ms)
+        crash = records.Crash(server.id, server.start_ms, ended_ms)
         self.pending.append(
             Loss(fingerprint, server, self.clock.monotonic(), crash)
         )
@@ -102,7 +132,7 @@
             if has_ended:
                 self.on_crash(loss)
 
-    async def _has_ended(self, loss: Loss) -> bool | None:
+    async def _has_ended(self, loss: Loss[ServerT]) -> bool | None:
         """Returns whether a server ended; None if that is not known yet."""
         if loss.server.answered_at > loss.lost_at:
             return False
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -172,6 +172,11 @@
         """Its id."""
         return self.entry.id
 
+    @property
+    def start_ms(self) -> int:
+        """Start time of its process, as in its entry."""
+        return self.entry.start_ms
+
     def is_usable(self, now: float) -> bool:
         """Returns whether requests may be sent to it at a monotonic time."""
         return (
--- a/src/kingcupscale/gateway/crashwatch.py
+++ b/src/kingcupscale/gateway/crashwatch.py
@@ -26,7 +26,7 @@
         guard: What is known of requests under which servers crash.
     """
 
-    def __init__(self, guard: guards.CrashGuard) -> None:
+    def __init__(self, guard: guards.CrashGuard[registry.Server]) -> None:
         self.guard = guard
 
     def check(
--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -102,7 +102,7 @@
         eligibility: eligibilities.Eligibility | None = None,
         node: str = "",
         regions: Mapping[str, str] | None = None,
-        crash_guard: guards.CrashGuard | None = None,
+        crash_guard: guards.CrashGuard[registry.Server] | None = None,
     ) -> None:
         self.crash_watch = crashwatch.CrashWatch(
             crash_guard or guards.CrashGuard(client, clock, lambda _: True)
