Block plain calls that crash servers at the product's own interface, too

What callers saw: at the product's own interface, a plain call that crashes each server which runs it came again at any node and ended ever more servers: 127 tries (POST) and 230 (GET, which a node retries) in 120 s later than 3 s after the third crash, in a world of four nodes and six servers that restart within 2 s.

Cause: the crash guard was built into the platform's stack only.

Change: PlainServiceClient checks each call of a caller before it waits for a server and right before the first byte is sent, and records lost connections and answers (serving/crashwatch.py). A blocked call that was not sent is refused at once with 1216, 503, not run, which releases an idempotency key; one that was sent ends with BACKEND_REFUSED, outcome unknown. Scoring calls of trainers are left out. Nodes share their records through gossip (serving/crashgossip.py): a new field of the Gossip message, which is empty without records and has at most 50; a node that has verified a crash exchanges messages with up to 16 peers at once. Nodes of an earlier release ignore the field. Trials are made by the first live node in the rendezvous order of the fingerprint. The start time of a server is unknown here, so crashes of one server count once per second.

--- a/src/kingcupscale/node.py
+++ b/src/kingcupscale/node.py
@@ -22,6 +22,7 @@
 from kingcupscale.configuration import log
 from kingcupscale.configuration import replica
 from kingcupscale.configuration import replication
+from kingcupscale.crashes import guard as guards
 from kingcupscale.duties import candidates
 from kingcupscale.duties import journal
 from kingcupscale.duties import lease
@@ -46,6 +47,8 @@
 from kingcupscale.serving import callerapi
 from kingcupscale.serving import claims
 from kingcupscale.serving import completion
+from kingcupscale.serving import crashgossip
+from kingcupscale.serving import crashwatch
 from kingcupscale.serving import generation
 from kingcupscale.serving import plainexplainer
 from kingcupscale.serving import plainservices
@@ -198,6 +201,17 @@
         self.pools = services.Services(
             self.replica, self.clock, self.dependencies.rng
         )
+        self.crash_guard = guards.CrashGuard(
+            crashwatch.HttpServerProbe(http_client),
+            self.clock,
+            functools.partial(crashgossip.makes_trials, self.members),
+        )
+        self.crash_gossip = crashgossip.CrashGossip(
+            self.crash_guard,
+            self.gossip,
+            self.clock,
+            self.dependencies.rng,
+        )
         key_ring = keys.KeyRing(self.replica)
         self.sessions = sessions.Sessions(key_ring)
         generator = generation.Generator(
@@ -209,6 +223,7 @@
             claims.ClaimStore(self.store, name),
             self.counters,
             self.metrics,
+            self.crash_guard,
         )
         self.publications = publication.Publications(self.store, self.clock)
         self.rollouts = rollouts.RolloutService(
@@ -255,6 +270,8 @@
             nursery.start_soon(self.pools.run)
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(self.counter_replicator.run)
+            nursery.start_soon(self.crash_guard.run)
+            nursery.start_soon(self.crash_gossip.run)
             nursery.start_soon(self._run_after_catch_up, nursery)
             await self.drain_requested.wait()
             await self._drain()
--- a/src/kingcupscale/rollouts/scoring.py
+++ b/src/kingcupscale/rollouts/scoring.py
@@ -66,7 +66,13 @@
         request = message.json_request(
             SCORE_PATH, ScoreRequest(prompt, " ".join(sample.tokens))
         )
-        call = plainservices.Call(self.service, SCORE_PATH, request, self.grant)
+        call = plainservices.Call(
+            self.service,
+            SCORE_PATH,
+            request,
+            self.grant,
+            is_background=True,
+        )
         response = await self.plain_service_client.call(call)
         try:
             return codec.decode(ScoreResponse, response.body).score
--- a/src/kingcupscale/serving/plainservices.py
+++ b/src/kingcupscale/serving/plainservices.py
@@ -14,7 +14,9 @@
 from kingcupscale import metrics as metric
 from kingcupscale.configuration import document
 from kingcupscale.configuration import keys
+from kingcupscale.crashes import guard as guards
 from kingcupscale.serving import claims
+from kingcupscale.serving import crashwatch
 from kingcupscale.serving import generation
 from kingcupscale.serving import routing
 from kingcupscale.serving import scheduler
@@ -42,12 +44,15 @@
         path: Path at the service.
         request: The caller's request.
         grant: The access rights of the caller's key.
+        is_background: Whether the call is part of a trainer's work. Such a call
+            is owed and never refused because servers crash under it.
     """
 
     service: str
     path: str
     request: message.Request
     grant: keys.Grant
+    is_background: bool = False
 
 
 class PlainServiceClient:
@@ -61,6 +66,7 @@
         claim_store: Claims Idempotency-Keys across nodes.
         counters: Usage counters.
         metrics: Histograms.
+        crash_guard: Blocks calls under which servers crash.
     """
 
     def __init__(
@@ -70,12 +76,14 @@
         claim_store: claims.ClaimStore,
         counters: counter.Counters,
         metrics: metric.Metrics,
+        crash_guard: guards.CrashGuard[crashwatch.ServerRun],
     ) -> None:
         self.pools = pools
         self.http_client = http_client
         self.claim_store = claim_store
         self.counters = counters
         self.metrics = metrics
+        self.crash_guard = crash_guard
         self.clock = pools.clock
 
     async def call(self, call: Call) -> message.Response:
@@ -137,15 +145,18 @@
         self, pool: services.ServicePool, call: Call, is_idempotent: bool
     ) -> message.Response:
         excluded: set[str] = set()
+        watch = self._make_watch(call)
         for attempt in range(MAX_ATTEMPTS):
+            watch.check()
             if attempt and not pool.retry_budget.try_spend():
                 break
             slot_request = self._make_slot_request(call, excluded)
             async with pool.scheduler.slot(slot_request) as state:
                 try:
-                    return await self._send(pool, call, state)
+                    return await self._send(pool, call, state, watch)
                 except httpclient.RequestError as e:
                     pool.router.record_failure(state)
+                    watch.note_failure(state, e)
                     if e.may_have_been_sent and not is_idempotent:
                         raise _unknown_outcome(e.reason) from e
                     excluded = {*excluded, state.name}
@@ -156,6 +167,21 @@
             errors.ResultCode.BACKEND_REFUSED, run=run, retry_after_s=1
         )
 
+    def _make_watch(self, call: Call) -> crashwatch.Watch:
+        if call.is_background:
+            return crashwatch.UNWATCHED
+        content = crashwatch.CallContent(
+            call.service,
+            call.request.method,
+            call.path,
+            call.request.query,
+            call.grant.organisation,
+            call.request.body,
+        )
+        return crashwatch.CallWatch(
+            self.crash_guard, content, errors.ResultCode.BACKEND_REFUSED
+        )
+
     def _make_requirements(
         self, excluded: set[str]
     ) -> routing.ServerRequirements:
@@ -177,8 +203,10 @@
         pool: services.ServicePool,
         call: Call,
         state: routing.ServerState,
+        watch: crashwatch.Watch,
     ) -> message.Response:
         request = _make_request(call)
+        request.before_send = watch.check_and_send
         response = await httpclient.fetch(
             self.http_client,
             state.server.address,
@@ -203,6 +231,7 @@
                 may_have_been_sent=True,
             )
         pool.router.record_success(state)
+        watch.note_answer()
         self.counters.add(call.grant.label, call.grant.service_class, 1)
         headers = {
             name: response.headers[name]
--- a/src/kingcupscale/serving/routing.py
+++ b/src/kingcupscale/serving/routing.py
@@ -41,6 +41,8 @@
         ejected_until: Monotonic time until which it gets no requests.
         is_leaving: Whether it gets no new requests because it is draining or
             was removed from the configuration.
+        answered_at: Monotonic time of its last success; negative before the
+            first.
     """
 
     name: str
@@ -51,6 +53,7 @@
     failures: int = 0
     ejected_until: float = 0.0
     is_leaving: bool = False
+    answered_at: float = -1e9
 
     def load(self, now: float) -> float:
         """Returns the estimated number of running requests.
@@ -205,6 +208,7 @@
     def record_success(self, state: ServerState) -> None:
         """Resets a server's failure count after a success."""
         state.failures = 0
+        state.answered_at = self.clock.monotonic()
 
     def record_failure(self, state: ServerState) -> None:
         """Ejects a server, twice as long after each consecutive failure."""
