Block completions that crash engines at the product's own interface

What callers saw: a completion that crashes each engine which runs it ended ever more engines: 315 tries in 120 s later than 3 s after the third crash, streamed or not, in a world of four nodes and six engines that restart within 2 s; 362 and 361 if the engine ended during the response.

Cause: a node sends a completion to up to five engines, and callers repeat it at other nodes; the crash guard watched plain calls only.

Change: Completions passes a watch to Generator.generate. Samples for trainers have none: they are owed. Completions are equal if engines are to do the same: organisation, service, adapter, prompt, seed and number of tokens. The five attempts of one completion took less time than the verification of a crash, so a call with three lost connections waits until these are verified (0.5 s, up to 6 s if a server does not respond) before a further attempt. Without that wait, one completion ended five engines, so its trial was due after 300 s instead of 15 s (none came within 120 s). The in-memory network marks a stream whose server has ended as a lost connection, as the real client does.

Evidence: the completion and stream rows of test_few_servers_end_once_all_nodes, test_refusal_is_immediate and test_call_that_was_sent failed before (the figures above, 502 instead of 503) and pass; the rows of begun responses fail without the change of the in-memory network (362 and 361), and test_answered_trial failed without the wait.

--- a/src/kingcupscale/crashes/guard.py
+++ b/src/kingcupscale/crashes/guard.py
@@ -56,6 +56,11 @@
         self.records.begin_trial(fingerprint)
         events.log(events.Event.CRASH_TRIAL, fingerprint=fingerprint)
 
+    async def wait_for_verification(self, fingerprint: str) -> None:
+        """Waits until all losses of a request are verified."""
+        while self.verifier.is_pending(fingerprint):
+            await self.clock.sleep_aligned(STEP_INTERVAL_S)
+
     def note_loss(self, fingerprint: str, server: verification.ServerT) -> None:
         """Records that the response to a request was cut off."""
         self.verifier.add(fingerprint, server)
--- a/src/kingcupscale/crashes/verification.py
+++ b/src/kingcupscale/crashes/verification.py
@@ -117,6 +117,10 @@
             loss for loss in self.pending if loss.fingerprint != fingerprint
         ]
 
+    def is_pending(self, fingerprint: str) -> bool:
+        """Returns whether a loss of a request is not verified yet."""
+        return any(loss.fingerprint == fingerprint for loss in self.pending)
+
     async def step(self) -> None:
         """Verifies the losses that are due."""
         now = self.clock.monotonic()
--- a/src/kingcupscale/fakes/network.py
+++ b/src/kingcupscale/fakes/network.py
@@ -290,7 +290,9 @@
                 await self.network.gate(self.caller)
                 if not self._reaches(name):
                     raise httpclient.RequestError(
-                        "cut off", may_have_been_sent=True
+                        "cut off",
+                        may_have_been_sent=True,
+                        is_connection_lost=not self.network.is_up(name),
                     )
                 if chunk is None:
                     return
--- a/src/kingcupscale/node.py
+++ b/src/kingcupscale/node.py
@@ -242,7 +242,11 @@
             self.admission,
             self.sessions,
             completion.Completions(
-                generator, self.sessions, self.clock, self.metrics
+                generator,
+                self.sessions,
+                self.clock,
+                self.metrics,
+                self.crash_guard,
             ),
             plain_service_client,
             self.rollouts,
--- a/src/kingcupscale/serving/completion.py
+++ b/src/kingcupscale/serving/completion.py
@@ -18,6 +18,8 @@
 from kingcupscale import metrics as metric
 from kingcupscale.configuration import document
 from kingcupscale.configuration import keys
+from kingcupscale.crashes import guard as guards
+from kingcupscale.serving import crashwatch
 from kingcupscale.serving import generation
 from kingcupscale.serving import sessions
 from kingcupscale.web import message
@@ -154,6 +156,7 @@
         open_sessions: The node's open requests.
         clock: Source of the time.
         metrics: Latency histograms.
+        crash_guard: Blocks requests under which engines crash.
     """
 
     def __init__(
@@ -162,11 +165,13 @@
         open_sessions: sessions.Sessions,
         clock: clocks.Clock,
         metrics: metric.Metrics,
+        crash_guard: guards.CrashGuard[crashwatch.ServerRun],
     ) -> None:
         self.generator = generator
         self.sessions = open_sessions
         self.clock = clock
         self.metrics = metrics
+        self.crash_guard = crash_guard
 
     async def serve(
         self, request: message.Request, grant: keys.Grant, is_chat: bool
@@ -232,12 +237,31 @@
         )
         return message.Response(200, {"content-type": "application/json"}, body)
 
+    def _generate(
+        self, job: generation.Job
+    ) -> AsyncIterator[generation.TokenChunk]:
+        """Returns the chunks of a response; see ``Generator.generate``.
+
+        Requests are equal if they make engines do the same, whatever the other
+        fields of their bodies are.
+        """
+        content = crashwatch.CallContent(
+            job.service,
+            "POST",
+            "/generate",
+            "",
+            job.organisation,
+            codec.encode([job.adapter, job.prompt, job.seed, job.max_tokens]),
+        )
+        watch = crashwatch.CallWatch(
+            self.crash_guard, content, errors.ResultCode.BACKEND_FAILED
+        )
+        return self.generator.generate(job, watch)
+
     async def _collect(self, job: generation.Job) -> list[str]:
         started_at = self.clock.monotonic()
         tokens: list[str] = []
-        async with contextlib.aclosing(
-            self.generator.generate(job)
-        ) as token_chunks:
+        async with contextlib.aclosing(self._generate(job)) as token_chunks:
             async for token_chunk in token_chunks:
                 if not tokens:
                     self._record(job, metric.Measure.FIRST_TOKEN_MS, started_at)
@@ -252,7 +276,7 @@
         response_format: _ResponseFormat,
     ) -> AsyncIterator[bytes]:
         started_at = self.clock.monotonic()
-        token_chunks = self.generator.generate(job)
+        token_chunks = self._generate(job)
         is_first = True
         with self.sessions.open(grant) as session:
             async with contextlib.aclosing(token_chunks):
--- a/src/kingcupscale/serving/crashwatch.py
+++ b/src/kingcupscale/serving/crashwatch.py
@@ -91,7 +91,7 @@
 class Watch(Protocol):
     """Is told of the attempts of a call, and may prevent them."""
 
-    def check(self) -> None:
+    async def check(self) -> None:
         """Checks whether the call may be sent to a further server.
 
         Raises:
@@ -121,7 +121,7 @@
 class Unwatched:
     """A ``Watch`` that prevents and records nothing."""
 
-    def check(self) -> None:
+    async def check(self) -> None:
         """Allows the call."""
 
     def check_and_send(self) -> None:
@@ -150,6 +150,7 @@
     Attributes:
         is_trial: Whether the call is blocked and sent once more.
         is_sent: Whether a byte of it may have been sent.
+        losses: Number of its attempts that were cut off.
     """
 
     def __init__(
@@ -163,6 +164,7 @@
         self.sent_code = sent_code
         self.is_trial = False
         self.is_sent = False
+        self.losses = 0
 
     @functools.cached_property
     def fingerprint(self) -> str:
@@ -177,11 +179,17 @@
             content.body,
         )
 
-    def check(self) -> None:
+    async def check(self) -> None:
         """Checks whether the call may be sent to a further server.
 
-        A call that is sent as a trial may run once.
+        A call that is sent as a trial may run once. A call whose own attempts
+        would block it waits until it is known whether their servers have ended.
         """
+        if self.losses >= records.BLOCKING_CRASHES:
+            await self.guard.wait_for_verification(self.fingerprint)
+        self._check_permission()
+
+    def _check_permission(self) -> None:
         if self.guard.is_idle() or (self.is_trial and not self.is_sent):
             return
         permission = self.guard.find_permission(self.fingerprint)
@@ -196,7 +204,7 @@
 
         A call may have waited for a server or a connection since ``check``.
         """
-        self.check()
+        self._check_permission()
         self.is_sent = True
 
     def _make_error(
@@ -228,6 +236,7 @@
     ) -> None:
         """Records that an attempt got no complete response."""
         if error.is_connection_lost:
+            self.losses += 1
             now_ms = self.guard.records.now_ms()
             start_ms = now_ms - now_ms % RUN_INTERVAL_MS
             self.guard.note_loss(self.fingerprint, ServerRun(state, start_ms))
--- a/src/kingcupscale/serving/generation.py
+++ b/src/kingcupscale/serving/generation.py
@@ -18,6 +18,7 @@
 from kingcupscale import metrics as metric
 from kingcupscale.configuration import document
 from kingcupscale.providers import engine
+from kingcupscale.serving import crashwatch
 from kingcupscale.serving import routing
 from kingcupscale.serving import scheduler
 from kingcupscale.serving import services
@@ -107,9 +108,15 @@
         self.metrics = metrics
         self.clock = pools.clock
 
-    async def generate(self, job: Job) -> AsyncIterator[TokenChunk]:
+    async def generate(
+        self, job: Job, watch: crashwatch.Watch = crashwatch.UNWATCHED
+    ) -> AsyncIterator[TokenChunk]:
         """Yields the chunks of one response.
 
+        Args:
+            job: The text to generate.
+            watch: Is told of the attempts, and may prevent them.
+
         Raises:
             ServiceError: If the response could not be completed.
         """
@@ -118,12 +125,13 @@
         received: list[str] = []
         excluded: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
+            await watch.check()
             if attempt and not pool.retry_budget.try_spend():
                 break
             slot_request = self._make_slot_request(job, excluded, len(received))
             try:
                 token_chunks = self._run_attempt(
-                    pool, job, slot_request, list(received)
+                    pool, job, slot_request, list(received), watch
                 )
                 async with contextlib.aclosing(token_chunks):
                     async for token_chunk in token_chunks:
@@ -191,6 +199,7 @@
         job: Job,
         slot_request: scheduler.SlotRequest,
         received: list[str],
+        watch: crashwatch.Watch,
     ) -> AsyncIterator[TokenChunk]:
         queued_at = self.clock.monotonic()
         async with pool.scheduler.slot(slot_request) as state:
@@ -198,7 +207,7 @@
             self.metrics.record(
                 job.label, job.class_name, metric.Measure.QUEUE_MS, queue_ms
             )
-            token_chunks = self._stream(pool, job, state, received)
+            token_chunks = self._stream(pool, job, state, received, watch)
             async with contextlib.aclosing(token_chunks):
                 async for token_chunk in token_chunks:
                     yield token_chunk
@@ -209,6 +218,7 @@
         job: Job,
         state: routing.ServerState,
         received: list[str],
+        watch: crashwatch.Watch,
     ) -> AsyncIterator[TokenChunk]:
         """Yields the remaining chunks of a response from one engine.
 
@@ -218,6 +228,7 @@
         generate_request = _make_request(job, received)
         request = message.json_request("/generate", generate_request)
         request.headers[ORGANISATION_HEADER] = job.label
+        request.before_send = watch.check_and_send
         position = len(received)
         last: TokenChunk | None = None
         if not received:
@@ -247,12 +258,14 @@
                         else:
                             yield token_chunk
         except httpclient.RequestError as e:
+            watch.note_failure(state, e)
             raise _InvalidResponseError(e.reason) from e
         if last is None:
             raise _InvalidResponseError(
                 "the response ended before its last chunk"
             )
         pool.router.record_success(state)
+        watch.note_answer()
         yield last
 
     def _count_tokens(self, job: Job, chunk: engine.GenerateChunk) -> None:
--- a/src/kingcupscale/serving/plainservices.py
+++ b/src/kingcupscale/serving/plainservices.py
@@ -147,7 +147,7 @@
         excluded: set[str] = set()
         watch = self._make_watch(call)
         for attempt in range(MAX_ATTEMPTS):
-            watch.check()
+            await watch.check()
             if attempt and not pool.retry_budget.try_spend():
                 break
             slot_request = self._make_slot_request(call, excluded)
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -32,6 +32,7 @@
 MAX_LATE_TRIES = 3
 INTERVAL_S = 0.9
 RESTART_S = 2.0
+BEFORE_RESPONSE_S = 0.01
 REFUSED = errors.ResultCode.CRASHES_SERVERS.number
 FATAL = "fatal"
 
@@ -56,6 +57,8 @@
 KINDS = [
     ("call", make_call),
     ("retried_call", make_retried_call),
+    ("completion", make_completion),
+    ("stream", make_stream),
 ]
 
 
@@ -65,6 +68,7 @@
     Attributes:
         tries: Times at which a server began to run a fatal call.
         is_fatal: Whether servers still end under it.
+        crash_after_s: Time after which they end.
     """
 
     def __init__(self, cluster):
@@ -72,6 +76,7 @@
         self.rng = random.Random(1)
         self.tries = []
         self.is_fatal = True
+        self.crash_after_s = 0.0
         cluster.network.on_crash = self._restart_soon
         for name, handler in cluster.world.server_handlers().items():
             crashing = self._make_handler(name, handler)
@@ -82,12 +87,16 @@
             if FATAL.encode() in request.body + request.query.encode():
                 self.tries.append(trio.current_time())
                 if self.is_fatal:
-                    await trio.sleep(0.01)
-                    self.cluster.network.crash(name)
+                    self.cluster.nursery.start_soon(self._crash, name)
+                    await trio.sleep(BEFORE_RESPONSE_S)
             return await handler(request)
 
         return run
 
+    async def _crash(self, name):
+        await trio.sleep(self.crash_after_s)
+        self.cluster.network.crash(name)
+
     def _restart_soon(self, name):
         self.cluster.nursery.start_soon(self._restart, name)
 
@@ -112,11 +121,20 @@
 
 
 class CrashingCallTest(unittest.TestCase):
-    @parameterized.parameterized.expand(KINDS)
+    @parameterized.parameterized.expand(
+        [
+            *[(*kind, 0.0) for kind in KINDS],
+            ("begun_completion", make_completion, 0.03),
+            ("begun_stream", make_stream, 0.03),
+        ]
+    )
     @virtual.on_virtual_time
-    async def test_few_servers_end_once_all_nodes_know(self, _, make):
+    async def test_few_servers_end_once_all_nodes_know(
+        self, _, make, crash_after_s
+    ):
         async with clusters.running(SIZE) as cluster:
             crashes = Crashes(cluster)
+            crashes.crash_after_s = crash_after_s
             await crashes.send_often(make, 120)
             known_at = crashes.tries[CRASHES - 1] + CONTACT_S
             late = [at for at in crashes.tries if at > known_at]
