--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -213,6 +213,34 @@
         "tests.test_configuration.ClusterTest"
         ".test_change_without_confirming_majority_is_not_accepted",
     ),
+    breaks.Break(
+        "crashes under a call are known to other nodes",
+        "serving/crashgossip.py",
+        "for record in reports.records[:MAX_RECORDS_PER_MESSAGE]:",
+        "for record in reports.records[:0]:",
+        "tests.test_crashing_calls",
+    ),
+    breaks.Break(
+        "a completion waits for the verification of its crashes",
+        "serving/crashwatch.py",
+        "if self.losses >= records.BLOCKING_CRASHES:",
+        "if self.losses >= 99:",
+        "tests.test_crashing_calls",
+    ),
+    breaks.Break(
+        "a call that was sent and crashed servers is not refused as not run",
+        "serving/crashwatch.py",
+        "self.is_sent = True",
+        "self.is_sent = False",
+        "tests.test_crashing_calls",
+    ),
+    breaks.Break(
+        "a trainer's call is sent although servers crash under it",
+        "serving/plainservices.py",
+        "if call.is_background:",
+        "if False:",
+        "tests.test_crashing_calls",
+    ),
 )
 
 
