--- a/src/kingcupscale/crashes/verification.py
+++ b/src/kingcupscale/crashes/verification.py
@@ -5,13 +5,14 @@
 """
 
 from collections.abc import Callable
+from typing import Generic
 from typing import Protocol
+from typing import TypeVar
 
 import attrs
 
 from kingcupscale import clock as clocks
 from kingcupscale.crashes import records
-from kingcupscale.fleet import registry
 
 # Evidence is looked for after this time. Until then, most requests have been
 # answered by another server, which shows that they crash none.
@@ -23,16 +24,47 @@
 MAX_PENDING = 200
 
 
-class ServerProbe(Protocol):
+class ObservedServer(Protocol):
+    """A server that runs requests, as this node has observed it.
+
+    Attributes:
+        answered_at: Monotonic time of its last response; negative before the
+            first.
+        is_removed: Whether it is known to have ended.
+        is_restart_visible: Whether a restart sets ``is_removed``.
+    """
+
+    answered_at: float
+    is_removed: bool
+    is_restart_visible: bool
+
+    @property
+    def id(self) -> str:
+        """Its id."""
+        ...
+
+    @property
+    def start_ms(self) -> int:
+        """Its start time; see ``records.Crash``."""
+        ...
+
+
+ServerT = TypeVar("ServerT", bound=ObservedServer)
+ProbedServerT = TypeVar(
+    "ProbedServerT", bound=ObservedServer, contravariant=True
+)
+
+
+class ServerProbe(Protocol[ProbedServerT]):
     """Finds out whether a server process listens."""
 
-    async def is_listening(self, server: registry.Server) -> bool | None:
+    async def is_listening(self, server: ProbedServerT) -> bool | None:
         """Returns whether a server listens; None if that cannot be told."""
         ...
 
 
 @attrs.define(eq=False)
-class Loss:
+class Loss(Generic[ServerT]):
     """A response that was cut off.
 
     Attributes:
@@ -44,13 +76,13 @@
     """
 
     fingerprint: str
-    server: registry.Server
+    server: ServerT
     lost_at: float
     crash: records.Crash
     is_listening: bool = False
 
 
-class LossVerifier:
+class LossVerifier(Generic[ServerT]):
     """Verifies which losses are crashes.
 
     Args:
@@ -64,21 +96,21 @@
 
     def __init__(
         self,
-        probe: ServerProbe,
+        probe: ServerProbe[ServerT],
         clock: clocks.Clock,
-        on_crash: Callable[[Loss], None],
+        on_crash: Callable[[Loss[ServerT]], None],
     ) -> None:
         self.probe = probe
         self.clock = clock
         self.on_crash = on_crash
-        self.pending: list[Loss] = []
+        self.pending: list[Loss[ServerT]] = []
 
-    def add(self, fingerprint: str, server: registry.Server) -> None:
+    def add(self, fingerprint: str, server: ServerT) -> None:
         """Adds a response that was cut off just now."""
         if len(self.pending) >= MAX_PENDING:
             return
         ended_ms = int(self.clock.now().timestamp() * 1000)
-        crash = records.Crash(server.id, server.entry.start_ms, ended_ms)
+        crash = records.Crash(server.id, server.start_ms, ended_ms)
         self.pending.append(
             Loss(fingerprint, server, self.clock.monotonic(), crash)
         )
@@ -89,6 +121,10 @@
             loss for loss in self.pending if loss.fingerprint != fingerprint
         ]
 
+    def is_pending(self, fingerprint: str) -> bool:
+        """Returns whether a loss of a request is not verified yet."""
+        return any(loss.fingerprint == fingerprint for loss in self.pending)
+
     async def step(self) -> None:
         """Verifies the losses that are due."""
         now = self.clock.monotonic()
@@ -104,7 +140,7 @@
             if has_ended:
                 self.on_crash(loss)
 
-    async def _has_ended(self, loss: Loss) -> bool | None:
+    async def _has_ended(self, loss: Loss[ServerT]) -> bool | None:
         """Returns whether a server ended; None if that is not known yet."""
         if loss.server.answered_at > loss.lost_at:
             return False
@@ -116,4 +152,6 @@
             return None
         is_listening = await self.probe.is_listening(loss.server)
         loss.is_listening = bool(is_listening)
+        if is_listening and not loss.server.is_restart_visible:
+            return False
         return True if is_listening is False else None
--- a/src/kingcupscale/fleet/registry.py
+++ b/src/kingcupscale/fleet/registry.py
@@ -127,6 +127,7 @@
             there; None before the first.
         answered_at: Monotonic time of the last response to a call; negative
             before the first.
+        is_restart_visible: Always true: a restart replaces the entry.
         no_samples_until: Monotonic time, by model, before which it accepts no
             samples of the model because it is loading weights for it.
         samples_held_until: Monotonic time, by model, before which it gets no
@@ -158,6 +159,7 @@
     relative_latency: float = 1.0
     observed_at: float | None = None
     answered_at: float = -1e9
+    is_restart_visible: bool = True
     no_samples_until: dict[str, float] = attrs.field(factory=dict)
     samples_held_until: dict[str, float] = attrs.field(factory=dict)
     loading_until: float = 0.0
@@ -172,6 +174,11 @@
         """Its id."""
         return self.entry.id
 
+    @property
+    def start_ms(self) -> int:
+        """Start time of its process, as in its entry."""
+        return self.entry.start_ms
+
     def is_usable(self, now: float) -> bool:
         """Returns whether requests may be sent to it at a monotonic time."""
         return (
