Start the tasks for crash records only when there is a record

Cause: two tasks more in each node change the order in which trio runs the others.

Change: the tasks start with the first loss or record.

--- a/src/kingcupscale/crashes/guard.py
+++ b/src/kingcupscale/crashes/guard.py
@@ -27,6 +27,7 @@
         verifier: Verifies which responses were cut off by a crash.
         on_change: Called with a fingerprint when this node itself has learned
             something about the request.
+        on_active: Called when there is a loss to verify, or a record to share.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
             probe, clock, self._record_crash
         )
         self.on_change: Callable[[str], None] = _ignore
+        self.on_active: Callable[[], None] = _do_nothing
         self.has_loss = trio.Event()
 
     def is_idle(self) -> bool:
@@ -65,6 +67,7 @@
         """Records that the response to a request was cut off."""
         self.verifier.add(fingerprint, server)
         self.has_loss.set()
+        self.on_active()
 
     def note_answer(self, fingerprint: str) -> None:
         """Records that a server has answered a request."""
@@ -82,6 +85,7 @@
         """
         if not self.records.merge(record):
             return False
+        self.on_active()
         events.log(
             events.Event.CRASHES_LEARNED,
             fingerprint=record.fingerprint,
@@ -125,3 +129,7 @@
 
 def _ignore(_: str) -> None:
     """Does nothing."""
+
+
+def _do_nothing() -> None:
+    """Does nothing."""
--- a/src/kingcupscale/node.py
+++ b/src/kingcupscale/node.py
@@ -23,6 +23,7 @@
 from kingcupscale.configuration import replica
 from kingcupscale.configuration import replication
 from kingcupscale.crashes import guard as guards
+from kingcupscale.crashes import lazytasks
 from kingcupscale.duties import candidates
 from kingcupscale.duties import journal
 from kingcupscale.duties import lease
@@ -212,6 +213,10 @@
             self.clock,
             self.dependencies.rng,
         )
+        self.crash_tasks = lazytasks.LazyTasks(
+            self.crash_guard.run, self.crash_gossip.run
+        )
+        self.crash_guard.on_active = self.crash_tasks.need
         key_ring = keys.KeyRing(self.replica)
         self.sessions = sessions.Sessions(key_ring)
         generator = generation.Generator(
@@ -274,8 +279,7 @@
             nursery.start_soon(self.pools.run)
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(self.counter_replicator.run)
-            nursery.start_soon(self.crash_guard.run)
-            nursery.start_soon(self.crash_gossip.run)
+            self.crash_tasks.attach(nursery)
             nursery.start_soon(self._run_after_catch_up, nursery)
             await self.drain_requested.wait()
             await self._drain()
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -21,6 +21,7 @@
 from kingcupscale.batches import maintenance
 from kingcupscale.batches import record as records
 from kingcupscale.crashes import guard as guards
+from kingcupscale.crashes import lazytasks
 from kingcupscale.crashes import sharing
 from kingcupscale.fleet import catalogue
 from kingcupscale.fleet import coldshares
@@ -86,6 +87,7 @@
         cluster_state: Configuration, servers and target weight versions.
         crash_guard: Blocks requests under which servers crash.
         crash_sharing: Shares the records of these requests between nodes.
+        crash_tasks: Starts the tasks of both.
         eligibility: Excludes servers from requests.
         cold_senders: The nodes that share the requests to cold servers.
         readiness: Decides whether the node may accept requests.
@@ -252,6 +254,10 @@
             self.clock,
             deps.rng,
         )
+        self.crash_tasks = lazytasks.LazyTasks(
+            self.crash_guard.run, self.crash_sharing.run
+        )
+        self.crash_guard.on_active = self.crash_tasks.need
         self.forwarder = forwarder.Forwarder(
             admission,
             self.server_registry,
@@ -473,8 +479,6 @@
                 self._update_interest,
                 self.announcer.run,
                 self.announcement_receiver.run,
-                self.crash_guard.run,
-                self.crash_sharing.run,
                 self.session.run,
                 self.registration.run,
                 self._remove_expired_servers,
@@ -483,6 +487,7 @@
                 self._report_usage,
             ):
                 nursery.start_soon(task)
+            self.crash_tasks.attach(nursery)
             await self.drain_requested.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
