--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,8 @@
 ITEMS_PER_BATCH = 8
 # Statuses which promise that the request did not run and will not run later.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Code of the refusal of a request under which servers crash.
+BLOCKED_CODE = b'"code":1216'
 # This long after the response to a DELETE, no request of the batch may run.
 CANCEL_GRACE_S = 3.0
 
@@ -66,6 +68,8 @@
                 self.add_problem("body", request_id, response.body[:40])
         elif status in (401, 403, 404):
             self.add_problem("denied", request_id, status)
+        elif status and BLOCKED_CODE in response.body:
+            self.add_problem("harmless call blocked", request_id)
 
     def check_page(self, batch_id, after, page, node):
         """Checks a page of results against the results read before."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,6 +25,8 @@
         address: ``host:port`` it listens on.
         delay_s: Seconds by which each chunk is delayed.
         is_refusing: Whether new connections are reset.
+        serving: Scope in which it listens.
+        closed_s: Seconds for which it does not listen after ``close_for``.
         stalled_directions: Directions in which data is held until ``heal``:
             "up" towards the target, "down" from it.
     """
@@ -35,18 +37,31 @@
         self.address = ""
         self.delay_s = 0.0
         self.is_refusing = False
+        self.serving = trio.CancelScope()
+        self.closed_s = 0.0
         self.stalled_directions: set[str] = set()
         self.streams: set[trio.SocketStream] = set()
         self.healed = trio.Event()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled."""
-        (listener,) = await trio.open_tcp_listeners(0, host=self.host)
-        port = listener.socket.getsockname()[1]
-        self.address = f"{self.host}:{port}"
-        await trio.serve_listeners(
-            self._forward, [listener], task_status=task_status
-        )
+        port = 0
+        while True:
+            (listener,) = await trio.open_tcp_listeners(port, host=self.host)
+            port = listener.socket.getsockname()[1]
+            self.address = f"{self.host}:{port}"
+            with trio.CancelScope() as self.serving:
+                await trio.serve_listeners(
+                    self._forward, [listener], task_status=task_status
+                )
+            task_status = trio.TASK_STATUS_IGNORED
+            await trio.sleep(self.closed_s)
+
+    def close_for(self, seconds):
+        """Resets all connections and stops listening for some seconds."""
+        self.closed_s = seconds
+        self.reset_all()
+        self.serving.cancel()
 
     def reset_all(self):
         """Resets all open connections."""
--- a/tests/soak/session.py
+++ b/tests/soak/session.py
@@ -16,6 +16,7 @@
 
 from tests.soak import callers
 from tests.soak import evacuations
+from tests.soak import fatal
 from tests.soak import faults
 from tests.soak import uncontrolled
 from tests.soak import world as worlds
@@ -66,7 +67,12 @@
             log_folder = pathlib.Path(folder or temporary) / f"seed-{seed}"
             log_folder.mkdir(parents=True, exist_ok=True)
             world = worlds.World(
-                log_folder, nursery, worlds.make_rng(seed, "platform")
+                log_folder,
+                nursery,
+                worlds.make_rng(seed, "platform"),
+                fatal.PLAIN_SERVERS
+                if fatal.is_drawn(seed)
+                else worlds.PLAIN_SERVERS,
             )
             session = Session(world, seed)
             try:
@@ -101,6 +107,13 @@
         self.evacuations = evacuations.Evacuations(
             world, worlds.make_rng(seed, "evacuations")
         )
+        if fatal.is_drawn(seed):
+            world.fatal_request = fatal.FatalRequest(
+                world,
+                self.observations,
+                worlds.make_rng(seed, "fatal sender"),
+                self.uncontrolled,
+            )
         self.healed_at = 0.0
         self.memory_mb = 0.0
         self.descriptors = 0
@@ -126,6 +139,8 @@
                 self.world, self.observations, "a", self._rng("a")
             )
             traffic.start_soon(auditor.run)
+            if self.world.fatal_request:
+                traffic.start_soon(self.world.fatal_request.run)
             async with trio.open_nursery() as nursery:
                 for schedule in self._schedules():
                     nursery.start_soon(schedule.run, seconds)
@@ -140,6 +155,11 @@
     def _schedules(self):
         return self.faults, self.uncontrolled, self.evacuations
 
+    def _logged(self):
+        """Returns the schedules, and the fatal request if there is one."""
+        fatal_request = self.world.fatal_request
+        return (*self._schedules(), *([fatal_request] if fatal_request else ()))
+
     def _trainer(self, name):
         return callers.Trainer(
             self.world, self.observations, name, self._rng(name)
@@ -224,7 +244,7 @@
             seed,
             self.observations.problems,
             sorted(
-                itertools.chain(*(s.log for s in self._schedules())),
+                itertools.chain(*(s.log for s in self._logged())),
                 key=operator.itemgetter(0),
             ),
             self.observations.calls_sent,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,12 +3,17 @@
 They rerun the seeds that have failed before; ``seeds.py`` names the causes.
 """
 
+import random
+import types
 import unittest
 
 import parameterized
 import trio
 
+from tests import virtual
+from tests.soak import callers
 from tests.soak import evacuations
+from tests.soak import fatal
 from tests.soak import seeds
 from tests.soak import session
 
@@ -31,6 +36,11 @@
         self.assertLessEqual(
             {"uncontrolled clients", "evacuate", "evacuation ended"}, kinds
         )
+        self.assertEqual("server ended" in kinds, fatal.is_drawn(seed))
+
+    def test_some_seeds_have_a_fatal_request(self):
+        drawn = {fatal.is_drawn(seed.number) for seed in seeds.FAILED}
+        self.assertEqual(drawn, {False, True})
 
 
 class EvacuationCheckTest(unittest.TestCase):
@@ -70,3 +80,35 @@
             evacuations.outages(fault_log, STORE, HEALED_AT),
         )
         self.assertEqual(late_requests, [arrival] if is_late else [])
+
+
+class FatalRequestCheckTest(unittest.TestCase):
+    """Guards against a check that excuses, or blames, the wrong nodes.
+
+    Three servers end at 0 s, further ones at the given time.
+    """
+
+    @parameterized.parameterized.expand(
+        [
+            ("few", 5.1, 0.0, 3, False),
+            ("too_many", 5.1, 0.0, 4, True),
+            ("before_contact", 4.9, 0.0, 4, False),
+            ("soon_after_disturbance", 9.9, 5.0, 4, False),
+            ("long_after_disturbance", 10.1, 5.0, 4, True),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_tries(self, _, at, disturbed_at, tries, is_late):
+        world = types.SimpleNamespace(violations=[])
+        observations = callers.Observations(world)
+        request = fatal.FatalRequest(
+            world, observations, random.Random(1), None
+        )
+        request.nodes["f"] = types.SimpleNamespace(name="n0")
+        request.undisturbed_since["n0"] = trio.current_time() + disturbed_at
+        for _ in range(fatal.BLOCKING_ENDS):
+            request.check_try("f")
+        await trio.sleep(at)
+        for _ in range(tries):
+            request.check_try("f")
+        self.assertEqual(bool(observations.problems), is_late)
--- a/tests/soak/uncontrolled.py
+++ b/tests/soak/uncontrolled.py
@@ -1,5 +1,7 @@
 """Injects uncontrolled clients beside the ordinary callers."""
 
+import collections
+
 import trio
 
 from tests.hostile import clients
@@ -35,12 +37,14 @@
 
     Attributes:
         log: The groups, each with its time.
+        connected: Number of groups that are connected, by address.
     """
 
     def __init__(self, world, rng):
         self.world = world
         self.rng = rng
         self.log = []
+        self.connected = collections.Counter()
 
     async def run(self, seconds):
         """Connects groups for some seconds, then disconnects all of them."""
@@ -76,7 +80,11 @@
         return client, number, address, duration_s
 
     async def _connect(self, client, number, address, duration_s):
-        with trio.move_on_after(duration_s):
-            async with trio.open_nursery() as nursery:
-                for _ in range(number):
-                    nursery.start_soon(clients.run, client, address)
+        self.connected[address] += 1
+        try:
+            with trio.move_on_after(duration_s):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(number):
+                        nursery.start_soon(clients.run, client, address)
+        finally:
+            self.connected[address] -= 1
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,6 +20,7 @@
 
 from kingcupscale.platform import names
 from kingcupscale.web import limits
+from kingcupscale.web import message
 from kingcupscale.web import server
 from tests.platform import fakeservers
 from tests.platform import fakestore
@@ -30,6 +31,13 @@
 NODES = 4
 ENGINES = 4
 PLAIN_SERVERS = 2
+# A server that has ended is replaced after a random time in this range. Its
+# entry is removed after ENTRY_TIMEOUT_S, as its heartbeat has lapsed.
+MIN_RESTART_S = 2.0
+MAX_RESTART_S = 4.0
+ENTRY_TIMEOUT_S = 3.6
+# Time for the replacement to listen before its entry is written.
+LISTENING_S = 0.1
 EXIT_TIMEOUT_S = 15.0
 # A world keeps RESERVED_PORT bound on its address until it is closed; its nodes
 # listen from FIRST_PORT upwards. Both are below the ephemeral port range.
@@ -118,6 +126,15 @@
         )
         return await super().handle(request)
 
+    async def run(self, request):
+        fatal = self.site.fatal_request
+        if fatal is None or not fatal.matches(request):
+            return await super().run(request)
+        if self.site.end_server(self):
+            fatal.check_try(request.headers[names.REQUEST_ID])
+        # Its connections have been reset, so this reaches nobody.
+        return message.Response(500)
+
 
 class NodeProcess:
     """One node: its process and its proxies to callers, store and cloud.
@@ -255,8 +272,10 @@
         folder: Folder for settings and logs.
         nursery: Runs the fake services and the proxies.
         rng: Chooses the faults of the unreliable store.
+        plain_servers: Number of plain servers.
 
     Attributes:
+        fatal_request: The request under which plain servers end; None for none.
         violations: What backend servers received and must not receive.
         runs: All requests that backend servers have started to execute.
         arrivals: All requests to backend servers, each as (zone, server, path,
@@ -270,8 +289,10 @@
             have ended with code 0.
     """
 
-    def __init__(self, folder, nursery, rng):
+    def __init__(self, folder, nursery, rng, plain_servers=PLAIN_SERVERS):
         self.folder = pathlib.Path(folder)
+        self.plain_servers = plain_servers
+        self.fatal_request = None
         self.nursery = nursery
         self.rng = rng
         self.host = Host()
@@ -295,7 +316,7 @@
         """Starts the fake services, the proxies and the node processes."""
         self.store_address = await self._serve(self.unreliable_store)
         self.cloud_address = await self._serve(self.cloud)
-        for number in range(ENGINES + PLAIN_SERVERS):
+        for number in range(ENGINES + self.plain_servers):
             is_engine = number < ENGINES
             await self._add_server(
                 f"e{number}",
@@ -336,6 +357,31 @@
         self.server_links[name] = link
         added.register()
 
+    def end_server(self, ended):
+        """Ends a server, which another one replaces at the same address.
+
+        Returns whether it had not ended before.
+        """
+        if self.servers.pop(ended.id, None) is None:
+            return False
+        closed_s = self.rng.uniform(MIN_RESTART_S, MAX_RESTART_S)
+        self.server_links[ended.id].close_for(closed_s)
+        self.nursery.start_soon(self._remove_entry, ended.id)
+        self.nursery.start_soon(self._replace, ended, closed_s)
+        return True
+
+    async def _remove_entry(self, name):
+        await trio.sleep(ENTRY_TIMEOUT_S)
+        self.store.remove(names.SERVERS_PREFIX + name)
+
+    async def _replace(self, ended, closed_s):
+        await trio.sleep(closed_s + LISTENING_S)
+        link = self.server_links[ended.id]
+        ended.id += "r"
+        self.servers[ended.id] = ended
+        self.server_links[ended.id] = link
+        ended.register()
+
     async def _reregister_lost_servers(self):
         """Registers servers again whose entries are gone from the store."""
         while True:
