Show a server that resets connections and is taken to have ended

Cause: the probe opens a connection without blocking. If the server accepts and resets it before the probe looks at the result, the error is that of a reset, which is taken for a refusal. Three such losses without an answer in between would block a request that crashes nothing, against the promise that a connection that was reset is no crash.

--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -9,11 +9,16 @@
 import datetime
 import itertools
 import random
+import socket
+import struct
+import threading
+import time
 import unittest
 from unittest import mock
 
 import attrs
 import parameterized
+import trio
 
 from kingcupscale import rendezvous
 from kingcupscale.crashes import fingerprint
@@ -22,11 +27,18 @@
 from kingcupscale.fakes import virtualtime
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import crashwatch
+from kingcupscale.web import httpclient
 from tests import test_call_waiting
 from tests import virtual
 
 FATAL = "fatal"
 SHARE_S = 1.0
+PROBES = 20
+# An event loop that is busy for this long sees a connection after its reset.
+BUSY_S = 0.01
+ACCEPT_TIMEOUT_S = 2.0
+# With a linger time of zero, closing a socket sends RST instead of FIN.
+LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 @attrs.define
@@ -279,3 +291,50 @@
             async for _ in chunks:
                 pass
         self.assertEqual(len(guard.verifier.pending), losses)
+
+
+class ListeningTest(unittest.TestCase):
+    """Guards against a server that is taken to have ended though it listens."""
+
+    @parameterized.parameterized.expand([("resets", True), ("closed", False)])
+    def test_only_refused_connections_show_an_end(self, _, is_open):
+        answers = []
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            if not is_open:
+                listener.close()
+            thread = threading.Thread(target=reset_each, args=(listener,))
+            thread.start()
+
+            async def probe():
+                client = httpclient.PooledHttpClient()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(keep_busy)
+                    for _ in range(PROBES):
+                        answers.append(
+                            await client.is_listening(f"{host}:{port}", 1.0)
+                        )
+                    nursery.cancel_scope.cancel()
+
+            trio.run(probe)
+            thread.join()
+        self.assertEqual(answers.count(False), 0 if is_open else PROBES)
+
+
+async def keep_busy():
+    """Blocks the event loop again and again, as on a loaded machine."""
+    while True:
+        time.sleep(BUSY_S)
+        await trio.lowlevel.checkpoint()
+
+
+def reset_each(listener):
+    """Accepts and resets as many connections as are probed."""
+    with contextlib.suppress(OSError):
+        listener.settimeout(ACCEPT_TIMEOUT_S)
+        for _ in range(PROBES):
+            connection, _ = listener.accept()
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO
+            )
+            connection.close()
