Take a reset connection for no sign that a server has ended

Cause: is_listening counted the error of a reset as a refusal. A server that is gone refuses: the connection is never opened. One that is reset was accepted before.

Change: a reset tells nothing, like a time-out.

--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -231,9 +231,10 @@
         ):
             try:
                 await sock.connect((host, int(port)))
-            except (ConnectionRefusedError, ConnectionResetError):
+            except ConnectionRefusedError:
                 return False
             except (OSError, ValueError):
+                # A connection that is reset was accepted before.
                 return None
             return True
         return None
