Answer or refuse late requests of a planned stop within the grace

What callers saw: requests that were read whole after the listeners had closed, on connections opened before, were passed on and cut by SIGKILL without an answer. So were calls sent in the notice whose time limit ends after the grace.

Cause: nothing compared the end of a request with the end of the grace. The servers' graceful timeout of 8 s counted from the closing of the listeners, at least 3 s after SIGTERM, so it never came into effect; and the notice began only once the duties had been handed over.

Change: plannedstop.py decides, with all times from SIGTERM. After the notice of 3 s, each request of a caller that has been read whole is refused at once with 503, code 1205 (draining), "not run", Retry-After and "Connection: close"; so is a call that still waits for its first server. Calls that were sent to a server end with 504, outcome unknown, at 7/8 of the grace, and connections at 15/16; the rest of the grace is left to the last answers and the process. A call may be repeated at another server up to 7/8. Servers get the shorter time limit. Refusing is better for callers than passing on with a short limit: the node no longer follows the store then, another node can run the call in full, and a call that may not be repeated does not end with an unknown outcome. Outside of a planned stop no limit changes.

It works because nothing is passed on after 3 s, and what was passed on before has an answer one sixteenth of the grace before connections are closed.

--- a/src/kingcupscale/gateway/forwarder.py
+++ b/src/kingcupscale/gateway/forwarder.py
@@ -5,15 +5,15 @@
 from collections.abc import Sequence
 import contextlib
 import functools
+import math
 import random
 from typing import Protocol
 
-import trio
-
 from kingcupscale import clock as clocks
 from kingcupscale import errors
 from kingcupscale import events
 from kingcupscale import metrics
+from kingcupscale import plannedstop
 from kingcupscale.crashes import guard as guards
 from kingcupscale.crashes import records as crash_records
 from kingcupscale.fleet import catalogue
@@ -80,6 +80,7 @@
         regions: Region by zone; None if not known.
         crash_guard: Blocks requests under which servers crash; by default one
             that shares its records with no other node.
+        planned_stop: Limits calls in a planned stop; by default there is none.
 
     Attributes:
         crash_watch: Applies the crash guard to calls.
@@ -103,6 +104,7 @@
         node: str = "",
         regions: Mapping[str, str] | None = None,
         crash_guard: guards.CrashGuard | None = None,
+        planned_stop: plannedstop.PlannedStop | None = None,
     ) -> None:
         self.crash_watch = crashwatch.CrashWatch(
             crash_guard or guards.CrashGuard(client, clock, lambda _: True)
@@ -114,6 +116,7 @@
         self.usage = usage
         self.metrics = call_metrics
         self.clock = clock
+        self.planned_stop = planned_stop or plannedstop.PlannedStop(clock)
         self.rng = rng
         self.placement = placement.CallPlacement(
             node, zone, client.has_idle_connection, rng, regions
@@ -219,22 +222,35 @@
         The server counts the call as in flight.
 
         Raises:
-            ServiceError: If the expected wait is longer than that.
+            ServiceError: If the expected wait is longer than that, or the call
+                has not been sent by the end of a planned stop's notice.
 
         Background calls wait until their deadline, others only for
         ``QUEUE_WAIT_FACTOR`` times the target latency.
         """
+        stop = self.planned_stop
+        state.deadline = stop.limit(state.deadline)
         until = state.wait_until
         if inbound.is_background:
             until = state.deadline
         if self.clock.monotonic() >= state.deadline:
             return None
+        server = None
+        left_s = stop.requests_left_s if state.attempts else stop.notice_left_s
         try:
-            server = await self.waits.acquire(
-                inbound, state, min(until, state.deadline)
-            )
+            with stop.move_on_after(math.inf, left_s):
+                server = await self.waits.acquire(
+                    inbound, state, min(until, state.deadline)
+                )
         except serverwait.WaitTooLongError as e:
             raise self._make_wait_error(inbound, state, e) from e
+        refusal = stop.find_refusal()
+        if refusal is not None and not state.attempts:
+            if server is not None:
+                self.waits.release(state, server, 0.0)
+            self._log_refusal(inbound, state, refusal.code)
+            raise refusal
+        state.deadline = stop.limit(state.deadline)
         state.sent_at = self.clock.monotonic()
         if server is not None and state.sent_at >= state.deadline:
             self.waits.release(state, server, 0.0)
@@ -302,14 +318,12 @@
         self.placement.record_call(server, now)
         response: message.Response | None = None
         try:
-            with trio.move_on_after(timeout_s) as scope:
+            with self.planned_stop.move_on_after(
+                timeout_s, self.planned_stop.requests_left_s
+            ) as scope:
                 response = await self._send_call(inbound, state, server, call)
             if scope.cancelled_caught:
-                state.attempts += 1
-                state.tried.add(server.id)
-                state.failure_reason = f"no response within {timeout_s:.2f} s"
-                self._update_latency(state.service, timeout_s)
-                server.record_failure(self.clock.monotonic())
+                self._note_timeout(state, server, timeout_s)
         except serverclient.IneligibleError:
             state.unavailable.add(server.id)
         except serverclient.NotSentError:
@@ -339,6 +353,23 @@
             self.waits.release(state, server, elapsed_s)
         return response
 
+    def _note_timeout(
+        self,
+        state: callstate.CallState,
+        server: registry.Server,
+        timeout_s: float,
+    ) -> None:
+        """Records that an attempt has timed out, or that the node stops."""
+        state.attempts += 1
+        state.tried.add(server.id)
+        state.deadline = self.planned_stop.limit(state.deadline)
+        if self.planned_stop.requests_left_s() <= 0:
+            state.failure_reason = "no response before the node stops"
+            return
+        state.failure_reason = f"no response within {timeout_s:.2f} s"
+        self._update_latency(state.service, timeout_s)
+        server.record_failure(self.clock.monotonic())
+
     def _attempt_timeout_s(self, state: callstate.CallState) -> float:
         if state.attempts + 1 >= state.route.max_attempts:
             return float("inf")
@@ -606,6 +637,19 @@
                 state.failure_reason,
                 retry_after_s=backoff.retry_after_s(wait_s, left_s, self.rng),
             )
+        self._log_refusal(inbound, state, code)
+        return error
+
+    def _log_refusal(
+        self,
+        inbound: inboundrequest.InboundRequest,
+        state: callstate.CallState,
+        code: errors.ResultCode,
+    ) -> None:
+        """Counts and logs a call that ends without a server's answer."""
+        left_s = (
+            inbound.received_at + inbound.timeout_s - self.clock.monotonic()
+        )
         self._count_refusal(state, code)
         events.log(
             events.Event.CALL_REFUSED,
@@ -619,7 +663,6 @@
             reason=state.failure_reason,
             left_s=round(left_s, 3),
         )
-        return error
 
 
 def _time_limit_s(
--- a/src/kingcupscale/platform/frontend.py
+++ b/src/kingcupscale/platform/frontend.py
@@ -7,6 +7,7 @@
 
 from kingcupscale import clock as clocks
 from kingcupscale import errors
+from kingcupscale import events
 from kingcupscale.fleet import catalogue
 from kingcupscale.gateway import callerservice
 from kingcupscale.gateway import inboundrequest
@@ -28,6 +29,8 @@
         service: Handles the decoded requests.
         clock: Source of time.
         is_draining: Returns whether responses should close connections.
+        find_stop_refusal: Returns the error for a request that arrives too late
+            in a planned stop, or None.
     """
 
     def __init__(
@@ -35,14 +38,17 @@
         service: callerservice.CallerService,
         clock: clocks.Clock,
         is_draining: Callable[[], bool],
+        find_stop_refusal: Callable[[], errors.ServiceError | None],
     ) -> None:
         self.service = service
         self.clock = clock
         self.is_draining = is_draining
+        self.find_stop_refusal = find_stop_refusal
 
     async def __call__(self, request: message.Request) -> message.Response:
         """Returns the response to one request."""
         try:
+            self._check_stop(request)
             response = await self._answer(request)
         except errors.ServiceError as e:
             response = encode_error(e)
@@ -50,6 +56,23 @@
             response.headers["connection"] = "close"
         return response
 
+    def _check_stop(self, request: message.Request) -> None:
+        """Checks that a request has not arrived too late in a planned stop.
+
+        Raises:
+            ServiceError: ``DRAINING``.
+        """
+        error = self.find_stop_refusal()
+        if error is not None:
+            events.log(
+                events.Event.CALL_REFUSED,
+                request=request.headers.get(names.REQUEST_ID, ""),
+                path=request.path,
+                code=error.code.number,
+                sent=0,
+            )
+            raise error
+
     async def _answer(self, request: message.Request) -> message.Response:
         if request.path.startswith(names.BATCHES_PATH):
             return await self._answer_batch(request)
--- a/src/kingcupscale/platform/process.py
+++ b/src/kingcupscale/platform/process.py
@@ -117,7 +117,10 @@
 def make_frontend(runtime: runtimes.Runtime) -> frontend.Frontend:
     """Returns the HTTP handler for a node's callers."""
     return frontend.Frontend(
-        runtime.callers, runtime.clock, lambda: runtime.is_draining
+        runtime.callers,
+        runtime.clock,
+        lambda: runtime.is_draining,
+        runtime.planned_stop.find_refusal,
     )
 
 
@@ -208,6 +211,7 @@
     serve = functools.partial(
         server.serve,
         graceful_timeout_s=settings.bounds.grace_s,
+        time_left=runtime.planned_stop.connections_left_s,
         guard=guard,
     )
     async with trio.open_nursery() as nursery:
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -12,6 +12,7 @@
 from kingcupscale import events
 from kingcupscale import leadership
 from kingcupscale import metrics
+from kingcupscale import plannedstop
 from kingcupscale import readiness
 from kingcupscale import rendezvous
 from kingcupscale import retirements
@@ -68,10 +69,6 @@
 SWEEP_INTERVAL_S = 0.25
 INTEREST_INTERVAL_S = 0.1
 USAGE_INTERVAL_S = 0.5
-# After the signal to stop, the node first reports itself as not ready and has
-# callers reconnect elsewhere. After this time the listeners close, and the rest
-# of the grace period is left to open requests.
-DRAIN_NOTICE_S = 3.0
 
 
 class Runtime:
@@ -94,6 +91,7 @@
         models: This node's duty for each model, by the duty's name.
         is_draining: Whether a planned stop has begun.
         drain_requested: Set to begin a planned stop.
+        planned_stop: Decides what the node still does during one.
         stopped: Set when the listeners should close.
     """
 
@@ -108,6 +106,9 @@
         self.metrics = metrics.Metrics()
         self.is_draining = False
         self.drain_requested = trio.Event()
+        self.planned_stop = plannedstop.PlannedStop(
+            self.clock, settings.bounds.grace_s
+        )
         self.stopped = trio.Event()
         self.services: dict[str, leadership.ServiceDuty] = {}
         self.models: dict[str, leadership.ModelDuty] = {}
@@ -265,6 +266,7 @@
             settings.node,
             settings.zone_regions,
             self.crash_guard,
+            self.planned_stop,
         )
         self.callers = callerservice.CallerService(
             admission,
@@ -491,6 +493,7 @@
         """Hands duties over and gives callers time to reconnect elsewhere."""
         events.log(events.Event.NODE_DRAINING, node=self.settings.node)
         self.is_draining = True
+        self.planned_stop.begin()
         for duty in self.models.values():
             await duty.hand_over()
         await self.session.close()
@@ -500,7 +503,7 @@
                 await self.usage.flush(is_last=True)
             except stores.StoreError as e:
                 events.log(events.Event.STORE_FAILED, reason=e.reason)
-        await self.clock.sleep(DRAIN_NOTICE_S)
+        await self.clock.sleep(self.planned_stop.notice_left_s())
         self.stopped.set()
 
     async def _remove_expired_servers(self) -> None:
--- a/src/kingcupscale/web/server.py
+++ b/src/kingcupscale/web/server.py
@@ -230,6 +230,7 @@
     get_limits: limits.LimitsProvider,
     shutdown: Callable[[], Awaitable[None]],
     graceful_timeout_s: float = 60.0,
+    time_left: Callable[[], float] = lambda: math.inf,
     guard: clientguard.ClientGuard | None = None,
     listener: str = clientguard.DEFAULT_LISTENER,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
@@ -242,6 +243,8 @@
         get_limits: Returns the limits in force.
         shutdown: Returns when the server has to shut down.
         graceful_timeout_s: Timeout of completing the open requests.
+        time_left: Returns the time in seconds that the process has left for
+            that once the listener is closed.
         guard: The memory budget and connection limits that the listeners of
             the process share; None for a separate one with default limits.
         listener: Name of the listener; the guard must know it.
@@ -257,6 +260,7 @@
                 get_limits,
                 shutdown,
                 graceful_timeout_s,
+                time_left,
                 guard,
                 task_status=task_status,
             )
@@ -276,6 +280,6 @@
     config.max_app_queue_size = 2
     application = Application(handler, get_limits, guard.budget)
     server_worker = worker.Worker(
-        application, config, get_limits, guard, listener
+        application, config, get_limits, guard, listener, time_left
     )
     await server_worker.serve(shutdown, task_status)
--- a/src/kingcupscale/web/worker.py
+++ b/src/kingcupscale/web/worker.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import functools
+import math
 from typing import Any
 
 import hypercorn.app_wrappers
@@ -48,6 +49,8 @@
         get_limits: Returns the limits in force.
         guard: The limits that the listeners of the process share.
         listener: Name of the listener.
+        time_left: Returns the time in seconds that the process has left for
+            open connections once the listener is closed.
 
     Attributes:
         streams: The open connections.
@@ -60,12 +63,14 @@
         get_limits: limits.LimitsProvider,
         guard: clientguard.ClientGuard,
         listener: str,
+        time_left: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.application = application
         self.config = config
         self.get_limits = get_limits
         self.guard = guard
         self.listener = listener
+        self.time_left = time_left
         self.context = hypercorn.trio.worker_context.WorkerContext(None)
         self.streams: set[watchedstream.WatchedStream] = set()
 
@@ -99,7 +104,7 @@
                 task_status.started(f"{bound[0]}:{bound[1]}")
                 await shutdown()
                 accepting.cancel_scope.cancel()
-            limit_s = self.config.graceful_timeout
+            limit_s = min(self.config.graceful_timeout, self.time_left())
             connections.cancel_scope.deadline = trio.current_time() + limit_s
             await self._close_idle_connections()
 
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -14,8 +14,10 @@
 import trio
 
 from kingcupscale import errors
+from kingcupscale import plannedstop
 from kingcupscale.platform import names
 from kingcupscale.web import message
+from tests import virtual
 from tests.platform import harness
 from tests.platform import test_signals
 
@@ -273,6 +275,44 @@
         self.assertEqual(answer.headers["connection"], "close")
 
 
+class WaitingCallTest(unittest.TestCase):
+    """Guards against calls that wait for a server until the grace ends."""
+
+    @virtual.on_virtual_time
+    async def test_waiting_call_is_refused_at_the_end_of_the_notice(self):
+        async with harness.launch(nodes=1) as site:
+            site.write_configuration(test_signals.make_patient_configuration())
+            await trio.sleep(1.0)
+            for server in site.servers.values():
+                server.is_full = True
+            (node,) = site.nodes
+            answers = []
+
+            async def call():
+                response = await site.call(
+                    node,
+                    "POST",
+                    ONCE + "1",
+                    **{names.REQUEST_ID: "r", names.DEADLINE_MS: "8000"},
+                )
+                answers.append((response, trio.current_time() - stopped_at))
+
+            async with trio.open_nursery() as calls:
+                # The call may wait until after the notice.
+                stopped_at = trio.current_time() + BEFORE_STOP_S / 2
+                calls.start_soon(call)
+                await trio.sleep_until(stopped_at)
+                node.runtime.drain_requested.set()
+            ((response, at_s),) = answers
+            error = orjson.loads(response.body)["error"]
+            self.assertEqual(error["code"], errors.ResultCode.DRAINING.number)
+            self.assertEqual(error["run"], errors.Run.NOT_RUN.value)
+            self.assertAlmostEqual(at_s, plannedstop.DRAIN_NOTICE_S, 1)
+            self.assertEqual(site.runs, [])
+            servers = node.runtime.forwarder.servers.servers.values()
+            self.assertEqual([s.in_flight for s in servers if s.in_flight], [])
+
+
 class OpenRequestTest(unittest.TestCase):
     """Guards against requests cut at the end of the grace without an answer."""
 
