Show a planned stop that lasts longer than its grace

What callers see: a node whose duties take long to hand over, for example six models whose next nodes do not answer (1.5 s each), is ended by SIGKILL. It gives up its lease only as that expires, and requests of other nodes to it are cut.

--- a/tests/platform/test_lifecycle.py
+++ b/tests/platform/test_lifecycle.py
@@ -96,6 +96,38 @@
                 )
 
 
+class SlowStopTest(unittest.TestCase):
+    """Guards against a stop that lasts until SIGKILL ends it.
+
+    A handover takes 1.5 s for each model whose next nodes do not answer, and a
+    call to the store up to 0.8 s.
+    """
+
+    @parameterized.parameterized.expand(
+        [
+            ("six_models", 9.0, 0.004),
+            ("two_models_and_a_slow_store", 3.0, 0.7),
+            ("slow_store", 0.0, 0.7),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_stop_ends_within_the_grace(self, _, handover_s, latency_s):
+        async with harness.launch(nodes=2) as site:
+            node = site.holder()
+
+            async def hand_over():
+                await trio.sleep(handover_s)
+
+            for duty in node.runtime.models.values():
+                duty.hand_over = hand_over
+            lease = node.runtime.session.lease
+            site.store.latency_s = latency_s
+            node.runtime.drain_requested.set()
+            await trio.sleep(node.runtime.settings.bounds.grace_s)
+            self.assertTrue(node.runtime.stopped.is_set())
+            self.assertNotIn(lease, site.store.leases)
+
+
 class RollingStopTest(unittest.TestCase):
     """Guards against a long pause of samples when their node is stopped.
 
