Bound the handover of duties in a planned stop

Cause: duties are handed over one after the other, each model up to 1.5 s, and nothing bounded the sum.

Change: the handover may take as long as the notice, 3 s from SIGTERM. The samples of the other models go on from their last copies once the lease is given up.

It works because every step of the stop now has an end that counts from SIGTERM.

--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -494,16 +494,25 @@
         events.log(events.Event.NODE_DRAINING, node=self.settings.node)
         self.is_draining = True
         self.planned_stop.begin()
-        for duty in self.models.values():
-            await duty.hand_over()
-        await self.session.close()
-        await self.registration.close()
-        with trio.move_on_after(1.0):
-            try:
-                await self.usage.flush(is_last=True)
-            except stores.StoreError as e:
-                events.log(events.Event.STORE_FAILED, reason=e.reason)
-        await self.clock.sleep(self.planned_stop.notice_left_s())
+        stop = self.planned_stop
+        with trio.move_on_after(stop.notice_left_s()) as handover:
+            for duty in self.models.values():
+                await duty.hand_over()
+        if handover.cancelled_caught:
+            events.log(
+                events.Event.COPY_FAILED,
+                node=self.settings.node,
+                reason="samples not handed over before the listeners close",
+            )
+        with trio.move_on_after(stop.requests_left_s()):
+            await self.session.close()
+            await self.registration.close()
+            with trio.move_on_after(1.0):
+                try:
+                    await self.usage.flush(is_last=True)
+                except stores.StoreError as e:
+                    events.log(events.Event.STORE_FAILED, reason=e.reason)
+        await self.clock.sleep(stop.notice_left_s())
         self.stopped.set()
 
     async def _remove_expired_servers(self) -> None:
