Show batch requests that wait for the store beyond the grace

What callers see: a submission or an end of a batch sent in the notice of a planned stop, while the store is silent, is cut by SIGKILL without an answer.

Evidence: both cases of BatchTest are answered 9.55 s after the stop began, in virtual time; the grace is 8 s.

--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -313,6 +313,31 @@
             self.assertEqual([s.in_flight for s in servers if s.in_flight], [])
 
 
+class BatchTest(unittest.TestCase):
+    """Guards against batches cut in the grace while the store is silent."""
+
+    @parameterized.parameterized.expand([("submission",), ("end",)])
+    @virtual.on_virtual_time
+    async def test_batch_request_of_the_notice_gets_an_answer(self, name):
+        async with harness.launch(nodes=1) as site:
+            (node,) = site.nodes
+            await site.submit(node, "known")
+            node.runtime.drain_requested.set()
+            stopped_at = trio.current_time()
+            await trio.sleep(2.5)
+            site.store.latency_s = 100.0
+            if name == "submission":
+                response = await site.submit(node)
+            else:
+                path = f"{names.BATCHES_PATH}known"
+                headers = {names.DEADLINE_MS: "12000"}
+                response = await site.call(node, "DELETE", path, **headers)
+            self.assertEqual(response.status, 504)
+            self.assertEqual(response.headers["connection"], "close")
+            answered_s = trio.current_time() - stopped_at
+            self.assertLess(answered_s, GRACE_S - REFUSAL_S / 2)
+
+
 class OpenRequestTest(unittest.TestCase):
     """Guards against requests cut at the end of the grace without an answer."""
 
