Answer batch requests within the grace while the store is silent

What callers saw: no answer to a submission or an end of a batch that was sent in the notice of a planned stop while the store was silent.

Cause: such a request waits up to 7 s for the store, whenever the process ends.

Change: in a planned stop it waits until 7/8 of the grace at most and then ends as at any other time limit, with 504, code 1507, as the store may have it.

It works for requests from before the stop too with the usual grace: 7 s is 7/8 of 8 s.

--- a/src/kingcupscale/gateway/callerservice.py
+++ b/src/kingcupscale/gateway/callerservice.py
@@ -5,6 +5,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import errors
 from kingcupscale import events
+from kingcupscale import plannedstop
 from kingcupscale.batches import batch as batches
 from kingcupscale.batches import cache as caches
 from kingcupscale.batches import record as records
@@ -33,6 +34,7 @@
         clock: The clock.
         find_not_ready_error: Returns why the node admits no requests now, or
             None.
+        planned_stop: Limits requests in a planned stop.
     """
 
     def __init__(
@@ -42,12 +44,14 @@
         batch_cache: caches.BatchCache,
         clock: clocks.Clock,
         find_not_ready_error: Callable[[], errors.ServiceError | None],
+        planned_stop: plannedstop.PlannedStop,
     ) -> None:
         self.admission = admission
         self.forwarder = call_forwarder
         self.batch_cache = batch_cache
         self.clock = clock
         self.find_not_ready_error = find_not_ready_error
+        self.planned_stop = planned_stop
 
     def check_ready(self) -> None:
         """Checks that the node admits requests now.
@@ -98,7 +102,7 @@
             raise self.admission.make_refusal(errors.ResultCode.BATCH_UNKNOWN)
         if known is None:
             self._require_region(batch, inbound)
-        timeout_s = min(STORE_TIMEOUT_S, inbound.timeout_s - RESPONSE_MARGIN_S)
+        timeout_s = self._store_timeout_s(inbound.timeout_s)
         is_new = await self.batch_cache.accept(batch, timeout_s)
         events.log(
             events.Event.BATCH_ACCEPTED,
@@ -110,6 +114,18 @@
             took_s=round(self.clock.monotonic() - inbound.received_at, 3),
         )
 
+    def _store_timeout_s(self, timeout_s: float) -> float:
+        """Returns how long a request may wait for the store.
+
+        Args:
+            timeout_s: The caller's time limit.
+        """
+        return min(
+            STORE_TIMEOUT_S,
+            timeout_s - RESPONSE_MARGIN_S,
+            self.planned_stop.requests_left_s(),
+        )
+
     def _require_region(
         self, batch: batches.Batch, inbound: inboundrequest.InboundRequest
     ) -> None:
@@ -171,8 +187,7 @@
         Raises:
             ServiceError: If the end may not have been stored.
         """
-        timeout_s = min(STORE_TIMEOUT_S, timeout_s - RESPONSE_MARGIN_S)
-        await self.batch_cache.end(record, timeout_s)
+        await self.batch_cache.end(record, self._store_timeout_s(timeout_s))
         events.log(
             events.Event.BATCH_ENDED,
             batch=record.batch.id,
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -274,6 +274,7 @@
             self.batch_cache,
             self.clock,
             self.readiness.admission_error,
+            self.planned_stop,
         )
         self.retirements = retirements.Retirements(
             self.mirror, deps.keys, deps.decoders.retirement_state
