Take no server that was about to shut down for crashed

What callers would see: a request that runs at three servers which are taken away in turn, as spot servers are, is blocked though it crashes none.

Cause: a loss counts if the server refuses connections or its entry is removed afterwards, which is also how a planned shutdown ends.

Change: a response that is cut off at a server which drains or has announced that it leaves is no loss.

Evidence: test_server_that_was_about_to_end_did_not_crash failed before for draining and leaving servers and passes.

--- a/src/kingcupscale/gateway/crashwatch.py
+++ b/src/kingcupscale/gateway/crashwatch.py
@@ -81,8 +81,15 @@
         state: callstate.CallState,
         server: registry.Server,
     ) -> None:
-        """Records that a response was cut off."""
-        if not inbound.is_background:
+        """Records that a response was cut off.
+
+        A server that is about to shut down ends without regard to the call.
+        """
+        is_staying = (
+            server.entry.state is registry.ServerState.READY
+            and not server.is_leaving
+        )
+        if is_staying and not inbound.is_background:
             self.guard.note_loss(self.fingerprint(inbound, state), server)
 
     def note_answer(
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -26,6 +26,7 @@
 from kingcupscale.crashes import records
 from kingcupscale.crashes import sharing
 from kingcupscale.fakes import virtualtime
+from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
 from kingcupscale.gateway import crashwatch
 from kingcupscale.web import httpclient
@@ -322,6 +323,28 @@
                 pass
         self.assertEqual(len(guard.verifier.pending), losses)
 
+    @parameterized.parameterized.expand(
+        [
+            ("ready", registry.ServerState.READY, False, 1),
+            ("draining", registry.ServerState.DRAINING, False, 0),
+            ("leaving", registry.ServerState.READY, True, 0),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_server_that_was_about_to_end_did_not_crash(
+        self, _, state, is_leaving, losses
+    ):
+        guard = guards.CrashGuard(
+            mock.Mock(), virtualtime.VirtualClock(), lambda _: True
+        )
+        server = test_call_waiting.make_server()
+        server.entry = attrs.evolve(server.entry, state=state)
+        server.is_leaving = is_leaving
+        crashwatch.CrashWatch(guard).note_loss(
+            *test_call_waiting.make_call(), server
+        )
+        self.assertEqual(len(guard.verifier.pending), losses)
+
 
 class ListeningTest(unittest.TestCase):
     """Guards against a server that is taken to have ended though it listens."""
