--- a/tests/platform/endlessserver.py
+++ b/tests/platform/endlessserver.py
@@ -55,6 +55,7 @@
         repeated: What it sends again and again after that; None for numbered
             events.
         sent: Bytes sent so far, without the starts.
+        limit: Bytes after which a response ends after all.
         connections: Connections accepted so far.
         closed: Connections that the client has closed.
     """
@@ -63,6 +64,7 @@
         super().__init__()
         self.start, self.repeated = KINDS[kind]
         self.sent = 0
+        self.limit = MAX_SENT_BYTES
         self.connections = 0
         self.closed = 0
 
@@ -76,7 +78,7 @@
             fields = {b"id": found[1] if found else b""}
             await stream.send_all(self.start % fields if fields else self.start)
             number = 0
-            while self.sent < MAX_SENT_BYTES:
+            while self.sent < self.limit:
                 data = self.repeated
                 if data is None:
                     data = b"".join(
