Limit the responses that are held as a whole

What callers saw, reported of a similar system and shown here by tests: a store, cloud API, node, engine or plain service that sends a body without end fills the memory of the node that called it, and ends all other requests on that node.

Cause: fetch had a limit of the body only for orders to servers and their reports. All other callers passed none, and read until their timeout of 0.5 to 10 s, within which a fast network brings hundreds of megabytes.

Change: fetch always has a limit. It is 64 MiB, as for requests between nodes; 64 KiB for responses of which only the status is used (the cloud API, and nodes that acknowledge), 256 KiB for an engine's state, and 16 MiB for responses of plain services, which are held once per slot. A longer body is an error like one that is cut off: the call may have run, and the connection is closed.

--- a/src/kingcupscale/peering/calls.py
+++ b/src/kingcupscale/peering/calls.py
@@ -14,6 +14,8 @@
 # Nodes are at most one region apart; if connecting takes longer than this, the
 # other node is down.
 CONNECT_TIMEOUT_S = 0.25
+# Longest response that only acknowledges a request.
+MAX_ACKNOWLEDGEMENT_BYTES = 64 * 1024
 
 _converter = codec.make_wire_converter()
 # The converter raises TypeError or AttributeError for a value that is not an
@@ -48,6 +50,7 @@
     path: str,
     value: object,
     timeout_s: float,
+    max_bytes: int = MAX_ACKNOWLEDGEMENT_BYTES,
 ) -> bytes:
     """Sends a value to another node and returns the body of its response.
 
@@ -57,6 +60,7 @@
         path: Path of the request.
         value: Value to send, an ``attrs`` instance.
         timeout_s: Time limit of the whole call, in seconds.
+        max_bytes: Longest valid body of the response.
 
     Raises:
         PeerError: If there is no response, or its status is not 200.
@@ -67,7 +71,7 @@
     request.connect_timeout_s = CONNECT_TIMEOUT_S
     try:
         response = await httpclient.fetch(
-            http_client, address, request, timeout_s
+            http_client, address, request, timeout_s, max_bytes
         )
     except httpclient.RequestError as e:
         raise PeerError(e.reason, e.may_have_been_sent) from e
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -157,7 +157,12 @@
         timeout_s = LONG_POLL_S + LONG_POLL_MARGIN_S
         try:
             body = await calls.post(
-                self.http_client, address, PATH, follow_request, timeout_s
+                self.http_client,
+                address,
+                PATH,
+                follow_request,
+                timeout_s,
+                httpclient.MAX_BODY_BYTES,
             )
         except calls.PeerError as e:
             if e.status == STATUS_TOO_FAR_BEHIND:
@@ -181,6 +186,7 @@
                 COPY_PATH,
                 CopyRequest(batch_id),
                 COPY_TIMEOUT_S,
+                httpclient.MAX_BODY_BYTES,
             )
         except calls.PeerError as e:
             if e.status == STATUS_BATCH_UNKNOWN:
--- a/src/kingcupscale/platform/cloud.py
+++ b/src/kingcupscale/platform/cloud.py
@@ -8,6 +8,8 @@
 from kingcupscale.web import message
 
 CALL_TIMEOUT_S = 1.0
+# Only the status of a response is used.
+MAX_RESPONSE_BYTES = 64 * 1024
 
 
 class PlatformCloud:
@@ -76,5 +78,9 @@
         request = message.json_request(path, body, headers)
         request.before_send = holder.check
         return await httpclient.fetch(
-            self.http_client, self.address, request, CALL_TIMEOUT_S
+            self.http_client,
+            self.address,
+            request,
+            CALL_TIMEOUT_S,
+            MAX_RESPONSE_BYTES,
         )
--- a/src/kingcupscale/providers/calls.py
+++ b/src/kingcupscale/providers/calls.py
@@ -74,6 +74,7 @@
     request: message.Request,
     kind: type[T],
     timeout_s: float,
+    max_bytes: int = httpclient.MAX_BODY_BYTES,
 ) -> T:
     """Sends one request and decodes the response.
 
@@ -83,6 +84,7 @@
         request: The request.
         kind: Type of the response.
         timeout_s: Timeout in seconds.
+        max_bytes: Longest valid body of the response.
 
     Raises:
         PlatformError: If the call fails, or the response is incomplete or does
@@ -90,7 +92,7 @@
     """
     try:
         response = await httpclient.fetch(
-            http_client, address, request, timeout_s
+            http_client, address, request, timeout_s, max_bytes
         )
     except httpclient.RequestError as e:
         raise PlatformError(e.reason, e.may_have_been_sent) from e
--- a/src/kingcupscale/providers/engine.py
+++ b/src/kingcupscale/providers/engine.py
@@ -13,6 +13,8 @@
 # Response header in which an engine reports its load.
 LOAD_HEADER = "x-engine-load"
 REQUEST_ID_HEADER = "x-request-id"
+# An engine's state lists adapters, with some ten bytes each.
+MAX_STATE_BYTES = 256 * 1024
 
 
 @attrs.frozen
@@ -128,7 +130,12 @@
     request.headers["connection"] = "close"
     request.before_send = before_send
     return await calls.call(
-        http_client, address, request, EngineState, timeout_s
+        http_client,
+        address,
+        request,
+        EngineState,
+        timeout_s,
+        MAX_STATE_BYTES,
     )
 
 
@@ -142,5 +149,10 @@
     """
     request = message.Request("GET", "/state")
     return await calls.call(
-        http_client, address, request, EngineState, timeout_s
+        http_client,
+        address,
+        request,
+        EngineState,
+        timeout_s,
+        MAX_STATE_BYTES,
     )
--- a/src/kingcupscale/serving/plainservices.py
+++ b/src/kingcupscale/serving/plainservices.py
@@ -29,6 +29,9 @@
 IDEMPOTENCY_KEY_MAX_CHARACTERS = 200
 REQUEST_ID_HEADER = "x-request-id"
 MAX_ATTEMPTS = 3
+# Longest response of a server, which is held as a whole: four times the default
+# limit of a request. With 16 slots, a faulty server takes up 256 MiB at most.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 LEAVING_STATUS = 503
 LEAVING_HEADER = "x-leaving"
 
@@ -184,6 +187,7 @@
             state.server.address,
             request,
             pool.service.timeout_s,
+            MAX_RESPONSE_BYTES,
         )
         if _is_leaving_response(response):
             state.is_leaving = True
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -17,6 +17,11 @@
 from kingcupscale.web import keepalive
 from kingcupscale.web import message
 
+# Longest response body that is held as a whole, unless the caller gives another
+# limit: 32 values of one megabyte, encoded as base64, as between nodes. Without
+# one, a server that sends on and on fills the memory before the timeout ends.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
 
 class RequestError(Exception):
     """A request that got no complete response.
@@ -82,7 +87,7 @@
     address: str,
     request: message.Request,
     timeout_s: float,
-    max_bytes: int | None = None,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> message.Response:
     """Sends a request and returns the response with its whole body.
 
@@ -91,7 +96,7 @@
         address: ``host:port``.
         request: The request.
         timeout_s: Timeout of the whole request.
-        max_bytes: Longest valid response body; None for no limit.
+        max_bytes: Longest valid response body.
 
     Raises:
         RequestError: If no complete response arrives in time, or its body is
