Limit the responses of engines to the product's own jobs

What callers saw: an engine that sends a line, chunks or an error's body without end is read for as long as it sends. The node kept the line or the error's body in memory, and with it ran out of memory; endless chunks kept a caller's request and the engine's slot busy for ever, and were all collected for answers that are not streamed and for samples of steps.

Cause: only the time of each read was limited. Nothing limited a line, the number of chunks, or the body of a response with an error status. Lines were joined anew with each read, too, in quadratic time.

Change: a line has at most 64 KiB, and a response 256 bytes for each token that the job allows, plus one line. A longer one is invalid, so the job resumes on another engine. Of an error's body 64 KiB are read, within the timeout of a chunk, so that its connection can be used again.

Evidence: the four cases of test_endless_response_of_an_engine_ends failed before: all 16 MiB were read, in five attempts each. They pass now. The test's engine no longer decodes the request, as that counted as memory of the node.

--- a/src/kingcupscale/serving/generation.py
+++ b/src/kingcupscale/serving/generation.py
@@ -10,6 +10,7 @@
 
 import attrs
 import orjson
+import trio
 
 from kingcupscale import codec
 from kingcupscale import errors
@@ -28,6 +29,12 @@
 AFFINITY_PREFIX_CHARACTERS = 64
 CHUNK_TIMEOUT_S = 10.0
 MAX_ATTEMPTS = 5
+# Longest line of a response. A chunk holds at most 64 tokens of a few bytes, so
+# a longer line is assumed never to end.
+MAX_LINE_BYTES = 64 * 1024
+# Most bytes of a response for each token that the job allows. A chunk of one
+# token has some 110 bytes around it.
+MAX_TOKEN_BYTES = 256
 ORGANISATION_HEADER = "x-organisation"
 
 
@@ -230,7 +237,9 @@
             ) as response:
                 await _check_status(response)
                 self._record_load(pool, state, response)
-                async with contextlib.aclosing(_split_lines(response)) as lines:
+                max_bytes = MAX_TOKEN_BYTES * job.max_tokens + MAX_LINE_BYTES
+                split = _split_lines(response, max_bytes)
+                async with contextlib.aclosing(split) as lines:
                     async for line in lines:
                         if last is not None:
                             raise _InvalidResponseError(
@@ -285,19 +294,37 @@
 
 
 async def _check_status(response: message.Response) -> None:
+    """Checks that a response succeeded.
+
+    The body of an error is read so that its connection can be used again.
+    """
     if response.status == 200:
         return
-    await response.read()
+    with trio.move_on_after(CHUNK_TIMEOUT_S):
+        await response.read_at_most(MAX_LINE_BYTES)
     raise _InvalidResponseError(f"status {response.status}")
 
 
-async def _split_lines(response: message.Response) -> AsyncIterator[bytes]:
+async def _split_lines(
+    response: message.Response, max_bytes: int
+) -> AsyncIterator[bytes]:
+    """Yields the complete lines of a response.
+
+    Raises:
+        _InvalidResponseError: If a line or the whole response is too long.
+    """
     if response.chunks is None:
         return
+    size = 0
     rest = b""
     async with contextlib.aclosing(response.chunks) as chunks:
         async for chunk in chunks:
+            size += len(chunk)
+            if size > max_bytes:
+                raise _InvalidResponseError("the response exceeds its limit")
             *lines, rest = (rest + chunk).split(b"\n")
+            if len(rest) > MAX_LINE_BYTES:
+                raise _InvalidResponseError("a chunk exceeds the size limit")
             for line in lines:
                 yield line
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 samples, orders and status reports of the platform's servers.
 """
 
+import re
 import tracemalloc
 import types
 import unittest
@@ -251,16 +252,17 @@
         received = b""
         while not received.endswith(b"}"):
             received += await stream.receive_some()
-        fields = orjson.loads(received.partition(b"\r\n\r\n")[2])
+        # Decoding the request would count as memory of the node.
+        request_id = re.search(rb'"request_id":"(\w+)"', received)[1].decode()
         status = b"500 E" if self.kind == "error_body" else b"200 OK"
         sent = number = 0
         try:
             await stream.send_all(b"HTTP/1.1 %s\r\n\r\n" % status)
             while sent < self.limit:
                 if self.kind == "chunks":
-                    data = chunk_line(fields["request_id"], number, ["x" * 999])
+                    data = chunk_line(request_id, number, ["x" * 999])
                 elif self.kind == "empty_chunks":
-                    data = chunk_line(fields["request_id"], 0, []) * 100
+                    data = chunk_line(request_id, 0, []) * 100
                 else:
                     data = endlessserver.FILLER
                 await stream.send_all(data)
