Release what a streamed body has been read and searched for

What callers saw: nothing but memory.

Change: the first part is released once it is sent, and only the border of two chunks is copied to be searched.

--- a/src/kingcupscale/gateway/responsestream.py
+++ b/src/kingcupscale/gateway/responsestream.py
@@ -39,6 +39,8 @@
     async with stack:
         if received:
             yield received
+            # It would take up memory until the end of the stream.
+            received = b""
         while True:
             chunk = None
             left_s = max(0.0, until - clock.monotonic())
--- a/src/kingcupscale/web/framing.py
+++ b/src/kingcupscale/web/framing.py
@@ -59,8 +59,10 @@
     """Yields chunks until one of them completes the head of a response."""
     tail = b""
     async for chunk in chunks:
-        window = tail + chunk
-        if _HEAD.search(window):
+        # The border is searched apart, so that no copy of the chunk is held
+        # while it is processed.
+        border = tail + chunk[:_MAX_HEAD_START_BYTES]
+        if _HEAD.search(border) or _HEAD.search(chunk):
             raise FramingError("response body contains another response")
         yield chunk
-        tail = window[-_MAX_HEAD_START_BYTES:]
+        tail = (tail + chunk[-_MAX_HEAD_START_BYTES:])[-_MAX_HEAD_START_BYTES:]
