Show that endless responses to stalled clients take up little

50 clients send calls and do not read the endless responses, in chunks, of a length, and until the end of the connection. The memory stays under the bound for the calls plus two parts of a response for each client's connection, all clients are disconnected after the send timeout, and with them all connections to the server, and an ordinary request is answered afterwards.

--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import random
 import tracemalloc
 import unittest
@@ -32,7 +33,13 @@
 from kingcupscale.platform import servers
 from kingcupscale.storage import locks
 from kingcupscale.storage import view as views
+from kingcupscale.web import clientguard
+from kingcupscale.web import clientlimits
 from kingcupscale.web import httpclient
+from kingcupscale.web import limits
+from kingcupscale.web import message
+from kingcupscale.web import server as web_server
+from kingcupscale.web import watchedstream
 from tests.platform import endlessserver
 from tests.platform import harness
 
@@ -46,6 +53,11 @@
 # Most memory that all concurrent requests may take together.
 MAX_MEMORY_BYTES = 10_000_000
 KINDS = tuple(endlessserver.KINDS)
+# After this, a client that does not read is disconnected.
+SEND_STALL_S = 1.0
+# What a connection to a client holds: a part of a response and its copy.
+CLIENT_BYTES = 2 * watchedstream.SEND_BYTES
+REQUEST = b"POST /endless HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
 
 
 class Usage:
@@ -301,6 +313,71 @@
         trio.run(main)
 
 
+class StalledClientTest(unittest.TestCase):
+    """Endless responses that are relayed to clients which do not read.
+
+    Guards against a node that reads on from the server meanwhile, and against
+    connections to servers that outlive those of the clients.
+    """
+
+    @parameterized.parameterized.expand(
+        [
+            ("body_until_the_end", "/once/"),
+            ("body_in_chunks", "/once/"),
+            ("body_of_a_length", harness.CALL_PATH),
+        ]
+    )
+    def test_stalled_clients_take_up_little_and_are_closed(self, kind, path):
+        async def check(server, setup):
+            allowed = clientlimits.derive(
+                connections=2 * CONCURRENT_CALLS, send_stall_s=SEND_STALL_S
+            )
+            guard = clientguard.ClientGuard(allowed)
+
+            async def handle(request):
+                if request.path == "/ordinary":
+                    return message.Response(200, {}, b"fine")
+                return await setup.send(server.connections, path)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(guard.run)
+                address = await nursery.start(
+                    functools.partial(web_server.serve, guard=guard),
+                    handle,
+                    "127.0.0.1:0",
+                    limits.constant(limits.Limits()),
+                    trio.sleep_forever,
+                )
+                tracemalloc.start()
+                streams = []
+                for _ in range(CONCURRENT_CALLS):
+                    host, _, port = address.rpartition(":")
+                    streams.append(await trio.open_tcp_stream(host, int(port)))
+                    await streams[-1].send_all(REQUEST)
+                while not server.connections:
+                    await trio.sleep(0.02)
+                while server.closed < server.connections:
+                    await trio.sleep(0.02)
+                _, peak = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertGreater(server.connections, 0)
+                self.assertLess(
+                    peak, MAX_MEMORY_BYTES + CONCURRENT_CALLS * CLIENT_BYTES
+                )
+                response = await httpclient.fetch(
+                    setup.http_client,
+                    address,
+                    message.Request("GET", "/ordinary"),
+                    5,
+                )
+                self.assertEqual(response.body, b"fine")
+                for stream in streams:
+                    await trio.aclose_forcefully(stream)
+                nursery.cancel_scope.cancel()
+
+        run_with_server(kind, check)
+
+
 class NamesTest(unittest.TestCase):
     def test_test_server_uses_the_header_names_of_the_platform(self):
         for name in (names.REQUEST_ID, names.SIGNATURE, names.WEIGHT_VERSION):
