--- a/tests/platform/endlessserver.py
+++ b/tests/platform/endlessserver.py
@@ -21,6 +21,8 @@
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 COMPLETE_RESPONSE = OK + b"Content-Length: 4\r\n\r\nfine"
+# A complete head within the libraries' limit of 100 KiB.
+SMALL_HEADERS = b"".join(b"%x:\r\n" % number for number in range(13_000))
 
 
 def _chunk(data):
@@ -44,6 +46,7 @@
     "events": (CHUNKED, None),
     "behind_an_answer": (COMPLETE_RESPONSE, FILLER),
     "copies_of_an_answer": (COMPLETE_RESPONSE, COMPLETE_RESPONSE * 50),
+    "many_headers": (OK + SMALL_HEADERS + b"\r\n", FILLER),
 }
 
 
