Limit the number of headers of a response

What callers saw: calls to a server that sends heads of many small headers take up a megabyte each while their bodies are relayed, beside the limits of bodies.

Cause: the libraries limit a head to 100 KiB, of which 13,000 headers of a few bytes fit in. Each takes up several objects, which the response keeps until its end, and the headers were copied for the caller as well.

Change: a response of more than 256 headers is invalid. They are released at once, as the response itself is referenced until its connection is closed.

--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -21,6 +21,9 @@
 # limit: 32 values of one megabyte, encoded as base64, as between nodes. Without
 # one, a server that sends on and on fills the memory before the timeout ends.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Most headers of a response. The libraries limit only the bytes of a head, of
+# which thousands of small headers take up a multiple.
+MAX_HEADERS = 256
 
 
 class RequestError(Exception):
@@ -331,6 +334,12 @@
                 raise RequestError(
                     "no response headers in time", may_have_been_sent=True
                 )
+            if len(response.headers) > MAX_HEADERS:
+                # The response is referenced until its connection is closed.
+                response.headers.clear()
+                raise RequestError(
+                    "response has too many headers", may_have_been_sent=True
+                )
             framing.check_head(response)
             yield message.Response(
                 response.status,
