--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -511,6 +511,27 @@
         "if False:",
         SITE + "test_endless",
     ),
+    Break(
+        "a response that is held as a whole has a size limit",
+        "web/httpclient.py",
+        "if not await response.read_at_most(max_bytes):",
+        "if not await response.read_at_most(None):",
+        "tests.test_endless_responses.WholeResponseTest",
+    ),
+    Break(
+        "a response of thousands of headers is invalid",
+        "web/httpclient.py",
+        "if len(response.headers) > MAX_HEADERS:",
+        "if False:",
+        SITE + "test_endless",
+    ),
+    Break(
+        "an engine's endless line uses bounded memory",
+        "serving/generation.py",
+        "if size > max_bytes:",
+        "if False:",
+        "tests.test_endless_responses.EngineResponseTest",
+    ),
     Break(
         "a stalled stream ends at its deadline",
         "gateway/responsestream.py",
