--- a/tests/platform/endlessserver.py
+++ b/tests/platform/endlessserver.py
@@ -21,6 +21,8 @@
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 COMPLETE_RESPONSE = OK + b"Content-Length: 4\r\n\r\nfine"
+# A complete head within the libraries' limit of 100 KiB.
+SMALL_HEADERS = b"".join(b"%x:\r\n" % number for number in range(13_000))
 
 
 def _chunk(data):
@@ -44,6 +46,7 @@
     "events": (CHUNKED, None),
     "behind_an_answer": (COMPLETE_RESPONSE, FILLER),
     "copies_of_an_answer": (COMPLETE_RESPONSE, COMPLETE_RESPONSE * 50),
+    "many_headers": (OK + SMALL_HEADERS + b"\r\n", FILLER),
 }
 
 
@@ -55,6 +58,7 @@
         repeated: What it sends again and again after that; None for numbered
             events.
         sent: Bytes sent so far, without the starts.
+        limit: Bytes after which a response ends after all.
         connections: Connections accepted so far.
         closed: Connections that the client has closed.
     """
@@ -63,6 +67,7 @@
         super().__init__()
         self.start, self.repeated = KINDS[kind]
         self.sent = 0
+        self.limit = MAX_SENT_BYTES
         self.connections = 0
         self.closed = 0
 
@@ -76,7 +81,7 @@
             fields = {b"id": found[1] if found else b""}
             await stream.send_all(self.start % fields if fields else self.start)
             number = 0
-            while self.sent < MAX_SENT_BYTES:
+            while self.sent < self.limit:
                 data = self.repeated
                 if data is None:
                     data = b"".join(
