--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -21,6 +21,7 @@
 from kingcupscale.capacity import autoscaler
 from kingcupscale.configuration import document
 from kingcupscale.configuration import keys
+from kingcupscale.crashes import guard as guards
 from kingcupscale.peering import calls as peer_calls
 from kingcupscale.peering import relay
 from kingcupscale.platform import cloud
@@ -95,6 +96,7 @@
         mock.Mock(),
         counter.Counters("n1"),
         metrics.Metrics(),
+        guards.CrashGuard(mock.Mock(), clocks.SystemClock(), lambda _: True),
     )
     request = message.Request("POST", "/x")
     grant = keys.Grant("", "o", "o", "c")
