Keep a node running if a probe of a server fails unexpectedly

What operators would see: a node that ends with an OverflowError, if a server under which a call was cut off has a port above 65535 in its entry by then, or with any other error that a probe raises.

Cause: the probe of a server that may have ended caught errors of connections and of parsing only, and its task ends the node with any other.

Change: a port out of range tells nothing, like an unreadable one; an unexpected error is logged, and the loss waits for other evidence.

Evidence: test_invalid_address_ends_no_node_2_port_out_of_range and test_unexpected_error_of_a_probe_ends_no_node failed before and pass.

--- a/src/kingcupscale/crashes/verification.py
+++ b/src/kingcupscale/crashes/verification.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import traceback
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -12,6 +13,7 @@
 import attrs
 
 from kingcupscale import clock as clocks
+from kingcupscale import events
 from kingcupscale.crashes import records
 
 # Evidence is looked for after this time. Until then, most requests have been
@@ -150,7 +152,17 @@
             # It may be another process at the same address, which has started
             # at once. Its entry will show.
             return None
-        is_listening = await self.probe.is_listening(loss.server)
+        try:
+            is_listening = await self.probe.is_listening(loss.server)
+        except Exception as e:
+            # An error that concerns one server must not end the node.
+            events.log(
+                events.Event.REQUEST_FAILED,
+                kind=type(e).__name__,
+                server=loss.server.id,
+                trace=traceback.format_tb(e.__traceback__),
+            )
+            return None
         loss.is_listening = bool(is_listening)
         if is_listening and not loss.server.is_restart_visible:
             return False
--- a/src/kingcupscale/web/httpclient.py
+++ b/src/kingcupscale/web/httpclient.py
@@ -241,8 +241,9 @@
                 await sock.connect((host, int(port)))
             except ConnectionRefusedError:
                 return False
-            except (OSError, ValueError):
-                # A connection that is reset was accepted before.
+            except (OSError, ValueError, OverflowError):
+                # A connection that is reset was accepted before. A port that is
+                # too large raises ``OverflowError``.
                 return None
             return True
         return None
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -25,6 +25,7 @@
 from kingcupscale.crashes import guard as guards
 from kingcupscale.crashes import records
 from kingcupscale.crashes import sharing
+from kingcupscale.crashes import verification
 from kingcupscale.fakes import virtualtime
 from kingcupscale.fleet import registry
 from kingcupscale.fleet import serverclient
@@ -373,6 +374,30 @@
             thread.join()
         self.assertEqual(answers.count(False), 0 if is_open else PROBES)
 
+    @parameterized.parameterized.expand(
+        [
+            ("no_port", "127.0.0.1"),
+            ("port_is_no_number", "127.0.0.1:x"),
+            ("port_out_of_range", "127.0.0.1:99999"),
+            ("no_host", ":x"),
+        ]
+    )
+    def test_invalid_address_ends_no_node(self, _, address):
+        # Other software writes servers' entries, too.
+        client = httpclient.PooledHttpClient()
+        self.assertIsNone(trio.run(client.is_listening, address, 1.0))
+
+    @virtual.on_virtual_time
+    async def test_unexpected_error_of_a_probe_ends_no_node(self):
+        probe = mock.Mock(is_listening=mock.AsyncMock(side_effect=KeyError))
+        guard = guards.CrashGuard(
+            probe, virtualtime.VirtualClock(), lambda _: True
+        )
+        guard.note_loss("f", test_call_waiting.make_server())
+        with trio.move_on_after(verification.TIMEOUT_S + 1):
+            await guard.run()
+        self.assertEqual(guard.verifier.pending, [])
+
 
 async def keep_busy():
     """Blocks the event loop again and again, as on a loaded machine."""
