--- a/tests/soak/fatal.py
+++ b/tests/soak/fatal.py
@@ -30,9 +30,7 @@
 # Ends after which a request is blocked, and further tries that are allowed.
 BLOCKING_ENDS = 3
 MAX_LATE_TRIES = 3
-# A refusal waits for no server; a call waits for one for up to 2 s. What a
-# readiness check takes at the same time is added, because the nodes of a loaded
-# machine, and this process, are late with everything.
+# A refusal waits for no server; a call waits for one for up to 2 s.
 REFUSAL_S = 0.5
 
 
@@ -189,20 +187,8 @@
         is_bound = self._must_know(node) and not self._is_crowded(node)
         undisturbed_since = self.undisturbed_since[node.name]
         sent_at = trio.current_time()
-        check_s = 0.0
-
-        async def check_readiness():
-            nonlocal check_s
-            await callers.is_ready(node)
-            check_s = trio.current_time() - sent_at
-
-        async with trio.open_nursery() as nursery:
-            if is_bound:
-                nursery.start_soon(check_readiness)
-            status, response = await self._post(
-                node, request_id, BODY, harness.KEY
-            )
-            elapsed_s = round(trio.current_time() - sent_at, 3)
+        status, response = await self._post(node, request_id, BODY, harness.KEY)
+        elapsed_s = round(trio.current_time() - sent_at, 3)
         is_undisturbed = undisturbed_since == self.undisturbed_since[node.name]
         must_refuse = is_bound and is_undisturbed and not self._is_crowded(node)
         details = request_id, node.name, status, elapsed_s
@@ -212,7 +198,7 @@
                 self.observations.add_problem("fatal request ran", *details)
         elif status and must_refuse:
             is_blocked = status == 503 and callers.BLOCKED_CODE in response.body
-            if not is_blocked or elapsed_s > REFUSAL_S + check_s:
+            if not is_blocked or elapsed_s > REFUSAL_S:
                 self.observations.add_problem(
                     "fatal request not refused at once",
                     *details,
