Have the review's scripts end in time and clean up

A script that is ended by SIGTERM, or runs for 117 s, ends its nodes and exits with 2; the temporary folder is removed.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -25,6 +26,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 1.2
+# A case ends after this time, whatever it waits for.
+LIMIT_S = 117.0
 # An entry is removed after three check-in intervals of silence.
 ENTRY_SILENCE_S = 3 * HEARTBEAT_S
 CONTACT_S = 3.0
@@ -676,7 +679,10 @@
             await node.wait_ready()
 
     async def close(self):
-        """Ends all processes that this world started."""
+        """Ends all processes that this world started.
+
+        The logs of the nodes are kept if KEEP_LOGS is set.
+        """
         for task in self.tasks:
             task.cancel()
         for node in self.nodes:
@@ -685,6 +691,8 @@
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
                 await process.wait()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _free_network(nodes):
@@ -703,17 +711,26 @@
     raise CannotRunError("no free loopback addresses")
 
 
+async def _run_limited(main, with_trouble):
+    """Runs a case for a limited time; SIGTERM ends it and its processes."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(LIMIT_S):
+        return await main(with_trouble)
+
+
 def run(main):
     """Runs a case; its exit code is 0, 1, or 2 if it could not run."""
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        code = asyncio.run(main(with_trouble))
+        code = asyncio.run(_run_limited(main, with_trouble))
         if STANDIN_ERRORS:
             raise CannotRunError(f"a stand-in failed: {STANDIN_ERRORS[0]}")
     except CannotRunError as e:
         print(f"cannot run: {e}")
         code = 2
-    except Exception as e:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as e:
         print(f"cannot run: {e!r}")
         code = 2
     sys.exit(code)
