--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prepares the stand-ins of review/6 to review/10. They are plain Python of the
+# Prepares the stand-ins of review/7 to review/10. They are plain Python of the
 # standard library, so nothing has to be built; this checks that they compile.
 set -euo pipefail
 cd "$(dirname "$0")"
