Log empty pages of open batches, and the revision of stored results

Cause: an open batch that a node answered with an empty page left no line, so the logs could not tell whether the mirror was older than it said or the record lacked what the mirror had.

Change: 2626 is written for open batches too, with `ended`, and 2615 has the store's revision. BatchCache.append returns that revision in place of a bool; the test of two writers compares it with None.

No logic has changed.

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -478,7 +478,7 @@
         if after >= len(record.results) and self._may_lack_results(record):
             await self.fetcher.refresh(record)
         page = record.page(after)
-        if not page and record.is_ended and after < len(record.batch.items):
+        if not page and after < len(record.batch.items):
             self._log_short(record, after)
         return page
 
@@ -489,6 +489,7 @@
             after=after,
             listed=len(record.results),
             total=len(record.batch.items),
+            ended=record.is_ended,
             received=self.received_positions(record.batch.id),
             current=record.is_current,
             origin=record.origin.value,
@@ -554,13 +555,14 @@
 
     async def append(
         self, additions: list[tuple[records.Record, records.Chunk]]
-    ) -> bool:
+    ) -> int | None:
         """Appends results to several batches in one transaction.
 
         Returns:
-            Whether the results were written. If not, another node had written
-            at one of the positions. The records have then been refreshed, so
-            the caller can determine which results are still missing.
+            The store's revision with the results. None if another node had
+            written at one of the positions. The records have then been
+            refreshed, so the caller can determine which results are still
+            missing.
 
         Raises:
             StoreError: If the write failed or got no answer. If it was executed
@@ -577,13 +579,13 @@
         if revision is None:
             for record, _ in additions:
                 await self.fetcher.refresh(record)
-            return False
+            return None
         for put in puts:
             self.mirror.apply(
                 stores.Entry(put.key, put.value, revision, revision)
             )
         self.mirror.notify_changed()
-        return True
+        return revision
 
 
 def _ignore(*_: object) -> None:
--- a/src/kingcupscale/batches/resultwriter.py
+++ b/src/kingcupscale/batches/resultwriter.py
@@ -73,14 +73,15 @@
         chunks = self._collect_unwritten()
         if not chunks:
             return
-        is_written = await self.batch_cache.append(chunks)
+        revision = await self.batch_cache.append(chunks)
         for record, chunk in chunks:
             events.log(
                 events.Event.RESULTS_LISTED,
                 batch=record.batch.id,
                 items=[result.item for result in chunk.results],
-                listed=is_written,
+                listed=revision is not None,
                 position=len(record.results),
+                revision=revision,
             )
         # Run again: results may be left over because of the size limits or
         # because another node wrote at the same position first.
--- a/src/kingcupscale/events.py
+++ b/src/kingcupscale/events.py
@@ -104,7 +104,7 @@
     ANNOUNCED_DELIVERED = (2623, "The mirror delivered an announced batch.")
     ANNOUNCED_DROPPED = (2624, "The mirror lacks a batch; it was stopped.")
     BATCH_LOADED = (2625, "A batch was loaded from another node or the store.")
-    RESULTS_SHORT = (2626, "An ended batch was read past its known results.")
+    RESULTS_SHORT = (2626, "A batch was read past its known results.")
     BATCH_STARTED = (2618, "A batch's first item has got a slot.")
 
     def __init__(self, number: int, summary: str) -> None:
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -393,9 +393,8 @@
                 record = node.batch_cache.records["b"]
                 result = batch.Result(item, batch.ResultState.DONE, item)
                 chunk = records.Chunk([result])
-                is_written.append(
-                    await node.batch_cache.append([(record, chunk)])
-                )
+                revision = await node.batch_cache.append([(record, chunk)])
+                is_written.append(revision is not None)
 
             async with trio.open_nursery() as writers:
                 writers.start_soon(append_item, pair.leader, "i0")
