Show a node that lacks results which another node has returned

Callers read a batch at one node, and more than a second later another node has nothing at a position that had been read (LOST).

The in-memory store of these tests answered a watch with all changes at once. It answers with pages of three changes now, and sends none for a second before it loses its history, as the store of the platform may. The schedules check the rule at each read, and bursts of other changes let watches fall behind (busy).

No logic has changed.

--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -23,14 +23,24 @@
 # Most entries of a transaction.
 MAX_ENTRIES = 32
 MAX_VIEW_AGE_S = 2.25
+# Most changes of other keys in a burst.
+BURST_CHANGES = 60
+# Once a position or a batch has been read for this long, every node has it.
+SETTLE_S = 1.0
+# Time without responses to watches before the store loses its history.
+MUTE_S = 1.0
 
 
 class FakeStore:
     """In-memory store whose responses have random latency.
 
+    A response to a watch contains only the first changes.
+
     Attributes:
         scans: Number of calls of ``scan``.
         lost_at: Watches from before this revision fail for lost history.
+        page_entries: Most changes in the response to a watch.
+        is_muted: Whether watches return no changes.
     """
 
     def __init__(self, rng):
@@ -41,6 +51,8 @@
         self.changed = trio.Event()
         self.scans = 0
         self.lost_at = 0
+        self.page_entries = 3
+        self.is_muted = False
 
     async def simulate_latency(self):
         await trio.sleep(self.rng.choice([0.001, 0.01, 0.1, 0.3]))
@@ -62,15 +74,44 @@
     async def watch(self, prefix, after, wait_s):
         await self.simulate_latency()
         with trio.move_on_after(wait_s):
-            while self.revision <= after:
+            while self.is_muted or self.revision <= after:
                 await self.changed.wait()
         if after < self.lost_at:
             raise stores.HistoryLostError
-        found = [e for e in self.history if e.revision > after]
-        result = stores.Page(found, self.revision, False)
+        result = stores.Page([], after)
+        if not self.is_muted:
+            result = self._changes_after(after)
         await self.simulate_latency()
         return result
 
+    def _changes_after(self, after):
+        """Returns the first changes; those of a transaction stay together."""
+        found = [e for e in self.history if e.revision > after]
+        if not found:
+            return stores.Page([], after)
+        last = found[: self.page_entries][-1].revision
+        return stores.Page([e for e in found if e.revision <= last], last)
+
+    async def lose_history(self):
+        """Sends no changes for a while, then discards the history."""
+        self.is_muted = True
+        await trio.sleep(MUTE_S)
+        self.is_muted = False
+        self.lost_at = self.revision
+        self._notify()
+
+    def change(self, key):
+        """Changes the value of a key."""
+        self.revision += 1
+        entry = stores.Entry(key, b"v", self.revision, self.revision)
+        self.entries[key] = entry
+        self.history.append(entry)
+        self._notify()
+
+    def _notify(self):
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
     def write_without_history(self, key, value):
         """Writes a key and discards the history of changes."""
         self.revision += 1
@@ -78,8 +119,7 @@
         self.entries[key] = stores.Entry(
             key, value, self.revision, self.revision
         )
-        changed, self.changed = self.changed, trio.Event()
-        changed.set()
+        self._notify()
 
     async def commit(self, transaction):
         await self.simulate_latency()
@@ -103,13 +143,36 @@
         for key in transaction.removals:
             del self.entries[key]
             self.history.append(stores.Entry(key, None, self.revision))
-        changed, self.changed = self.changed, trio.Event()
-        changed.set()
+        self._notify()
         revision = self.revision
         await self.simulate_latency()
         return revision
 
 
+class SlowWatch:
+    """A store as seen by a node whose watch does not deliver all changes.
+
+    Its responses arrive slowly and contain one change each ("behind"), or
+    contain none ("muted").
+    """
+
+    def __init__(self, store, fault):
+        self.store = store
+        self.fault = fault
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def watch(self, prefix, after, wait_s):
+        if self.fault == "muted":
+            await trio.sleep(wait_s)
+            return stores.Page([], after)
+        await trio.sleep(0.05)
+        page = await self.store.watch(prefix, after, wait_s)
+        first = page.entries[:1]
+        return stores.Page(first, first[0].revision if first else after)
+
+
 class SlowHandlerClient(test_relay.HandlerHttpClient):
     """Calls a handler with random latency."""
 
@@ -201,6 +264,8 @@
         self.rng = random.Random(seed)
         self.store = FakeStore(self.rng)
         self.nodes = [Node(self, f"n{i}", i < 2) for i in range(6)]
+        self.reads = {}
+        self.lost = []
 
     def leaders(self):
         return [node for node in self.nodes if node.is_leader]
@@ -219,7 +284,7 @@
             while True:
                 await trio.sleep(self.rng.uniform(0.2, 1.0))
                 if self.rng.random() < 0.2:
-                    self.store.lost_at = self.store.revision
+                    await self.store.lose_history()
                 else:
                     self._restart(nursery, self.rng.randrange(len(self.nodes)))
 
@@ -230,6 +295,14 @@
         self.set_interest(new)
         nursery.start_soon(new.run)
 
+    async def write_bursts(self, scope):
+        """Makes many changes at once, so that watches fall behind."""
+        with scope:
+            while True:
+                await trio.sleep(self.rng.uniform(0.5, 2.0))
+                for _ in range(self.rng.randrange(BURST_CHANGES)):
+                    self.store.change("unrelated")
+
     def set_interest(self, node):
         models = frozenset(m for m in MODELS if self.rng.random() < 0.3)
         node.batch_cache.set_interest(node.is_leader, models)
@@ -286,16 +359,29 @@
         await batch_cache.end(await batch_cache.find(batch_id, "o"), 5.0)
 
     async def read(self, batch_ids):
+        """Reads at random nodes, from the last position that must be there."""
         while True:
             await trio.sleep(self.rng.uniform(0.0, 0.3))
             node = self.rng.choice(self.nodes)
-            key = records.batch_key(
-                self.rng.choice(batch_ids), "specification/0"
+            batch_id = self.rng.choice(batch_ids)
+            key = records.batch_key(batch_id, "specification/0")
+            if key not in self.store.entries:
+                continue
+            settled = self._settled_count(batch_id)
+            after = max(0, settled - 1)
+            record = await node.batch_cache.find(batch_id, "o")
+            page = await node.batch_cache.read(record, after, 0.2)
+            if settled and not page:
+                self.lost.append((node.mirror.node, batch_id, after))
+            self.reads.setdefault(batch_id, []).append(
+                (trio.current_time(), after + len(page))
             )
-            if key in self.store.entries:
-                batch_id = key.split("/")[-3]
-                record = await node.batch_cache.find(batch_id, "o")
-                await node.batch_cache.read(record, 0, 0.2)
+
+    def _settled_count(self, batch_id):
+        """Returns how many results have been read long enough ago."""
+        settled_at = trio.current_time() - SETTLE_S
+        reads = self.reads.get(batch_id, [])
+        return max((n for at, n in reads if at < settled_at), default=0)
 
 
 class Pair:
@@ -331,13 +417,14 @@
         new = batch.Batch("b", "o", "r", "h", 0, "alpha", 1, 1, batch_items)
         await (node or self.leader).batch_cache.accept(new, 5.0)
 
-    async def append_result(self):
-        """Appends the next result at the leader."""
-        record = self.leader.batch_cache.records["b"]
+    async def append_result(self, node=None):
+        """Appends the next result at a node, by default the leader."""
+        batch_cache = (node or self.leader).batch_cache
+        record = await batch_cache.find("b", "o")
         item = f"i{len(record.results)}"
         result = batch.Result(item, batch.ResultState.DONE, item)
         chunk = records.Chunk([result])
-        await self.leader.batch_cache.append([(record, chunk)])
+        await batch_cache.append([(record, chunk)])
 
     def append_without_history(self):
         """Writes the first result to the store without history for watches."""
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -48,6 +48,7 @@
                 ("calm", range(1, 31)),
                 ("restarts", range(51, 71)),
                 ("few_chunks", range(101, 131)),
+                ("busy", range(201, 211)),
             )
             for seed in seeds
         ]
@@ -68,6 +69,8 @@
             fault_scope = trio.CancelScope()
             if has_restarts:
                 nursery.start_soon(fleet.inject_faults, nursery, fault_scope)
+            if kind == "busy":
+                nursery.start_soon(fleet.write_bursts, fault_scope)
             async with trio.open_nursery() as writers:
                 for batch_id in batch_ids:
                     if kind == "few_chunks":
@@ -80,13 +83,17 @@
             await trio.sleep(4)
             for node in fleet.nodes:
                 for batch_id in batch_ids:
-                    await self._check(node, batch_id)
+                    # A node that is still behind may return the first results
+                    # only, but has to return the last one if asked for it.
+                    after = fleets.ITEMS - 1 if kind == "busy" else 0
+                    await self._check(node, batch_id, after)
+            self.assertEqual(fleet.lost, [])
             nursery.cancel_scope.cancel()
 
-    async def _check(self, node, batch_id):
+    async def _check(self, node, batch_id, after):
         # A read may refresh the record first, so check what it returns.
         record = await node.batch_cache.find(batch_id, "o")
-        await node.batch_cache.read(record, 0, 0.0)
+        await node.batch_cache.read(record, after, 0.0)
         self.assertEqual(len(record.results), fleets.ITEMS, batch_id)
         self.assertEqual(len(record.finished_items), fleets.ITEMS)
         self.assertEqual(len(record.batch.items), fleets.ITEMS)
@@ -170,6 +177,31 @@
             await pair.wait_for_recent_view()
             self.assertEqual(await pair.read(), 1)
 
+    @parameterized.parameterized.expand(
+        [
+            (f"{reader}_{fault}", reader, fault)
+            for reader in ("leader", "follower")
+            for fault in ("behind", "muted")
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_reader_gets_what_another_node_has_returned(
+        self, _, reader, fault
+    ):
+        # A response to a watch does not show that a node has every change: it
+        # may contain only the first ones, or none before a loss of history.
+        async with fleets.running_pair() as pair:
+            other = await pair.add_node(is_leader=True)
+            self.assertEqual(await pair.read(), 0)
+            pair.leader.mirror.store = fleets.SlowWatch(pair.store, fault)
+            for _ in range(100):
+                pair.store.change("unrelated")
+            await pair.append_result(other)
+            self.assertEqual(await pair.read(other), 1)
+            await trio.sleep(fleets.SETTLE_S)
+            node = pair.leader if reader == "leader" else pair.follower
+            self.assertEqual(await pair.read(node), 1)
+
     @virtual.on_virtual_time
     async def test_result_written_during_a_load_is_returned(self):
         async with fleets.running_pair() as pair:
