Let the stand-in of the store answer a watch with a page of changes

Cause: tests and soak met a store that answers a watch with all changes and sends changes until it compacts them. The store of the platform ends a response after 1 MiB of values, and its watches hear nothing for a second before the history goes. So no test and no soak could show a node that is several pages behind.

Change: tests.platform.fakestore ends a response with the change that exceeds 1 MiB; its revision is that of the last change. The soak's fault compacts the history after a second in which watches return nothing. A watch that waits while the history is compacted is answered with 410.

--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -19,6 +19,10 @@
 # Most entries of a transaction, and most bytes of a value.
 MAX_ENTRIES = 32
 MAX_VALUE_BYTES = 1 << 20
+# A response to a watch ends with the change that exceeds this total size.
+WATCH_PAGE_BYTES = 1 << 20
+# Time without responses to watches before the history is compacted.
+MUTE_S = 1.0
 
 
 class Store:
@@ -26,6 +30,8 @@
 
     Attributes:
         history_from: Revision up to which the history is compacted.
+        watch_page_bytes: Size of the values that ends a response to a watch.
+        is_muted: Whether watches return no changes.
         latency_s: Delay before each call is handled.
         link_bytes_per_s: Bandwidth shared by all responses; 0 for unlimited.
         is_down: Whether all calls are answered with 503.
@@ -37,6 +43,8 @@
         self.items = {}
         self.history = []
         self.history_from = 0
+        self.watch_page_bytes = WATCH_PAGE_BYTES
+        self.is_muted = False
         self.revision = 10
         self.leases = {}
         self.latency_s = 0.004
@@ -105,6 +113,9 @@
 
     def record_event(self, event):
         self.history.append(event)
+        self.notify()
+
+    def notify(self):
         changed, self.changed = self.changed, trio.Event()
         changed.set()
 
@@ -112,6 +123,14 @@
         self.history.clear()
         self.history_from = self.revision
 
+    async def compact_after_silence(self):
+        """Sends no changes for a while, then compacts the history."""
+        self.is_muted = True
+        await trio.sleep(MUTE_S)
+        self.is_muted = False
+        self.compact()
+        self.notify()
+
     def value(self, key):
         item = self.items.get(key)
         return None if item is None else base64.b64decode(item["value"])
@@ -145,19 +164,28 @@
         prefix = query.get("pathPrefix", "")
         found = []
         with trio.move_on_after(int(query["waitMs"]) / 1000):
-            while True:
-                found = [
-                    event
-                    for event in self.history
-                    if event["revision"] > after
-                    and event["key"].startswith(prefix)
-                ]
-                if found:
-                    break
+            while not (found := self.changes_after(after, prefix)):
                 await self.changed.wait()
         if self.is_down:
             return message.Response(503)
-        return json_response({"events": found, "asOf": self.revision})
+        if after < self.history_from:
+            return message.Response(410)
+        as_of = found[-1]["revision"] if found else after
+        return json_response({"events": found, "asOf": as_of})
+
+    def changes_after(self, after, prefix):
+        """Returns the first changes after a revision, up to the page size."""
+        if self.is_muted:
+            return []
+        page, size = [], 0
+        for event in self.history:
+            is_wanted = event["key"].startswith(prefix)
+            if event["revision"] > after and is_wanted:
+                page.append(event)
+                size += len(event.get("value", ""))
+            if size > self.watch_page_bytes:
+                break
+        return page
 
     async def on_kv_txn(self, request, query):
         body = orjson.loads(request.body)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -190,9 +190,9 @@
         self.world.unreliable_store.lost_response_rate = 0.0
 
     async def compact_store_history(self, duration_s):
-        """Compacts the history of the store."""
+        """Compacts the history of the store after a silence of watches."""
         self._record("store history compacted")
-        self.world.store.compact()
+        await self.world.store.compact_after_silence()
 
     async def stop_cloud(self, duration_s):
         """Makes the usage reporting endpoint refuse all requests."""
