Call a mirror current only once it has reached a revision of the store

Callers saw that a node had no results at a position of an open batch that had been read at another node more than a second before (LOST).

Cause: a mirror that watched the store called itself current as of the time at which it had sent the watch. A response may contain only the first changes, and may contain none while the store is about to drop its history; one without changes even counted as proof for its whole wait. A node that was several pages behind, and its followers, took a view of seconds ago for recent, and answered by it without reading the store.

Change: a watch shows only up to which revision a mirror has everything. As of when it is current follows from the store's revision, read at least every 0.3 s by a node that watches, or returned by an own write of results: all changes acknowledged before that call are part of the revision, so the mirror is current as of the call once it has reached it. A mirror that is behind watches without a pause. If the watch stays silent for 2 s although the store is ahead, all keys are read anew. A response of the store still ends an outage at once.

Tests: an empty response proves nothing any more, so the test that bounded what it proves is replaced by one that demands an age of infinity until every change has arrived.

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -575,6 +575,7 @@
             key = records.result_key(record.batch.id, len(record.results))
             puts.append(stores.Put(key, records.encode(chunk)))
         conditions = [stores.Condition(p.key, stores.ABSENT) for p in puts]
+        asked_at = self.clock.monotonic()
         revision = await self.store.commit(stores.Transaction(conditions, puts))
         if revision is None:
             for record, _ in additions:
@@ -584,6 +585,7 @@
             self.mirror.apply(
                 stores.Entry(put.key, put.value, revision, revision)
             )
+        self.mirror.note_revision(revision, asked_at)
         self.mirror.notify_changed()
         return revision
 
--- a/src/kingcupscale/platform/store.py
+++ b/src/kingcupscale/platform/store.py
@@ -14,6 +14,8 @@
 # The store is specified to answer in 4 ms, or in 60 times that when it is slow.
 # A call that takes longer is abandoned, and a later read shows its outcome.
 CALL_TIMEOUT_S = 0.8
+# No key has this prefix: a scan of it returns nothing but the revision.
+UNUSED_PREFIX = "kingcupscale/unused/"
 
 
 class PlatformStore:
@@ -52,6 +54,10 @@
         has_more = bool(fields.get("hasMore"))
         return stores.Page(entries, _number(fields, "asOf"), has_more)
 
+    async def read_revision(self) -> int:
+        """Returns the store's revision."""
+        return (await self.scan(UNUSED_PREFIX)).revision
+
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> stores.Page:
--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -29,6 +29,9 @@
 # If the checksum differs from that of the followed node for longer than this, a
 # change was missed. A node's own writes reach both nodes within a second.
 MAX_DIFFERENCE_S = 2.0
+# A mirror that watches the store reads the store's revision if it is older than
+# this.
+REVISION_INTERVAL_S = 0.3
 
 Listener = Callable[[stores.Entry], None]
 # Returns another node's changes after a position; None if there is no node to
@@ -36,12 +39,30 @@
 Follow = Callable[[changelog.Position], Awaitable[changelog.Changes | None]]
 
 
+@attrs.frozen
+class StoreRevision:
+    """A revision that the store had.
+
+    Attributes:
+        revision: The revision, as returned by a read or a commit.
+        asked_at: Monotonic time at which that call was sent. All changes that
+            were acknowledged before it are part of the revision.
+    """
+
+    revision: int
+    asked_at: float
+
+
 class StoreMirror:
     """All keys of the store, and the time at which they were last current.
 
     One watch serves all components of a node, and changes are read in batches,
     so that the number of calls does not grow with the number of changes.
 
+    A response to a watch may leave out changes, so it does not show as of when
+    the mirror is current. The store's revision at some time does, once the
+    mirror has reached it.
+
     Args:
         store: The shared store.
         clock: Source of time.
@@ -53,6 +74,10 @@
         entries: Present entries by key.
         listeners: Key prefixes and the listeners subscribed to them.
         revision: Revision of the store up to which no change is missing.
+        awaited: A revision of the store that the mirror has yet to reach; None
+            for none.
+        advanced_at: Monotonic time at which all keys were read or a watch last
+            returned changes.
         current_at: Monotonic time at which the mirror was last known to be
             current; negative before the first successful read.
         essential_at: Monotonic time at which the last successful scan of all
@@ -97,6 +122,8 @@
         )
         self.listeners: list[tuple[str, Listener]] = []
         self.revision = 0
+        self.awaited: StoreRevision | None = None
+        self.advanced_at = 0.0
         self.current_at = -1.0
         self.recovered_at = 0.0
         self.is_unreachable = False
@@ -207,10 +234,12 @@
                     await self._load()
                     is_loaded = True
                     self.on_reloaded()
+                has_more = False
                 if not await self._follow_peer():
                     self.is_following = False
-                    await self._watch_store()
-                await self._pause()
+                    has_more = await self._watch_store()
+                if not has_more:
+                    await self._pause()
                 retry_s = MIN_RETRY_S
             except stores.HistoryLostError:
                 events.log(
@@ -237,12 +266,14 @@
             is_older = self.entries[key].revision <= first_revision
             if is_older and not self._is_excluded(key):
                 self.apply(stores.Entry(key, None, first_revision))
-        self.revision = first_revision
+        self._advance(first_revision)
         # Changes between the pages are already applied, so the watch that
         # repeats them does not add them to the log. The log is complete only
         # after the newest of them.
         newest = max((e.revision for e in self.entries.values()), default=0)
         self.log.restart(max(first_revision, newest))
+        self.advanced_at = self.clock.monotonic()
+        self._note_reachable()
         self._note_current(requested_at)
 
     async def _scan_all(self) -> tuple[int, set[str]]:
@@ -313,8 +344,9 @@
         for entry in changes.entries:
             self.apply(entry)
         self.position = changes.position
-        self.revision = max(self.revision, changes.position.revision)
-        self._note_current(max(self.current_at, requested_at - changes.age_s))
+        self._note_reachable()
+        self._advance(changes.position.revision)
+        self._note_current(requested_at - changes.age_s)
         if self.has_missed_changes(changes.checksum):
             await self._load_again()
         return True
@@ -334,9 +366,8 @@
         """
         for entry in changes.entries:
             self.apply(entry)
-        self.revision = max(self.revision, changes.position.revision)
-        self.current_at = max(self.current_at, current_at)
-        self.notify_changed()
+        self._advance(changes.position.revision)
+        self._note_current(current_at)
 
     async def _load_again(self) -> None:
         """Reads all keys; keeps following if the store does not respond."""
@@ -364,38 +395,85 @@
             self.differs_since = now
         elif now - self.differs_since > MAX_DIFFERENCE_S:
             self.differs_since = None
-            events.log(
-                events.Event.MIRROR_DIFFERED,
-                node=self.node,
-                revision=self.revision,
-                keys=len(self.entries),
-            )
+            self._log_difference()
             return True
         return False
 
-    async def _watch_store(self) -> None:
-        """Applies the next changes of the store."""
-        requested_at = self.clock.monotonic()
-        page = await self.store.watch("", self.revision, WATCH_TIMEOUT_S)
-        for entry in page.entries:
-            self.apply(entry)
-        self.revision = max(self.revision, page.revision)
-        # An empty response at the end of the whole wait means that nothing
-        # changed until then; an early one says so only of the time at which
-        # the request was sent.
-        waited_s = self.clock.monotonic() - requested_at
-        is_quiet = not page.entries and waited_s >= WATCH_TIMEOUT_S
-        self._note_current(
-            requested_at + (WATCH_TIMEOUT_S if is_quiet else 0.0)
+    def _log_difference(self) -> None:
+        events.log(
+            events.Event.MIRROR_DIFFERED,
+            node=self.node,
+            revision=self.revision,
+            keys=len(self.entries),
         )
 
+    async def _watch_store(self) -> bool:
+        """Applies the next changes of the store.
+
+        Returns:
+            Whether the store has further changes, which can be read at once.
+
+        Raises:
+            HistoryLostError: If the watch does not deliver changes that the
+                store has.
+        """
+        wait_s = REVISION_INTERVAL_S
+        if self.awaited is None and self.age_s() >= REVISION_INTERVAL_S:
+            await self._read_revision()
+            wait_s = WATCH_TIMEOUT_S
+        page = await self.store.watch("", self.revision, wait_s)
+        self._note_reachable()
+        if page.entries:
+            for entry in page.entries:
+                self.apply(entry)
+            self.advanced_at = self.clock.monotonic()
+            self._advance(page.revision)
+            self.notify_changed()
+        elif self._is_watch_silent():
+            self._log_difference()
+            raise stores.HistoryLostError
+        return bool(page.entries) and self.awaited is not None
+
+    async def _read_revision(self) -> None:
+        asked_at = self.clock.monotonic()
+        self.note_revision(await self.store.read_revision(), asked_at)
+
+    def note_revision(self, revision: int, asked_at: float) -> None:
+        """Records that the store had a revision.
+
+        Args:
+            revision: The revision, as returned by a read or a commit.
+            asked_at: Monotonic time at which that call was sent.
+        """
+        if revision <= self.revision:
+            self._note_current(asked_at)
+        elif self.awaited is None:
+            self.awaited = StoreRevision(revision, asked_at)
+
+    def _advance(self, revision: int) -> None:
+        """Records that the mirror has all changes up to a revision."""
+        self.revision = max(self.revision, revision)
+        awaited = self.awaited
+        if awaited is not None and awaited.revision <= self.revision:
+            self.awaited = None
+            self._note_current(awaited.asked_at)
+
+    def _is_watch_silent(self) -> bool:
+        """Returns whether the watch delivers no changes although there are."""
+        if self.awaited is None:
+            return False
+        silent_since = max(self.awaited.asked_at, self.advanced_at)
+        return self.clock.monotonic() - silent_since > MAX_DIFFERENCE_S
+
     def _note_current(self, current_at: float) -> None:
-        self.current_at = current_at
+        self.current_at = max(self.current_at, current_at)
+        self.notify_changed()
+
+    def _note_reachable(self) -> None:
         if self.is_unreachable:
             self.is_unreachable = False
             self.recovered_at = self.clock.monotonic()
             events.log(events.Event.STORE_REGAINED, node=self.node)
-        self.notify_changed()
 
     def _note_unreachable(self, error: stores.StoreError) -> None:
         if not self.is_unreachable:
--- a/src/kingcupscale/storage/store.py
+++ b/src/kingcupscale/storage/store.py
@@ -125,9 +125,16 @@
         """Returns a page of the entries under a prefix, after a key."""
         ...
 
+    async def read_revision(self) -> int:
+        """Returns the store's revision, which includes all earlier changes."""
+        ...
+
     async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
         """Returns changes after a revision, waiting for the first one.
 
+        The page may contain only the first of the changes. It may be empty
+        although there are changes, before the store compacts them.
+
         Args:
             prefix: Prefix of the keys.
             after: The revision.
--- a/tests/batches/fleets.py
+++ b/tests/batches/fleets.py
@@ -71,6 +71,12 @@
         await self.simulate_latency()
         return result
 
+    async def read_revision(self):
+        await self.simulate_latency()
+        revision = self.revision
+        await self.simulate_latency()
+        return revision
+
     async def watch(self, prefix, after, wait_s):
         await self.simulate_latency()
         with trio.move_on_after(wait_s):
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -188,20 +188,56 @@
             self.assertLess(mirror.age_s(), 1.0)
 
 
-class EmptyWatchTest(unittest.TestCase):
-    @parameterized.parameterized.expand([("early", 0.1), ("whole", 0.5)])
-    @virtual.on_virtual_time
-    async def test_empty_response_proves_currency_for_its_wait_only(
-        self, _, wait_s
-    ):
-        class UnchangedStore:
-            async def watch(self, prefix, after, allowed_s):
-                await trio.sleep(wait_s)
-                return stores.Page([], after, False)
+class PartialStore:
+    """A store with two changes, of which a watch delivers only some."""
+
+    def __init__(self, count, wait_s):
+        self.count = count
+        self.wait_s = wait_s
+
+    async def read_revision(self):
+        return 12
 
+    async def watch(self, prefix, after, allowed_s):
+        await trio.sleep(self.wait_s)
+        changes = [entry("a", 11), entry("b", 12)]
+        found = [c for c in changes if c.revision > after][: self.count]
+        return stores.Page(found, found[-1].revision if found else after)
+
+
+class PartialWatchTest(unittest.TestCase):
+    def make_mirror(self, count, wait_s):
+        store = PartialStore(count, wait_s)
         clock = virtualtime.VirtualClock()
         mirror = mirrors.StoreMirror(
-            UnchangedStore(), clock, "n1", lambda: 0.0, follow_no_node
+            store, clock, "n1", lambda: 0.0, follow_no_node
         )
+        mirror.revision = 10
+        return store, mirror
+
+    @parameterized.parameterized.expand(
+        [
+            ("first_change", 1, 0.1),
+            ("none_early", 0, 0.1),
+            ("none_after_the_whole_wait", 0, 0.5),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_mirror_is_current_only_with_every_change(
+        self, _, count, wait_s
+    ):
+        store, mirror = self.make_mirror(count, wait_s)
+        began_at = trio.current_time()
+        await mirror._watch_store()
+        self.assertEqual(mirror.age_s(), float("inf"))
+        store.count = 2
         await mirror._watch_store()
-        self.assertLessEqual(mirror.current_at, trio.current_time())
+        self.assertEqual(mirror.current_at, began_at)
+
+    @virtual.on_virtual_time
+    async def test_all_keys_are_read_if_the_watch_stays_silent(self):
+        _, mirror = self.make_mirror(count=0, wait_s=0.5)
+        with self.assertRaises(stores.HistoryLostError):
+            for _ in range(6):
+                await mirror._watch_store()
+        self.assertGreater(trio.current_time(), mirrors.MAX_DIFFERENCE_S)
