Do not leave out a chunk of results that cannot be decoded

A chunk in the store whose value cannot be decoded was logged and skipped, and the record went on to call itself current: a reader got an empty page although the store holds results. A load or refresh that met such a chunk raised an exception that nobody expects, which ends CacheMaintainer.run and with it the node.

Change: a chunk that cannot be decoded marks the record as incomplete, and a load or refresh that meets one fails as if the store had not answered, so the reader gets 503.

Evidence: test_chunk_that_cannot_be_decoded_is_not_left_out failed before in both cases (no error was raised, an empty page was returned) and passes; tests.batches.test_cache.BatchCacheTest passes (41).

--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -280,9 +280,12 @@
         record = self.records.get(batch_id)
         if record is None:
             return
-        decoding.decode_entry(
-            entry, lambda v: record.add_encoded_chunk(int(position), v)
-        )
+        try:
+            decoding.decode_required(
+                entry, lambda v: record.add_encoded_chunk(int(position), v)
+            )
+        except stores.StoreError:
+            record.mark_incomplete()
 
     def _mark_all_incomplete(self) -> None:
         """Marks all records as incomplete after a reload of the mirror.
--- a/src/kingcupscale/batches/fetching.py
+++ b/src/kingcupscale/batches/fetching.py
@@ -12,6 +12,7 @@
 from kingcupscale import clock as clocks
 from kingcupscale import errors
 from kingcupscale.batches import record as records
+from kingcupscale.storage import decoding
 from kingcupscale.storage import fallback
 from kingcupscale.storage import mirror as mirrors
 from kingcupscale.storage import store as stores
@@ -101,7 +102,11 @@
                 parts[number] = entry.value or b""
             is_ended = is_ended or number == records.END
             self.mirror.apply(entry)
-        record = records.assemble(parts)
+        key = records.batch_key(batch_id, records.SPECIFICATION, "0")
+        record = decoding.decode_required(
+            stores.Entry(key, parts.get("0"), 0),
+            lambda _: records.assemble(parts),
+        )
         if record is None:
             return None
         record.origin = records.Origin.STORE
@@ -167,7 +172,8 @@
         """Reads the results that a record lacks from the store only.
 
         Raises:
-            StoreError: If the store cannot be reached.
+            StoreError: If the store cannot be reached, or a stored chunk cannot
+                be decoded.
         """
         # Later changes are received, unless missed_updates is incremented.
         missed_updates = record.missed_updates
@@ -185,8 +191,12 @@
             last = len(record.results) - 1
             after = records.result_key(record.batch.id, last)
         for entry in await self.entries(prefix, after):
-            first = int(entry.key.removeprefix(prefix))
-            record.add_encoded_chunk(first, entry.value or b"")
+            decoding.decode_required(
+                entry,
+                lambda value, key=entry.key: record.add_encoded_chunk(
+                    int(key.removeprefix(prefix)), value
+                ),
+            )
 
     async def _apply_snapshot(self, record: records.Record) -> None:
         """Adds the results that another node has.
--- a/src/kingcupscale/storage/decoding.py
+++ b/src/kingcupscale/storage/decoding.py
@@ -20,6 +20,22 @@
         entry: A present entry.
         decode: Decodes the value; raises an exception if it is invalid.
     """
+    try:
+        return decode_required(entry, decode)
+    except stores.StoreError:
+        return None
+
+
+def decode_required(entry: stores.Entry, decode: Callable[[bytes], T]) -> T:
+    """Returns the decoded value of an entry; logs an invalid one.
+
+    Args:
+        entry: A present entry.
+        decode: Decodes the value; raises an exception if it is invalid.
+
+    Raises:
+        StoreError: If the value is invalid.
+    """
     try:
         return decode(entry.value or b"")
     except Exception as e:
@@ -30,4 +46,6 @@
             key=entry.key,
             reason=f"{type(e).__name__}: {e}"[:200],
         )
-        return None
+        raise stores.StoreError(
+            f"unreadable value of {entry.key}", False
+        ) from e
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -202,6 +202,28 @@
             node = pair.leader if reader == "leader" else pair.follower
             self.assertEqual(await pair.read(node), 1)
 
+    @parameterized.parameterized.expand(
+        [("received", "follower"), ("read_from_the_store", "late")]
+    )
+    @virtual.on_virtual_time
+    async def test_chunk_that_cannot_be_decoded_is_not_left_out(
+        self, _, reader
+    ):
+        # An empty page would say that there are no results.
+        async with fleets.running_pair() as pair:
+            self.assertEqual(await pair.read(), 0)
+            pair.store.change(records.result_key("b", 0))
+            await trio.sleep(1)
+            node = pair.follower
+            if reader == "late":
+                node = await pair.add_node(is_leader=True)
+            for _ in range(2):
+                with self.assertRaises(errors.ServiceError) as caught:
+                    await pair.read(node)
+                self.assertEqual(
+                    caught.exception.code, errors.ResultCode.STORE_UNAVAILABLE
+                )
+
     @virtual.on_virtual_time
     async def test_result_written_during_a_load_is_returned(self):
         async with fleets.running_pair() as pair:
