Sum up a usage window later if the mirror is old

Callers would have seen a usage report that lacks requests. Found by looking for other readers that take their view of the store for current: the reporting node summed up the counts that its mirror had, however old that was, and the figures of a window never change.

Change: a window counts as collected later by the age of the mirror, up to 0.8 of the time until the report is late.

Evidence: test_old_mirror_delays_the_sum_of_a_window failed before, with the counts of 1 of 3 requests, and passes; tests.test_windows passes (13).

--- a/src/kingcupscale/usage/windows.py
+++ b/src/kingcupscale/usage/windows.py
@@ -29,6 +29,9 @@
 # A window is summed up once this fraction of the time until its report is late
 # has passed, even if the counts of some nodes are missing.
 COLLECT_FRACTION = 0.4
+# Counts in the store may be missing from an old mirror. A window is summed up
+# later by the age of the mirror, up to this fraction of the same time.
+MAX_VIEW_DELAY_FRACTION = 0.4
 # A node that acquires the usage duty waits this long before it reports, so that
 # other nodes can resend the counts that they sent to the previous holder.
 RESEND_WAIT_S = 2.0
@@ -251,8 +254,7 @@
         """
         if not self._has_waited_for_counts():
             return
-        now_s = self.clock.now().timestamp()
-        due = int((now_s - self.late_s * COLLECT_FRACTION) // self.window_s) - 1
+        due = self._newest_due_window()
         if self.first_window is None:
             self.first_window = self._first_window(due)
         for window in range(
@@ -265,6 +267,15 @@
         for window in [w for w in self.received if w <= oldest]:
             del self.received[window]
 
+    def _newest_due_window(self) -> int:
+        """Returns the newest window whose counts the mirror should have."""
+        view_delay_s = min(
+            self.mirror.age_s(), self.late_s * MAX_VIEW_DELAY_FRACTION
+        )
+        known_to_s = self.clock.now().timestamp() - view_delay_s
+        collected_to_s = known_to_s - self.late_s * COLLECT_FRACTION
+        return int(collected_to_s // self.window_s) - 1
+
     def _first_window(self, due: int) -> int:
         """Returns the oldest window that has counts or figures.
 
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -162,6 +162,12 @@
     def __init__(self, store):
         self.store = store
         self.entries = {}
+        self.current_at = None
+
+    def age_s(self):
+        if self.current_at is None:
+            return 0.0
+        return trio.current_time() - self.current_at
 
     def add_counts(self, window, node, counts):
         key = f"{windows.COUNTS_PREFIX}{window}/{node}"
@@ -250,3 +256,25 @@
         await trio.sleep(0.2 * windows.RESEND_WAIT_S)
         await reporter.step()
         self.assertIn((window, {"one": 6, "two": 1}), intake.reports)
+
+    @parameterized.parameterized.expand(
+        [("delivered_in_time", 0.6, {"one": 3}), ("late", 1.0, {"one": 1})]
+    )
+    @virtual.on_virtual_time
+    async def test_old_mirror_delays_the_sum_of_a_window(
+        self, _, delivered_share, expected
+    ):
+        # A mirror that is behind lacks counts that are in the store.
+        intake, mirror, window = self._prepare()
+        reporter = self._make(mirror, intake, "n1")
+        now_s = virtualtime.VirtualClock().now().timestamp()
+        ended_at = trio.current_time() + (window + 1) * WINDOW_S - now_s
+        mirror.current_at = ended_at
+        delivered_at = ended_at + delivered_share * reporter.late_s
+        while trio.current_time() < ended_at + 2 * reporter.late_s:
+            if trio.current_time() >= delivered_at and mirror.current_at:
+                mirror.add_counts(window, "n1", {"one": 3})
+                mirror.current_at = None
+            await reporter.step()
+            await trio.sleep(0.2)
+        self.assertIn((window, expected), intake.reports)
