--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -65,6 +65,29 @@
         "                    pass",
         CACHE,
     ),
+    Break(
+        "a mirror is current only with every change of the store",
+        "storage/mirror.py",
+        "if revision <= self.revision:",
+        "if True:",
+        CACHE,
+    ),
+    Break(
+        "a chunk of results that cannot be decoded is not left out",
+        "batches/cache.py",
+        """        except stores.StoreError:
+            record.mark_incomplete()""",
+        """        except stores.StoreError:
+            pass""",
+        CACHE,
+    ),
+    Break(
+        "a usage window is not summed up by an old view",
+        "usage/windows.py",
+        "known_to_s = self.clock.now().timestamp() - view_delay_s",
+        "known_to_s = self.clock.now().timestamp()",
+        "tests.test_windows",
+    ),
     Break(
         "a mirror does not overstate how current it is",
         "peering/relay.py",
