Keep following a node that is behind but receives changes

Change: a response to a follower tells when the mirror last received changes of the store. A node that is behind and receives changes is left only for another one that is recent; one that receives none is left after 1.1 s as before. A response without the new field counts as none.

The new cases of test_followers and test_mirror fail without the change.

--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -48,6 +48,8 @@
             response, by node.
         not_before: Monotonic time before which a node is not asked for
             changes, by node.
+        behind_until: Monotonic time before which other nodes are asked first,
+            by node.
         failed_until: Monotonic time before which a node is sent no copies, by
             node.
         followed: The node that returned changes last; empty for none.
@@ -72,6 +74,7 @@
         self.mirror: mirrors.StoreMirror | None = None
         self.unresponsive_since: dict[str, float] = {}
         self.not_before: dict[str, float] = {}
+        self.behind_until: dict[str, float] = {}
         self.failed_until: dict[str, float] = {}
         self.followed = ""
 
@@ -143,16 +146,31 @@
             others = sorted(addresses.keys() - set(names))
             self.rng.shuffle(others)
             names += others[:2]
+        # One that is behind is only followed if none is recent.
+        names.sort(key=self._is_behind)
+        behind: tuple[str, changelog.Changes] | None = None
         for name in names:
+            if behind is not None and self._is_behind(name):
+                break
             if self.not_before.get(name, 0.0) > self.clock.monotonic():
                 continue
             changes = await self._fetch_changes_from(
                 name, addresses[name], position, interest
             )
-            if changes is not None:
+            if changes is None:
+                continue
+            if changes.is_recent() or not changes.is_advancing():
                 self._note_followed(name)
                 return changes
-        return None
+            behind = behind or (name, changes)
+        if behind is None:
+            return None
+        self._note_followed(behind[0])
+        return behind[1]
+
+    def _is_behind(self, name: str) -> bool:
+        """Returns whether a node's mirror was behind when last asked."""
+        return self.behind_until.get(name, 0.0) > self.clock.monotonic()
 
     def _note_followed(self, name: str) -> None:
         if name != self.followed:
@@ -282,7 +300,11 @@
             self.not_before[name] = self.clock.monotonic() + RETRY_PAUSE_S
             return None
         self.answered_at = self.clock.monotonic()
-        if changes.age_s > mirrors.MAX_FOLLOWED_AGE_S:
-            self.not_before[name] = self.answered_at + RETRY_PAUSE_S
+        if not changes.is_recent():
+            retry_at = self.answered_at + RETRY_PAUSE_S
+            if changes.is_advancing():
+                self.behind_until[name] = retry_at
+            else:
+                self.not_before[name] = retry_at
         self.mark_responsive(name)
         return changes
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -39,6 +39,9 @@
 STATUS_TOO_FAR_BEHIND = 410
 # Size of the cache of encoded changes; all followers request the latest ones.
 MAX_CACHED_ENCODINGS = 100
+# Largest time since a mirror received changes that is sent; JSON has no
+# infinity.
+MAX_ADVANCED_S = 3600.0
 # Sent in place of a value that the follower does not need.
 OMITTED_VALUE = b""
 
@@ -266,9 +269,7 @@
         return message.Response(
             200,
             {"content-type": "application/json"},
-            self._encode(
-                found, interest, requested_at - self.mirror.current_at
-            ),
+            self._encode(found, interest, requested_at),
         )
 
     async def _serve_batch(self, copy_request: CopyRequest) -> message.Response:
@@ -328,14 +329,16 @@
         self,
         entries: list[stores.Entry],
         interest: interests.Interest,
-        age_s: float,
+        requested_at: float,
     ) -> bytes:
+        advanced_s = requested_at - self.mirror.advanced_at
         return orjson.dumps(
             {
                 "log": self.mirror.log.id,
                 "number": self.mirror.log.number,
                 "revision": self.mirror.revision,
-                "age_s": age_s,
+                "age_s": requested_at - self.mirror.current_at,
+                "advanced_s": min(advanced_s, MAX_ADVANCED_S),
                 "checksum": str(self.mirror.checksum),
                 "entries": [self._encode_one(e, interest) for e in entries],
             }
@@ -382,5 +385,10 @@
         fields["log"], int(fields["number"]), int(fields["revision"])
     )
     return changelog.Changes(
-        entries, position, float(fields["age_s"]), int(fields["checksum"])
+        entries,
+        position,
+        float(fields["age_s"]),
+        int(fields["checksum"]),
+        # A node of an earlier release does not say so.
+        float(fields.get("advanced_s", MAX_ADVANCED_S)),
     )
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -11,6 +11,9 @@
 # that is further behind reads from the store.
 MAX_CHANGES = 3000
 MAX_BYTES = 4_000_000
+# A followed mirror that is older than this, and has received nothing for as
+# long, is not used; the store is watched instead.
+MAX_FOLLOWED_AGE_S = 1.1
 
 
 @attrs.frozen
@@ -39,12 +42,27 @@
             to be current and the arrival of the request; negative if the
             mirror was current later than that.
         checksum: Checksum of all keys and revisions of the followed mirror.
+        advanced_s: Seconds since the followed mirror received changes from the
+            store, at the arrival of the request.
     """
 
     entries: list[stores.Entry]
     position: Position
     age_s: float
     checksum: int
+    advanced_s: float = float("inf")
+
+    def is_recent(self) -> bool:
+        """Returns whether the followed mirror is recent."""
+        return self.age_s <= MAX_FOLLOWED_AGE_S
+
+    def is_advancing(self) -> bool:
+        """Returns whether the followed mirror receives changes of the store.
+
+        If it is behind, its followers would be behind as well if each of them
+        read the same changes from the store.
+        """
+        return self.advanced_s <= MAX_FOLLOWED_AGE_S
 
 
 class ChangeLog:
--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 import attrs
 import outcome
@@ -24,9 +25,6 @@
 WATCH_TIMEOUT_S = 0.5
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.5
-# A followed mirror that is older than this is not used; the store is watched
-# instead.
-MAX_FOLLOWED_AGE_S = 1.1
 # If the checksum differs from that of the followed node for longer than this, a
 # change was missed. A node's own writes reach both nodes within a second.
 MAX_DIFFERENCE_S = 2.0
@@ -127,7 +125,7 @@
         self.listeners: list[tuple[str, Listener]] = []
         self.revision = 0
         self.awaited: StoreRevision | None = None
-        self.advanced_at = 0.0
+        self.advanced_at = -math.inf
         self.current_at = -1.0
         self.recovered_at = 0.0
         self.is_unreachable = False
@@ -341,7 +339,9 @@
             return True
         if changes is not None and self.is_unreachable:
             self._apply_outdated(changes, requested_at - changes.age_s)
-        if changes is None or changes.age_s > MAX_FOLLOWED_AGE_S:
+        if changes is None or not (
+            changes.is_recent() or changes.is_advancing()
+        ):
             self.position = changelog.Position("", 0, 0)
             return False
         self.is_following = True
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -36,18 +36,22 @@
 
     Attributes:
         silent: Addresses of the nodes that do not respond.
+        ages: Age of a node's mirror and time since it received changes, in
+            seconds, by address; others are recent.
         asked: Addresses that were asked, in order.
     """
 
     def __init__(self):
         self.silent = set()
+        self.ages = {}
         self.asked = []
 
     async def follow(self, address, position, interest):
         self.asked.append(address)
         if address in self.silent:
             raise relay.RelayError("no response")
-        return changelog.Changes([], position, 0.0, 0)
+        age_s, advanced_s = self.ages.get(address, (0.0, 0.0))
+        return changelog.Changes([], position, age_s, 0, advanced_s)
 
 
 def make_peers(node, leaders):
@@ -116,6 +120,25 @@
         await found.fetch_changes(POSITION, interest.EVERYTHING, False)
         self.assertEqual(found.followed, preferred)
 
+    @parameterized.parameterized.expand(
+        [
+            ("preferred_is_behind", [(3.0, 0.1)], 1),
+            ("both_are_behind", [(3.0, 0.1), (3.0, 0.1)], 0),
+            ("preferred_receives_nothing", [(3.0, 9.0)], 1),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_recent_leader_is_preferred(self, _, ages, expected):
+        found = make_peers("n20", ["n3", "n7"])
+        leaders = found.leaders()
+        found.client.ages = dict(zip(leaders, ages, strict=False))
+        for _ in range(2):
+            changes = await found.fetch_changes(
+                POSITION, interest.EVERYTHING, False
+            )
+        self.assertTrue(changes.is_recent() or changes.is_advancing())
+        self.assertEqual(found.followed, leaders[expected])
+
     def test_leader_does_not_follow_itself(self):
         self.assertEqual(make_peers("n3", ["n3", "n7"]).leaders(), ["n7"])
 
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -282,3 +282,29 @@
         await trio.sleep(1)
         await mirror._watch_store()
         self.assertAlmostEqual(mirror.age_s(), 1.1)
+
+
+class FollowTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("recent", 1.0, 9.0, True),
+            ("behind_but_advancing", 3.0, 0.1, True),
+            ("receives_nothing", 3.0, 9.0, False),
+        ]
+    )
+    @virtual.on_virtual_time
+    async def test_follower_leaves_a_node_that_is_stuck_only(
+        self, _, age_s, advanced_s, is_followed
+    ):
+        # Followers that leave a node which is behind all read the same changes.
+        async def follow(position):
+            at = changelog.Position("log", 1, 11)
+            return changelog.Changes([entry("a", 11)], at, age_s, 0, advanced_s)
+
+        mirror = mirrors.StoreMirror(
+            None, virtualtime.VirtualClock(), "n1", lambda: 0.0, follow
+        )
+        await trio.sleep(10)
+        self.assertEqual(await mirror._follow_peer(), is_followed)
+        if is_followed:
+            self.assertAlmostEqual(mirror.age_s(), age_s)
