Take an old view for current only if other nodes lack the store too

A node that the store rejects runs samples on an old view if no node reaches the store, as nothing can change then. It concluded so from any response of a node while its own view stayed old.

Change: a response to a follower tells whether the store does not respond to the node, and only such a response counts. A response without the new field counts as before.

--- a/bench/sitebreaks.py
+++ b/bench/sitebreaks.py
@@ -670,8 +670,8 @@
     Break(
         "items continue while no node reaches the store",
         "storage/view.py",
-        "was_old = peer_answered_at",
-        "was_old = False and peer_answered_at",
+        "was_old = peer_cut_off_at",
+        "was_old = False and peer_cut_off_at",
         "tests.storage.test_view",
     ),
     Break(
--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -43,6 +43,8 @@
 
     Attributes:
         answered_at: Monotonic time of the last response of any node.
+        cut_off_at: Monotonic time of the last response of a node that does not
+            reach the store.
         mirror: The mirror that holds the nodes' entries; set once it exists.
         unresponsive_since: Monotonic time of the first call without a
             response, by node.
@@ -66,6 +68,7 @@
     ) -> None:
         self.watching_duties = watching_duties
         self.answered_at = 0.0
+        self.cut_off_at = 0.0
         self.node = node
         self.client = client
         self.commits = commits_client
@@ -113,9 +116,12 @@
         names = {self.holder(duty) for duty in self.watching_duties()}
         return rendezvous.rank(self.node, names - {"", self.node})
 
-    def peer_answered_at(self) -> float | None:
-        """Returns when any node last responded; None if no other is known."""
-        return self.answered_at if self.addresses() else None
+    def peer_cut_off_at(self) -> float | None:
+        """Returns when a node without the store last responded.
+
+        None if no other node is known.
+        """
+        return self.cut_off_at if self.addresses() else None
 
     def is_unresponsive(self, node: str) -> bool:
         """Returns whether a node has not responded for a while."""
@@ -300,6 +306,8 @@
             self.not_before[name] = self.clock.monotonic() + RETRY_PAUSE_S
             return None
         self.answered_at = self.clock.monotonic()
+        if changes.is_unreachable:
+            self.cut_off_at = self.answered_at
         if not changes.is_recent():
             retry_at = self.answered_at + RETRY_PAUSE_S
             if changes.is_advancing():
--- a/src/kingcupscale/peering/relay.py
+++ b/src/kingcupscale/peering/relay.py
@@ -339,6 +339,7 @@
                 "revision": self.mirror.revision,
                 "age_s": requested_at - self.mirror.current_at,
                 "advanced_s": min(advanced_s, MAX_ADVANCED_S),
+                "unreachable": self.mirror.is_unreachable,
                 "checksum": str(self.mirror.checksum),
                 "entries": [self._encode_one(e, interest) for e in entries],
             }
@@ -389,6 +390,7 @@
         position,
         float(fields["age_s"]),
         int(fields["checksum"]),
-        # A node of an earlier release does not say so.
+        # A node of an earlier release does not send these fields.
         float(fields.get("advanced_s", MAX_ADVANCED_S)),
+        bool(fields.get("unreachable", True)),
     )
--- a/src/kingcupscale/runtime.py
+++ b/src/kingcupscale/runtime.py
@@ -140,7 +140,7 @@
             self.clock,
             settings.node,
             settings.bounds.cancel_s,
-            self.peers.peer_answered_at,
+            self.peers.peer_cut_off_at,
         )
         self.server_registry = registry.ServerRegistry(
             self.clock,
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -44,6 +44,7 @@
         checksum: Checksum of all keys and revisions of the followed mirror.
         advanced_s: Seconds since the followed mirror received changes from the
             store, at the arrival of the request.
+        is_unreachable: Whether the store does not respond to the followed node.
     """
 
     entries: list[stores.Entry]
@@ -51,6 +52,7 @@
     age_s: float
     checksum: int
     advanced_s: float = float("inf")
+    is_unreachable: bool = False
 
     def is_recent(self) -> bool:
         """Returns whether the followed mirror is recent."""
--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -361,8 +361,6 @@
         """Applies changes of a node whose own mirror is outdated.
 
         While the store is unreachable, that node may still have newer state.
-        If it does not, its response shows that it does not reach the store
-        either.
 
         Args:
             changes: The changes.
--- a/src/kingcupscale/storage/view.py
+++ b/src/kingcupscale/storage/view.py
@@ -41,8 +41,9 @@
         clock: Source of time.
         node: The node's name, for the log.
         bound_s: Seconds within which a change must be in effect.
-        peer_answered_at: Returns the monotonic time at which another node last
-            responded; None if no other node is known.
+        peer_cut_off_at: Returns the monotonic time at which another node that
+            does not reach the store last responded; None if no other node is
+            known.
 
     Attributes:
         max_age_s: Age in seconds up to which the view is current.
@@ -55,14 +56,14 @@
         clock: clocks.Clock,
         node: str,
         bound_s: float,
-        peer_answered_at: Callable[[], float | None],
+        peer_cut_off_at: Callable[[], float | None],
     ) -> None:
         self.mirror = mirror
         self.clock = clock
         self.node = node
         self.bound_s = bound_s
         self.max_age_s = bound_s * (1 - SAFETY_SHARE)
-        self.peer_answered_at = peer_answered_at
+        self.peer_cut_off_at = peer_cut_off_at
         self.was_current = True
 
     def age_s(self) -> float:
@@ -90,18 +91,19 @@
     def _is_store_unreachable_for_all(self) -> bool:
         """Returns whether the other nodes do not reach the store either.
 
-        True if another node responded recently, but long after this node's view
-        was current, and had nothing newer; or if there is no other node.
+        True if another node that does not reach it responded recently, but long
+        after this node's view was current; or if there is no other node. The
+        view of a node that does reach the store may be old as well, because the
+        node is behind.
         """
         if not self.mirror.is_unreachable:
             return False
-        peer_answered_at = self.peer_answered_at()
-        if peer_answered_at is None:
+        peer_cut_off_at = self.peer_cut_off_at()
+        if peer_cut_off_at is None:
             return True
-        was_old = peer_answered_at - self.mirror.current_at > self.max_age_s
+        was_old = peer_cut_off_at - self.mirror.current_at > self.max_age_s
         return (
-            was_old
-            and self.clock.monotonic() - peer_answered_at <= self.bound_s
+            was_old and self.clock.monotonic() - peer_cut_off_at <= self.bound_s
         )
 
     def _log_transition(self, is_current: bool) -> None:
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -22,6 +22,7 @@
 from kingcupscale.storage import locks
 from kingcupscale.storage import mirror as mirrors
 from kingcupscale.storage import store as stores
+from kingcupscale.storage import view as views
 from tests import virtual
 from tests.platform import harness
 
@@ -38,11 +39,13 @@
         silent: Addresses of the nodes that do not respond.
         ages: Age of a node's mirror and time since it received changes, in
             seconds, by address; others are recent.
+        is_cut_off: Whether the store does not respond to any node.
         asked: Addresses that were asked, in order.
     """
 
     def __init__(self):
         self.silent = set()
+        self.is_cut_off = False
         self.ages = {}
         self.asked = []
 
@@ -51,7 +54,9 @@
         if address in self.silent:
             raise relay.RelayError("no response")
         age_s, advanced_s = self.ages.get(address, (0.0, 0.0))
-        return changelog.Changes([], position, age_s, 0, advanced_s)
+        return changelog.Changes(
+            [], position, age_s, 0, advanced_s, self.is_cut_off
+        )
 
 
 def make_peers(node, leaders):
@@ -139,6 +144,26 @@
         self.assertTrue(changes.is_recent() or changes.is_advancing())
         self.assertEqual(found.followed, leaders[expected])
 
+    @parameterized.parameterized.expand([("behind", False), ("cut_off", True)])
+    @virtual.on_virtual_time
+    async def test_old_view_is_current_only_without_any_store(
+        self, _, is_cut_off
+    ):
+        # A node that reaches the store may be old because it is behind, while
+        # the store takes changes.
+        found = make_peers("n20", ["n3", "n7"])
+        await trio.sleep(100)
+        found.mirror.clock = found.clock
+        found.mirror.current_at = trio.current_time() - 9.0
+        found.mirror.is_unreachable = True
+        found.client.is_cut_off = is_cut_off
+        found.client.ages = dict.fromkeys(FLEET, (4.0, 0.1))
+        await found.fetch_changes(POSITION, interest.EVERYTHING, True)
+        view = views.View(
+            found.mirror, found.clock, "n20", 4.0, found.peer_cut_off_at
+        )
+        self.assertEqual(view.is_current(), is_cut_off)
+
     def test_leader_does_not_follow_itself(self):
         self.assertEqual(make_peers("n3", ["n3", "n7"]).leaders(), ["n7"])
 
--- a/tests/storage/test_view.py
+++ b/tests/storage/test_view.py
@@ -49,18 +49,18 @@
     )
     @virtual.on_virtual_time
     async def test_old_view_differs_from_an_unreachable_store(
-        self, _, age_s, is_unreachable, peer_answered_s, is_current
+        self, _, age_s, is_unreachable, peer_cut_off_s, is_current
     ):
         await trio.sleep(NOW_S)
         now = trio.current_time()
-        peer_answered_at = (
-            None if peer_answered_s is None else now - peer_answered_s
+        peer_cut_off_at = (
+            None if peer_cut_off_s is None else now - peer_cut_off_s
         )
         view = views.View(
             Mirror(now - age_s, is_unreachable),
             virtualtime.VirtualClock(),
             "n",
             BOUND_S,
-            lambda: peer_answered_at,
+            lambda: peer_cut_off_at,
         )
         self.assertEqual(view.is_current(), is_current)
