Do not apply changes of a followed node that were received before

A follower that changes to a node which is behind gets changes again that are older than its own revision.

Change: changes up to the mirror's own revision are left out, as it has received all of them.

--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -345,8 +345,7 @@
             self.position = changelog.Position("", 0, 0)
             return False
         self.is_following = True
-        for entry in changes.entries:
-            self.apply(entry)
+        self._apply_followed(changes)
         self.position = changes.position
         self._note_reachable()
         self._advance(changes.position.revision)
@@ -366,11 +365,20 @@
             changes: The changes.
             current_at: Monotonic time at which the other mirror was current.
         """
-        for entry in changes.entries:
-            self.apply(entry)
+        self._apply_followed(changes)
         self._advance(changes.position.revision)
         self._note_current(current_at)
 
+    def _apply_followed(self, changes: changelog.Changes) -> None:
+        """Applies the changes that the mirror has not received before.
+
+        A node that is behind repeats older ones, and a removed key leaves no
+        revision by which ``apply`` would ignore its older value.
+        """
+        for entry in changes.entries:
+            if entry.revision > self.revision:
+                self.apply(entry)
+
     async def _load_again(self) -> None:
         """Reads all keys; keeps following if the store does not respond."""
         try:
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -308,3 +308,18 @@
         self.assertEqual(await mirror._follow_peer(), is_followed)
         if is_followed:
             self.assertAlmostEqual(mirror.age_s(), age_s)
+
+    @virtual.on_virtual_time
+    async def test_node_that_is_behind_brings_no_removed_key_back(self):
+        async def follow(position):
+            at = changelog.Position("log", 1, 11)
+            return changelog.Changes([entry("a", 11)], at, 0.0, 0)
+
+        mirror = mirrors.StoreMirror(
+            None, virtualtime.VirtualClock(), "n1", lambda: 0.0, follow
+        )
+        mirror.apply(entry("a", 11))
+        mirror.apply(entry("a", 12, None))
+        mirror.revision = 12
+        await mirror._follow_peer()
+        self.assertEqual(list(mirror.entries), [])
