Do not pass over changes that a page of the watch leaves out

The mirror took over the revision of a response to a watch. If it were the store's own revision, a page that leaves changes out would lose them.

Change: the mirror advances to the last change of a page at most.

Evidence: the case first_change_as_of_the_last failed before.

--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -452,7 +452,8 @@
         for entry in page.entries:
             self.apply(entry)
         self.advanced_at = self.clock.monotonic()
-        self._advance(page.revision)
+        # The revision of a page that leaves changes out may be the store's.
+        self._advance(min(page.revision, page.entries[-1].revision))
         self.notify_changed()
 
     async def _read_revision(self) -> None:
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -196,6 +196,7 @@
         watch_s: Time that a watch takes.
         is_refusing: Whether reads of the revision are refused.
         pages: Responses to watches.
+        revision: Revision of each response; None for that of its last change.
     """
 
     def __init__(self, count, watch_s):
@@ -203,6 +204,7 @@
         self.watch_s = watch_s
         self.is_refusing = False
         self.pages = 0
+        self.revision = None
 
     async def scan(self, prefix, after=""):
         return stores.Page([], 10)
@@ -218,7 +220,8 @@
         self.pages += 1
         changes = [entry("a", 11), entry("b", 12)]
         found = [c for c in changes if c.revision > after][: self.count]
-        return stores.Page(found, found[-1].revision if found else after)
+        last = found[-1].revision if found else after
+        return stores.Page(found, self.revision or last)
 
 
 class PartialWatchTest(unittest.TestCase):
@@ -233,22 +236,26 @@
 
     @parameterized.parameterized.expand(
         [
-            ("first_change", 1, 0.1),
-            ("none_early", 0, 0.1),
-            ("none_after_the_whole_wait", 0, 0.5),
+            ("first_change", 1, 0.1, None),
+            ("first_change_as_of_the_last", 1, 0.1, 12),
+            ("none_early", 0, 0.1, None),
+            ("none_after_the_whole_wait", 0, 0.5, None),
+            ("none_as_of_the_last", 0, 0.5, 12),
         ]
     )
     @virtual.on_virtual_time
     async def test_mirror_is_current_only_with_every_change(
-        self, _, count, watch_s
+        self, _, count, watch_s, revision
     ):
         store, mirror = self.make_mirror(count, watch_s)
+        store.revision = revision
         began_at = trio.current_time()
         await mirror._watch_store()
         self.assertEqual(mirror.age_s(), float("inf"))
         store.count = 2
         await mirror._watch_store()
         self.assertEqual(mirror.current_at, began_at)
+        self.assertEqual(list(mirror.entries), ["a", "b"])
 
     @virtual.on_virtual_time
     async def test_all_keys_are_read_if_the_watch_stays_silent(self):
