--- a/src/kingcupscale/batches/cache.py
+++ b/src/kingcupscale/batches/cache.py
@@ -517,9 +517,13 @@
         mirror delivered its results.
         """
         is_complete = len(record.results) >= len(record.batch.items)
+        # A record that has left the cache gets no more changes, and a refresh
+        # calls it current as of that moment only.
+        is_cached = self.records.get(record.batch.id) is record
         is_uncertain = (
             self.mirror.age_s() > MIRROR_STALE_S
             or not record.is_current
+            or not is_cached
             or record.needs_confirmation()
         )
         return is_uncertain and not is_complete
--- a/tests/batches/test_cache.py
+++ b/tests/batches/test_cache.py
@@ -224,6 +224,20 @@
                     caught.exception.code, errors.ResultCode.STORE_UNAVAILABLE
                 )
 
+    @virtual.on_virtual_time
+    async def test_reader_of_an_evicted_batch_gets_later_results(self):
+        async with fleets.running_pair() as pair:
+            self.assertEqual(await pair.read(), 0)
+            batch_cache = pair.follower.batch_cache
+            record = batch_cache.records["b"]
+            batch_cache.evict("b")
+            # Another reader of the same record refreshes it.
+            self.assertEqual(await batch_cache.read(record, 0, 0.0), [])
+            await pair.append_result()
+            await trio.sleep(1)
+            await pair.wait_for_recent_view()
+            self.assertEqual(len(await batch_cache.read(record, 0, 0.0)), 1)
+
     @virtual.on_virtual_time
     async def test_result_written_during_a_load_is_returned(self):
         async with fleets.running_pair() as pair:
