Read the revision of the store again after a watch that waited

Cause: since a quiet watch proves nothing, the age of a mirror began with the read beside the watch, and half a second of waiting was lost.

Change: the revision is read beside the watch and after it, each time unless the mirror is younger than 0.3 s. All watches have the same wait.

--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -427,14 +427,11 @@
             HistoryLostError: If the watch does not deliver changes that the
                 store has.
         """
-        is_recent = self.age_s() < REVISION_INTERVAL_S
-        wait_s = REVISION_INTERVAL_S if is_recent else WATCH_TIMEOUT_S
         async with trio.open_nursery() as nursery:
-            if self.awaited is None and not is_recent:
-                nursery.start_soon(self._read_revision)
+            nursery.start_soon(self._confirm)
             # A nursery would wrap the error of a failed watch.
             result = await outcome.acapture(
-                self.store.watch, "", self.revision, wait_s
+                self.store.watch, "", self.revision, WATCH_TIMEOUT_S
             )
             if isinstance(result, outcome.Value):
                 self._apply_watched(result.value)
@@ -442,6 +439,8 @@
         if self._is_watch_silent():
             self._log_difference()
             raise stores.HistoryLostError
+        # The watch may have waited for changes.
+        await self._confirm()
         return bool(result.value.entries) and self.awaited is not None
 
     def _apply_watched(self, page: stores.Page) -> None:
@@ -456,8 +455,13 @@
         self._advance(min(page.revision, page.entries[-1].revision))
         self.notify_changed()
 
-    async def _read_revision(self) -> None:
-        """Reads the store's revision; without it, the mirror only ages."""
+    async def _confirm(self) -> None:
+        """Reads the store's revision, unless the mirror is recent or behind.
+
+        If the read fails, the mirror only ages.
+        """
+        if self.awaited is not None or self.age_s() < REVISION_INTERVAL_S:
+            return
         asked_at = self.clock.monotonic()
         try:
             revision = await self.store.read_revision()
