Judge the age of a followed node when its response arrives

Cause: a node took the view of a node that it follows for recent by its age when the request arrived. Two nodes that follow each other, one of which does not reach the store, each waited for the other's long poll and aged meanwhile; the one that does reach the store did not read it.

Change: the time until the response counts as well, from the request to that node, so that a leader that did not respond before is not counted against the next one.

--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 import random
 
+import attrs
+
 from kingcupscale import clock as clocks
 from kingcupscale import events
 from kingcupscale import rendezvous
@@ -152,6 +154,7 @@
             others = sorted(addresses.keys() - set(names))
             self.rng.shuffle(others)
             names += others[:2]
+        started_at = self.clock.monotonic()
         # One that is behind is only followed if none is recent.
         names.sort(key=self._is_behind)
         behind: tuple[str, changelog.Changes] | None = None
@@ -160,15 +163,23 @@
                 break
             if self.not_before.get(name, 0.0) > self.clock.monotonic():
                 continue
+            asked_at = self.clock.monotonic()
             changes = await self._fetch_changes_from(
                 name, addresses[name], position, interest
             )
             if changes is None:
                 continue
-            if changes.is_recent() or not changes.is_advancing():
+            # The caller counts from before the nodes that were asked first.
+            earlier_s = asked_at - started_at
+            found = attrs.evolve(
+                changes,
+                age_s=changes.age_s - earlier_s,
+                advanced_s=changes.advanced_s - earlier_s,
+            )
+            if not self._is_behind(name):
                 self._note_followed(name)
-                return changes
-            behind = behind or (name, changes)
+                return found
+            behind = behind or (name, found)
         if behind is None:
             return None
         self._note_followed(behind[0])
@@ -308,9 +319,11 @@
         self.answered_at = self.clock.monotonic()
         if changes.is_unreachable:
             self.cut_off_at = self.answered_at
-        if not changes.is_recent():
+        elapsed_s = self.answered_at - asked_at
+        self.behind_until.pop(name, None)
+        if not changes.is_recent(elapsed_s):
             retry_at = self.answered_at + RETRY_PAUSE_S
-            if changes.is_advancing():
+            if changes.is_advancing(elapsed_s):
                 self.behind_until[name] = retry_at
             else:
                 self.not_before[name] = retry_at
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -54,17 +54,27 @@
     advanced_s: float = float("inf")
     is_unreachable: bool = False
 
-    def is_recent(self) -> bool:
-        """Returns whether the followed mirror is recent."""
-        return self.age_s <= MAX_FOLLOWED_AGE_S
+    def is_recent(self, elapsed_s: float) -> bool:
+        """Returns whether the followed mirror is recent.
 
-    def is_advancing(self) -> bool:
+        A node without the store may follow this one. Its view is then never
+        newer than this one's, and gets old while the response is awaited.
+
+        Args:
+            elapsed_s: Seconds since the request was sent.
+        """
+        return self.age_s + elapsed_s <= MAX_FOLLOWED_AGE_S
+
+    def is_advancing(self, elapsed_s: float) -> bool:
         """Returns whether the followed mirror receives changes of the store.
 
         If it is behind, its followers would be behind as well if each of them
         read the same changes from the store.
+
+        Args:
+            elapsed_s: Seconds since the request was sent.
         """
-        return self.advanced_s <= MAX_FOLLOWED_AGE_S
+        return self.advanced_s + elapsed_s <= MAX_FOLLOWED_AGE_S
 
 
 class ChangeLog:
--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -339,8 +339,9 @@
             return True
         if changes is not None and self.is_unreachable:
             self._apply_outdated(changes, requested_at - changes.age_s)
+        elapsed_s = self.clock.monotonic() - requested_at
         if changes is None or not (
-            changes.is_recent() or changes.is_advancing()
+            changes.is_recent(elapsed_s) or changes.is_advancing(elapsed_s)
         ):
             self.position = changelog.Position("", 0, 0)
             return False
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -141,7 +141,7 @@
             changes = await found.fetch_changes(
                 POSITION, interest.EVERYTHING, False
             )
-        self.assertTrue(changes.is_recent() or changes.is_advancing())
+        self.assertTrue(changes.is_recent(0.0) or changes.is_advancing(0.0))
         self.assertEqual(found.followed, leaders[expected])
 
     @parameterized.parameterized.expand([("behind", False), ("cut_off", True)])
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -301,17 +301,20 @@
 class FollowTest(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
-            ("recent", 1.0, 9.0, True),
-            ("behind_but_advancing", 3.0, 0.1, True),
-            ("receives_nothing", 3.0, 9.0, False),
+            ("recent", 1.0, 9.0, 0.0, True),
+            ("behind_but_advancing", 3.0, 0.1, 0.0, True),
+            ("receives_nothing", 3.0, 9.0, 0.0, False),
+            # Two nodes that follow each other only wait for each other.
+            ("old_when_it_responds", 0.8, 9.0, 0.5, False),
         ]
     )
     @virtual.on_virtual_time
     async def test_follower_leaves_a_node_that_is_stuck_only(
-        self, _, age_s, advanced_s, is_followed
+        self, _, age_s, advanced_s, wait_s, is_followed
     ):
         # Followers that leave a node which is behind all read the same changes.
         async def follow(position):
+            await trio.sleep(wait_s)
             at = changelog.Position("log", 1, 11)
             return changelog.Changes([entry("a", 11)], at, age_s, 0, advanced_s)
 
