--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -261,13 +261,7 @@
             first_revision, seen_keys = await self._scan_all()
         finally:
             self.is_loading = False
-        # The pages are not one snapshot: keys may change between two of them.
-        # The watch starts at the first page's revision and repeats those
-        # changes.
-        for key in [key for key in self.entries if key not in seen_keys]:
-            is_older = self.entries[key].revision <= first_revision
-            if is_older and not self._is_excluded(key):
-                self.apply(stores.Entry(key, None, first_revision))
+        self._remove_missing("", seen_keys, first_revision)
         self._advance(first_revision)
         # Changes between the pages are already applied, so the watch that
         # repeats them does not add them to the log. The log is complete only
@@ -283,11 +277,33 @@
         requested_at = self.clock.monotonic()
         seen_keys: set[str] = set()
         first_revision = await self._scan("", seen_keys)
+        self._remove_missing(self.deferred_prefix, seen_keys, first_revision)
         self.essential_at = requested_at
         if self.deferred_prefix:
             await self._scan(self.deferred_prefix, seen_keys)
         return first_revision, seen_keys
 
+    def _remove_missing(
+        self, unread_prefix: str, seen_keys: set[str], revision: int
+    ) -> None:
+        """Removes keys that a scan of all keys did not return.
+
+        The pages of a scan are not one snapshot: keys may change between two of
+        them. The watch starts at the first page's revision and repeats those
+        changes.
+
+        Args:
+            unread_prefix: Prefix of keys that were not read yet; empty for
+                none.
+            seen_keys: The keys that were read.
+            revision: The first page's revision.
+        """
+        for key in [key for key in self.entries if key not in seen_keys]:
+            is_unread = bool(unread_prefix) and key.startswith(unread_prefix)
+            is_older = self.entries[key].revision <= revision
+            if is_older and not is_unread and not self._is_excluded(key):
+                self.apply(stores.Entry(key, None, revision))
+
     async def _scan(self, prefix: str, seen_keys: set[str]) -> int:
         """Reads the keys under a prefix; returns the first page's revision.
 
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -95,6 +95,51 @@
         self.assertEqual(mirror.log.since(changelog.Position("", 0, 12)), [])
 
 
+class SlowBatchesStore:
+    """A store without history, whose batches take long to read."""
+
+    def __init__(self):
+        self.entries = [entry("a", 5)]
+        self.revision = 5
+
+    async def scan(self, prefix, after=""):
+        if prefix:
+            await trio.sleep(3)
+            return stores.Page([], self.revision)
+        return stores.Page(self.entries, self.revision)
+
+    async def read_revision(self):
+        return self.revision
+
+    async def watch(self, prefix, after, wait_s):
+        await trio.sleep(wait_s)
+        if after < self.revision:
+            raise stores.HistoryLostError
+        return stores.Page([], after)
+
+
+class EssentialKeysTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_essential_keys_are_current_without_removed_ones(self):
+        store = SlowBatchesStore()
+        clock = virtualtime.VirtualClock()
+        mirror = mirrors.StoreMirror(
+            store, clock, "n1", lambda: 0.1, follow_no_node
+        )
+        mirror.defer_prefix("batches/")
+        with trio.move_on_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(mirror.run)
+                await trio.sleep(10)
+                store.entries, store.revision = [], 6
+                removed_at = trio.current_time()
+                while mirror.essential_at <= removed_at:
+                    await trio.sleep(0.1)
+                self.assertLess(mirror.current_at, removed_at)
+                self.assertEqual(list(mirror.entries), [])
+                nursery.cancel_scope.cancel()
+
+
 class ChangeLogTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
     @hypothesis.given(strategies.integers(0, 10_000), strategies.integers(1, 5))
