--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -483,9 +483,11 @@
         try:
             revision = await self.store.read_revision()
         except stores.StoreError as e:
-            events.log(
-                events.Event.STORE_FAILED, node=self.node, reason=e.reason
-            )
+            # During an outage, the failed watch has been logged already.
+            if not self.is_unreachable:
+                events.log(
+                    events.Event.STORE_FAILED, node=self.node, reason=e.reason
+                )
         else:
             self.note_revision(revision, asked_at)
 
