Pass on removals of keys that the mirror does not have

A key that is removed between the pages of a scan is not in the mirror, so its removal was not logged for followers, although the log claims to have every change after the scan.

Change: the removal of an unknown key is logged as well.

--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -202,9 +202,11 @@
         previous = self.entries.get(entry.key)
         if previous is not None and previous.revision >= entry.revision:
             return
+        if entry.value is None and previous is None:
+            # A follower may still have the key.
+            self.log.add(entry)
+            return
         if entry.value is None:
-            if previous is None:
-                return
             del self.entries[entry.key]
         else:
             self.entries[entry.key] = entry
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -140,6 +140,33 @@
                 nursery.cancel_scope.cancel()
 
 
+class RemovalTest(unittest.TestCase):
+    @virtual.on_virtual_time
+    async def test_removal_during_a_scan_reaches_followers(self):
+        # The scan does not return the key, so the watch removes an unknown one.
+        class Store(ChangingStore):
+            async def watch(self, prefix, after, wait_s):
+                await trio.sleep(wait_s)
+                changes = [entry("b", 12), entry("c", 13, None)]
+                changes = [e for e in changes if e.revision > after]
+                return stores.Page(changes, 13 if changes else after)
+
+            async def read_revision(self):
+                return 13
+
+        mirror = mirrors.StoreMirror(
+            Store(),
+            virtualtime.VirtualClock(),
+            "n1",
+            lambda: 0.0,
+            follow_no_node,
+        )
+        with trio.move_on_after(2):
+            await mirror.run()
+        found = mirror.log.since(changelog.Position("another", 7, 12))
+        self.assertEqual([e.key for e in found], ["c"])
+
+
 class ChangeLogTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
     @hypothesis.given(strategies.integers(0, 10_000), strategies.integers(1, 5))
