--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -81,6 +81,8 @@
         revision: Revision of the store up to which no change is missing.
         awaited: A revision of the store that the mirror has yet to reach; None
             for none.
+        no_read_before: Monotonic time before which the store's revision is not
+            read again, after a failed read.
         advanced_at: Monotonic time at which all keys were read or a watch last
             returned changes.
         current_at: Monotonic time at which the mirror was last known to be
@@ -128,6 +130,7 @@
         self.listeners: list[tuple[str, Listener]] = []
         self.revision = 0
         self.awaited: StoreRevision | None = None
+        self.no_read_before = 0.0
         self.advanced_at = -math.inf
         self.current_at = -1.0
         self.recovered_at = 0.0
@@ -490,9 +493,12 @@
         if self.awaited is not None or self.age_s() < max_age_s:
             return
         asked_at = self.clock.monotonic()
+        if asked_at < self.no_read_before:
+            return
         try:
             revision = await self.store.read_revision()
         except stores.StoreError as e:
+            self.no_read_before = self.clock.monotonic() + REVISION_INTERVAL_S
             # During an outage, the failed watch has been logged already.
             if not self.is_unreachable:
                 events.log(
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -271,6 +271,7 @@
         count: Most changes in a response to a watch.
         watch_s: Time that a watch takes.
         is_refusing: Whether reads of the revision are refused.
+        reads: Reads of the revision.
         pages: Responses to watches.
         revision: Revision of each response; None for that of its last change.
     """
@@ -279,6 +280,7 @@
         self.count = count
         self.watch_s = watch_s
         self.is_refusing = False
+        self.reads = 0
         self.pages = 0
         self.revision = None
 
@@ -286,6 +288,7 @@
         return stores.Page([], 10)
 
     async def read_revision(self):
+        self.reads += 1
         await trio.sleep(READ_S)
         if self.is_refusing:
             raise stores.StoreError("status 429", False)
@@ -357,6 +360,11 @@
         self.assertEqual(mirror.revision, 12)
         self.assertFalse(mirror.is_unreachable)
         self.assertEqual(mirror.age_s(), float("inf"))
+        # Refused calls are not repeated with each watch.
+        for _ in range(29):
+            await mirror._watch_store()
+        most = trio.current_time() / mirrors.REVISION_INTERVAL_S
+        self.assertLessEqual(store.reads, 1 + most)
 
     @virtual.on_virtual_time
     async def test_leader_of_a_slow_quiet_store_is_recent_to_its_followers(
