Measure the silence of watches from the first that brings nothing

The time was counted from the awaited revision, which an outage forgets: with a watch that is silent and cut now and then, a change did not arrive in 30 s (trial). A revision of an own write, noted long before the node began to watch, made one empty watch read all keys.

Change: the silence begins with the first watch that brings nothing while the store is ahead, and ends with a change, a read of all keys or a followed node.

Evidence: the two new tests failed before.

--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -34,8 +34,8 @@
 # The same before a watch, which may wait for ``WATCH_TIMEOUT_S``. With a store
 # that takes 0.2 s for a call, followers left a leader that began at 0.3 s.
 MAX_AGE_BEFORE_WATCH_S = 0.15
-# If the watch delivers nothing for longer than this although the store is
-# ahead, all keys are read. The store drops its history after a second at most.
+# If watches bring nothing for longer than this although the store is ahead, all
+# keys are read. Each revision of the store is taken to have a change.
 MAX_SILENCE_S = 2.0
 
 Listener = Callable[[stores.Entry], None]
@@ -81,6 +81,9 @@
         revision: Revision of the store up to which no change is missing.
         awaited: A revision of the store that the mirror has yet to reach; None
             for none.
+        silent_since: Monotonic time at which the first of the latest watches
+            was sent that brought no change although the store was ahead; None
+            for none.
         no_read_before: Monotonic time before which the store's revision is not
             read again, after a failed read.
         advanced_at: Monotonic time at which all keys were read or a watch last
@@ -130,6 +133,7 @@
         self.listeners: list[tuple[str, Listener]] = []
         self.revision = 0
         self.awaited: StoreRevision | None = None
+        self.silent_since: float | None = None
         self.no_read_before = 0.0
         self.advanced_at = -math.inf
         self.current_at = -1.0
@@ -277,6 +281,7 @@
         newest = max((e.revision for e in self.entries.values()), default=0)
         self.log.restart(max(first_revision, newest))
         self.advanced_at = self.clock.monotonic()
+        self.silent_since = None
         self._note_reachable()
         self._note_current(requested_at)
 
@@ -370,6 +375,7 @@
             self.position = changelog.Position("", 0, 0)
             return False
         self.is_following = True
+        self.silent_since = None
         self._apply_followed(changes)
         self.position = changes.position
         self._note_reachable()
@@ -452,6 +458,7 @@
             HistoryLostError: If the watch does not deliver changes that the
                 store has.
         """
+        sent_at = self.clock.monotonic()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._read_revision_if_old, MAX_AGE_BEFORE_WATCH_S
@@ -462,12 +469,12 @@
             )
             if isinstance(result, outcome.Value):
                 self._apply_watched(result.value)
-        result.unwrap()
-        if self._is_watch_silent():
+        page = result.unwrap()
+        if not page.entries and self._is_watch_silent(sent_at):
             self._log_difference()
             raise stores.HistoryLostError
         await self._read_revision_if_old(REVISION_INTERVAL_S)
-        return bool(result.value.entries) and self.awaited is not None
+        return bool(page.entries) and self.awaited is not None
 
     def _apply_watched(self, page: stores.Page) -> None:
         """Applies the changes in a response to a watch."""
@@ -477,6 +484,7 @@
         for entry in page.entries:
             self.apply(entry)
         self.advanced_at = self.clock.monotonic()
+        self.silent_since = None
         # If a page leaves changes out, its revision may be that of the store.
         # The store never divides a transaction between two pages.
         self._advance(min(page.revision, page.entries[-1].revision))
@@ -527,12 +535,17 @@
             self.awaited = None
             self._note_current(awaited.asked_at)
 
-    def _is_watch_silent(self) -> bool:
-        """Returns whether the watch delivers no changes although there are."""
+    def _is_watch_silent(self, sent_at: float) -> bool:
+        """Returns whether watches bring no changes although there are some.
+
+        Args:
+            sent_at: Monotonic time at which a watch without changes was sent.
+        """
         if self.awaited is None:
             return False
-        silent_since = max(self.awaited.asked_at, self.advanced_at)
-        return self.clock.monotonic() - silent_since > MAX_SILENCE_S
+        if self.silent_since is None:
+            self.silent_since = sent_at
+        return self.clock.monotonic() - self.silent_since > MAX_SILENCE_S
 
     def _note_current(self, current_at: float) -> None:
         self.current_at = max(self.current_at, current_at)
--- a/tests/storage/test_mirror.py
+++ b/tests/storage/test_mirror.py
@@ -271,6 +271,7 @@
         count: Most changes in a response to a watch.
         watch_s: Time that a watch takes.
         is_refusing: Whether reads of the revision are refused.
+        scans: Scans of all keys.
         reads: Reads of the revision.
         pages: Responses to watches.
         revision: Revision of each response; None for that of its last change.
@@ -280,11 +281,13 @@
         self.count = count
         self.watch_s = watch_s
         self.is_refusing = False
+        self.scans = 0
         self.reads = 0
         self.pages = 0
         self.revision = None
 
     async def scan(self, prefix, after=""):
+        self.scans += 1
         return stores.Page([], 10)
 
     async def read_revision(self):
@@ -344,6 +347,29 @@
                 await mirror._watch_store()
         self.assertGreater(trio.current_time(), mirrors.MAX_SILENCE_S)
 
+    @virtual.on_virtual_time
+    async def test_all_keys_are_read_if_silent_watches_are_cut_as_well(self):
+        store, mirror = self.make_mirror(count=0, watch_s=0.5)
+        watch = store.watch
+
+        async def watch_or_fail(prefix, after, wait_s):
+            if store.pages % 3 == 2:
+                store.pages += 1
+                raise stores.StoreError("connection reset", False)
+            return await watch(prefix, after, wait_s)
+
+        store.watch = watch_or_fail
+        with trio.move_on_after(4.0):
+            await mirror.run()
+        self.assertGreaterEqual(store.scans, 2)
+
+    @virtual.on_virtual_time
+    async def test_old_write_does_not_make_a_new_watch_silent(self):
+        _, mirror = self.make_mirror(count=0, watch_s=0.5)
+        mirror.note_revision(12, asked_at=0.0)
+        await trio.sleep(10)
+        await mirror._watch_store()
+
     @virtual.on_virtual_time
     async def test_mirror_that_is_behind_watches_without_a_pause(self):
         store, mirror = self.make_mirror(count=1, watch_s=0.1, pause_s=60.0)
