Count a node without the store only if no other one reaches it

A node that the store rejects took its old view for current if any node that does not reach the store had responded, even beside one that does and is behind.

--- a/src/kingcupscale/fleet/peers.py
+++ b/src/kingcupscale/fleet/peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random
 
 import attrs
@@ -47,6 +48,8 @@
         answered_at: Monotonic time of the last response of any node.
         cut_off_at: Monotonic time of the last response of a node that does not
             reach the store.
+        reached_at: Monotonic time of the last response of a node whose mirror
+            is recent or receives changes.
         mirror: The mirror that holds the nodes' entries; set once it exists.
         unresponsive_since: Monotonic time of the first call without a
             response, by node.
@@ -71,6 +74,7 @@
         self.watching_duties = watching_duties
         self.answered_at = 0.0
         self.cut_off_at = 0.0
+        self.reached_at = -math.inf
         self.node = node
         self.client = client
         self.commits = commits_client
@@ -121,9 +125,15 @@
     def peer_cut_off_at(self) -> float | None:
         """Returns when a node without the store last responded.
 
-        None if no other node is known.
+        None if no other node is known; never if another node shows that it
+        reaches the store.
         """
-        return self.cut_off_at if self.addresses() else None
+        if not self.addresses():
+            return None
+        reached_s = self.clock.monotonic() - self.reached_at
+        if reached_s <= changelog.MAX_FOLLOWED_AGE_S:
+            return -math.inf
+        return self.cut_off_at
 
     def is_unresponsive(self, node: str) -> bool:
         """Returns whether a node has not responded for a while."""
@@ -169,17 +179,18 @@
             )
             if changes is None:
                 continue
-            # The caller counts from before the nodes that were asked first.
+            # The caller subtracts the age from the time of its own call, so the
+            # time spent on other nodes is deducted here.
             earlier_s = asked_at - started_at
-            found = attrs.evolve(
+            adjusted = attrs.evolve(
                 changes,
                 age_s=changes.age_s - earlier_s,
                 advanced_s=changes.advanced_s - earlier_s,
             )
             if not self._is_behind(name):
                 self._note_followed(name)
-                return found
-            behind = behind or (name, found)
+                return adjusted
+            behind = behind or (name, adjusted)
         if behind is None:
             return None
         self._note_followed(behind[0])
@@ -317,15 +328,18 @@
             self.not_before[name] = self.clock.monotonic() + RETRY_PAUSE_S
             return None
         self.answered_at = self.clock.monotonic()
-        if changes.is_unreachable:
-            self.cut_off_at = self.answered_at
         elapsed_s = self.answered_at - asked_at
+        is_advancing = changes.is_advancing(elapsed_s)
+        is_recent = changes.is_recent(elapsed_s)
+        if is_recent or is_advancing:
+            self.reached_at = self.answered_at
+        elif changes.is_unreachable:
+            self.cut_off_at = self.answered_at
         self.behind_until.pop(name, None)
-        if not changes.is_recent(elapsed_s):
-            retry_at = self.answered_at + RETRY_PAUSE_S
-            if changes.is_advancing(elapsed_s):
-                self.behind_until[name] = retry_at
-            else:
-                self.not_before[name] = retry_at
+        retry_at = self.answered_at + RETRY_PAUSE_S
+        if not is_recent and is_advancing:
+            self.behind_until[name] = retry_at
+        elif not is_recent:
+            self.not_before[name] = retry_at
         self.mark_responsive(name)
         return changes
--- a/src/kingcupscale/storage/changelog.py
+++ b/src/kingcupscale/storage/changelog.py
@@ -57,8 +57,8 @@
     def is_recent(self, elapsed_s: float) -> bool:
         """Returns whether the followed mirror is recent.
 
-        A node without the store may follow this one. Its view is then never
-        newer than this one's, and gets old while the response is awaited.
+        The age at the arrival of the request is not enough: if two nodes follow
+        each other, both only get older while one waits for the other.
 
         Args:
             elapsed_s: Seconds since the request was sent.
@@ -68,8 +68,8 @@
     def is_advancing(self, elapsed_s: float) -> bool:
         """Returns whether the followed mirror receives changes of the store.
 
-        If it is behind, its followers would be behind as well if each of them
-        read the same changes from the store.
+        Followers keep to such a node even if it is behind. If each of them read
+        the same changes from the store, the load would delay all of them.
 
         Args:
             elapsed_s: Seconds since the request was sent.
--- a/src/kingcupscale/storage/mirror.py
+++ b/src/kingcupscale/storage/mirror.py
@@ -96,7 +96,7 @@
             ended.
         is_following: Whether another node's mirror is followed.
         is_unreachable: Whether the store does not respond and there is no other
-            node to follow whose mirror is recent.
+            node to follow whose mirror is recent or receives changes.
         checksum: Checksum of all keys and their revisions, except the excluded
             ones; equal on nodes with equal state.
         differs_since: Monotonic time since which the checksum differs from
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -143,11 +143,38 @@
             )
         self.assertTrue(changes.is_recent(0.0) or changes.is_advancing(0.0))
         self.assertEqual(found.followed, leaders[expected])
+        self.assertLessEqual(len(found.client.asked), 3)
 
-    @parameterized.parameterized.expand([("behind", False), ("cut_off", True)])
+    @virtual.on_virtual_time
+    async def test_time_spent_on_a_silent_leader_does_not_age_the_next(self):
+        found = make_peers("n20", ["n3", "n7"])
+        preferred, other = found.leaders()
+        found.client.ages = {other: (0.5, 9.0)}
+        follow = found.client.follow
+
+        async def follow_slowly(address, position, wanted):
+            if address == preferred:
+                await trio.sleep(0.8)
+                raise relay.RelayError("no response")
+            return await follow(address, position, wanted)
+
+        found.client.follow = follow_slowly
+        changes = await found.fetch_changes(
+            POSITION, interest.EVERYTHING, False
+        )
+        self.assertAlmostEqual(changes.age_s, -0.3)
+        self.assertTrue(changes.is_recent(0.8))
+
+    @parameterized.parameterized.expand(
+        [
+            ("behind", [(4.0, 0.1)], False),
+            ("cut_off", [(4.0, 9.0), (4.0, 9.0)], True),
+            ("behind_beside_one_cut_off", [(4.0, 0.1), (4.0, 9.0)], False),
+        ]
+    )
     @virtual.on_virtual_time
     async def test_old_view_is_current_only_without_any_store(
-        self, _, is_cut_off
+        self, _, ages, is_current
     ):
         # A node that reaches the store may be old because it is behind, while
         # the store takes changes.
@@ -156,13 +183,13 @@
         found.mirror.clock = found.clock
         found.mirror.current_at = trio.current_time() - 9.0
         found.mirror.is_unreachable = True
-        found.client.is_cut_off = is_cut_off
-        found.client.ages = dict.fromkeys(FLEET, (4.0, 0.1))
-        await found.fetch_changes(POSITION, interest.EVERYTHING, True)
+        found.client.is_cut_off = True
+        found.client.ages = dict(zip(found.leaders(), ages, strict=False))
+        await found.fetch_changes(POSITION, interest.EVERYTHING, False)
         view = views.View(
             found.mirror, found.clock, "n20", 4.0, found.peer_cut_off_at
         )
-        self.assertEqual(view.is_current(), is_cut_off)
+        self.assertEqual(view.is_current(), is_current)
 
     def test_leader_does_not_follow_itself(self):
         self.assertEqual(make_peers("n3", ["n3", "n7"]).leaders(), ["n7"])
--- a/tests/storage/test_relay.py
+++ b/tests/storage/test_relay.py
@@ -112,3 +112,32 @@
             )
         self.assertEqual(changes.entries, [])
         self.assertLessEqual(requested_at - changes.age_s, mirror.current_at)
+
+    @parameterized.parameterized.expand([("reached", False), ("silent", True)])
+    @virtual.on_virtual_time
+    async def test_response_tells_what_the_node_gets_from_the_store(
+        self, _, is_unreachable
+    ):
+        mirror = mirrors.StoreMirror(
+            None, virtualtime.VirtualClock(), "n1", lambda: 0.0, follow_no_node
+        )
+        mirror.is_unreachable = is_unreachable
+        client = relay.HttpRelayClient(
+            HandlerHttpClient(relay.RelayHandler(mirror, NoBatches()))
+        )
+        mirror.current_at = 0.0
+        await trio.sleep(5)
+        mirror.advanced_at = trio.current_time() - 2.0
+        changes = await client.follow(
+            "n1", changelog.Position("", 0, 0), interest.EVERYTHING
+        )
+        self.assertAlmostEqual(changes.advanced_s, 2.0)
+        self.assertEqual(changes.is_unreachable, is_unreachable)
+
+    def test_node_of_an_earlier_release_counts_as_cut_off(self):
+        changes = relay._decode(
+            b'{"entries": [], "log": "l", "number": 1, "revision": 1,'
+            b' "age_s": 3.0, "checksum": "0"}'
+        )
+        self.assertTrue(changes.is_unreachable)
+        self.assertFalse(changes.is_advancing(0.0))
